--- /dev/null
+++ b/simhost/main.cpp
@@ -0,0 +1,273 @@
+// The adapter: reads batches of the simulator's wire on standard input, calls one Choice for each instance, and
+// writes what they do as one reply a batch. The wire's names and codes end in this file; nothing is decided here.
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cstring>
+#include <map>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "dewweir/choice.h"
+
+using namespace dewweir;
+
+namespace {
+
+// A record, read by the offsets that the wire states; running past its end is an error, never a guess.
+class Record {
+  public:
+    Record(const char* at, std::size_t size) : at_(at), size_(size) {}
+    template <class T>
+    T get(std::size_t offset) const {
+        if (offset > size_ || sizeof(T) > size_ - offset) throw std::runtime_error("a record is cut short");
+        T value;
+        std::memcpy(&value, at_ + offset, sizeof value);
+        return value;
+    }
+    std::string text(std::size_t offset) const {
+        const auto length = get<std::uint32_t>(offset);
+        if (length > size_ - offset - 4) throw std::runtime_error("a record's text is cut short");
+        return {at_ + offset + 4, length};
+    }
+    Time time(std::size_t offset) const {
+        const double ms = get<double>(offset);
+        if (!(std::abs(ms) < 1e14)) throw std::runtime_error("a time is no number");
+        return std::llround(ms * 10);
+    }
+
+  private:
+    const char* at_;
+    std::size_t size_;
+};
+
+class Reply {
+  public:
+    void begin(std::uint32_t batch) {
+        bytes_.clear();
+        records_ = 0;
+        put(batch).put<std::uint32_t>(0).put<std::uint32_t>(0);
+    }
+    Reply& action(std::uint16_t code, std::uint32_t size) {
+        ++records_;
+        return put(code).put(size);
+    }
+    template <class T>
+    Reply& put(T value) {
+        bytes_.append(reinterpret_cast<const char*>(&value), sizeof value);
+        return *this;
+    }
+    Reply& text(const std::string& text) {
+        put<std::uint16_t>(text.size());
+        bytes_ += text;
+        return *this;
+    }
+    const std::string& finish() {
+        const std::uint32_t size = bytes_.size();
+        std::memcpy(&bytes_[4], &records_, 4);
+        std::memcpy(&bytes_[8], &size, 4);
+        return bytes_;
+    }
+
+  private:
+    std::string bytes_;
+    std::uint32_t records_ = 0;
+};
+
+double ms(Time time) { return static_cast<double>(time) / 10; }
+
+// The actions of one instance, put on the wire as they come.
+class Wire : public Gateway {
+  public:
+    Wire(Reply& reply, std::uint16_t instance) : reply_(reply), i_(instance) {}
+    void execute(std::uint32_t submission, std::uint32_t host, Time give_up_after) override {
+        reply_.action(256, 18).put(i_).put(submission).put(host).put(ms(give_up_after));
+    }
+    void bounce(std::uint32_t submission, Time come_back_in) override {
+        reply_.action(257, 14).put(i_).put(submission).put(ms(come_back_in));
+    }
+    void write_off(std::uint32_t submission) override { reply_.action(258, 6).put(i_).put(submission); }
+    void cancel(std::uint32_t submission, int execution) override {
+        reply_.action(259, 8).put(i_).put(submission).put<std::uint16_t>(execution);
+    }
+    void probe(std::uint32_t host) override { reply_.action(261, 6).put(i_).put(host); }
+    void count(std::uint64_t name, double amount, Time keep_for) override {
+        reply_.action(268, 22).put(i_).put(name).put<float>(amount).put(ms(keep_for));
+    }
+    void arm(Time from_now, std::uint64_t token) override {
+        reply_.action(260, 18).put(i_).put(ms(from_now)).put(token);
+    }
+    void follow_list() override { reply_.action(266, 3).put(i_).put<std::uint8_t>(1); }
+    void log(const std::string& line) override {
+        const std::string text = line.substr(0, 60000);
+        reply_.action(264, text.size() + 4).put(i_).text(text);
+    }
+    void die(const std::string& why) { reply_.action(265, why.size() + 4).put(i_).text(why); }
+
+  private:
+    Reply& reply_;
+    std::uint16_t i_;
+};
+
+struct Instance {
+    std::unique_ptr<Wire> wire;
+    std::unique_ptr<Choice> choice;
+};
+
+// The wire's words for what is read at start, and ours.
+std::string our_words(const std::string& wire_words, char between) {
+    static const std::map<std::string, std::string> words = {
+        {"profiles", "tracks"},         {"goalTime", "latency_goal"},       {"hardLimit", "time_limit"},
+        {"idempotency", "repeats"},     {"retryable", "retriable"},         {"dedup", "fingerprinted"},
+        {"fragile", "binding"},         {"keyScope", "scope"},              {"dedupWindow", "remembered"},
+        {"lateValue", "late_value"},    {"worth", "benefit"},               {"contracts", "plans"},
+        {"mostAtOnce", "burst"},        {"hardBurst", "ceiling_burst"},     {"neverOverRate", "ceiling_rate"},
+        {"worthFactor", "benefit"},     {"extraWorth", "extra_benefit"},    {"overrunCost", "overrun_cost"},
+        {"contract", "rules"},          {"coldFrom", "cold_from"},          {"warmAfter", "warm_after"},
+        {"fallMultiple", "fall_multiple"}, {"askWithin", "ask_within"},     {"answerSlack", "answer_slack"},
+        {"specifics", "service"},       {"countLimit", "count_limit"},      {"postPaid", "settled_later"},
+        {"fleetSize", "gateways"},      {"az", "zone"},                     {"maxAttempts", "executions"},
+        {"maxRetryAfter", "longest_advice"}, {"worstClass", "worst_track"}, {"worstTenant", "worst_plan"},
+        {"crossZone", "cross_zone"},    {"lateFail", "late_write_off"},     {"retryAfter", "advice"},
+        {"secondCopies", "second_copies"}, {"ceilingSlack", "ceiling_slack"}, {"countFee", "count_fee"},
+    };
+    std::string ours;
+    for (std::size_t from = 0; from <= wire_words.size();) {
+        const std::size_t to = std::min(wire_words.find(between, from), wire_words.size());
+        const std::string word = wire_words.substr(from, to - from);
+        const auto known = words.find(word);
+        ours += (from ? std::string(1, between) : "") + (known == words.end() ? word : known->second);
+        from = to + 1;
+    }
+    return ours;
+}
+
+Terms terms_of(const std::string& info) {
+    Terms terms;
+    for (std::size_t from = 0; from < info.size();) {
+        const std::size_t to = std::min(info.find('\n', from), info.size());
+        const std::string line = info.substr(from, to - from);
+        const std::size_t equals = line.find('=');
+        if (equals != std::string::npos)
+            terms[our_words(line.substr(0, equals), '.')] = our_words(line.substr(equals + 1), ',');
+        from = to + 1;
+    }
+    return terms;
+}
+
+Verdict verdict_of(std::uint8_t code) {
+    switch (code) {
+        case 0: return Verdict::ok;
+        case 255: return Verdict::error;
+        case 254: return Verdict::full;
+        case 253: return Verdict::timeout;
+        case 252: return Verdict::connect_failed;
+        case 251: return Verdict::broken;
+        case 250: return Verdict::called_off;
+        case 249: return Verdict::not_sent;
+    }
+    throw std::runtime_error("unknown outcome code " + std::to_string(code));
+}
+
+void list_news(Choice& choice, const Record& r, Time now) {
+    const auto mode = r.get<std::uint8_t>(8);
+    if (mode > 3) throw std::runtime_error("unknown kind of list " + std::to_string(mode));
+    if (mode == 3) return choice.list_failed(now);
+    const auto rows = r.get<std::uint32_t>(17);
+    choice.list_begins(now, mode != 0);
+    for (std::uint64_t row = 0; row < rows; ++row) {
+        const std::size_t at = 21 + row * 22;
+        const auto standing = r.get<std::uint8_t>(at + 21);
+        if (standing > 2) throw std::runtime_error("unknown host mode " + std::to_string(standing));
+        choice.host_listed(now, r.get<std::uint32_t>(at + 17), static_cast<Standing>(standing), r.time(at),
+                           r.get<std::uint8_t>(at + 10), r.get<std::uint16_t>(at + 8));
+    }
+    choice.list_ends(now);
+}
+
+void happened(std::map<std::uint16_t, Instance>& instances, Reply& reply, const Record& r, Time now) {
+    const auto code = r.get<std::uint16_t>(0);
+    if (code < 256 || code > 266) throw std::runtime_error("unknown event code " + std::to_string(code));
+    const auto i = r.get<std::uint16_t>(6);
+    if (code == 256) {
+        Instance& fresh = instances[i];
+        fresh.choice.reset();
+        fresh.wire = std::make_unique<Wire>(reply, i);
+        try {
+            fresh.choice = std::make_unique<Choice>(*fresh.wire, terms_of(r.text(16)), r.get<std::uint64_t>(8), now);
+        } catch (const std::invalid_argument& missing) {
+            fresh.wire->die(missing.what());
+        }
+        return;
+    }
+    const auto found = instances.find(i);
+    if (found == instances.end() || !found->second.choice) return;  // not up, or no longer
+    Choice& choice = *found->second.choice;
+    switch (code) {
+        case 257: return list_news(choice, r, now);
+        case 258:
+            return choice.submitted(now, r.get<std::uint32_t>(8), r.get<std::uint16_t>(37), r.get<std::uint32_t>(25),
+                                    r.get<std::uint64_t>(29), r.get<float>(13),
+                                    static_cast<int>(std::clamp(r.get<float>(17), 0.0f, 1e6f)), r.time(39));
+        case 259: return choice.stream_started(now, r.get<std::uint32_t>(8), r.get<std::uint16_t>(12));
+        case 260:
+            return choice.execution_ended(now, r.get<std::uint32_t>(8), r.get<std::uint16_t>(30),
+                                          r.get<std::uint32_t>(26), verdict_of(r.get<std::uint8_t>(25)), r.time(15),
+                                          r.get<std::uint8_t>(14) != 0, r.get<std::uint16_t>(23));
+        case 261: return choice.client_gone(now, r.get<std::uint32_t>(8));
+        case 262: return choice.timer(now, r.get<std::uint64_t>(8));
+        case 263: return choice.probed(now, r.get<std::uint32_t>(8), verdict_of(r.get<std::uint8_t>(12)));
+        case 264: return;  // gateways learn of each other by the counter alone
+        case 265: instances.erase(found); return;
+        case 266:
+            return choice.counted(now, r.get<std::uint64_t>(8), verdict_of(r.get<std::uint8_t>(28)),
+                                  r.get<float>(24), r.time(16));
+    }
+}
+
+bool read_all(char* to, std::size_t size) {
+    const std::size_t got = std::fread(to, 1, size, stdin);
+    if (got && got < size) throw std::runtime_error("input ends within a batch");
+    return got == size;
+}
+
+void serve() {
+    std::map<std::uint16_t, Instance> instances;
+    Reply reply;
+    std::string batch(20, '\0');
+    while (read_all(batch.data(), 20)) {
+        const Record header(batch.data(), 20);
+        const auto number = header.get<std::uint32_t>(0), length = header.get<std::uint32_t>(4);
+        const auto records = header.get<std::uint32_t>(8);
+        const Time now = header.time(12);
+        if (length < 20) throw std::runtime_error("a batch is shorter than its header");
+        std::string body(length - 20, '\0');
+        if (!body.empty() && !read_all(body.data(), body.size())) throw std::runtime_error("a batch has no body");
+        reply.begin(number);
+        std::size_t at = 0;
+        for (std::uint32_t n = 0; n < records; ++n) {
+            const std::size_t left = body.size() - at;
+            const auto size = Record(body.data() + at, left).get<std::uint32_t>(2);
+            if (size > left - 6) throw std::runtime_error("a record runs past its batch");
+            happened(instances, reply, Record(body.data() + at, size + 6), now);
+            at += size + 6;
+        }
+        if (at != body.size()) throw std::runtime_error("a batch is longer than its records");
+        const std::string& bytes = reply.finish();
+        std::fwrite(bytes.data(), 1, bytes.size(), stdout);
+        std::fflush(stdout);
+    }
+}
+
+}  // namespace
+
+int main() {
+    try {
+        serve();
+    } catch (const std::exception& fault) {
+        std::fprintf(stderr, "dewweir_simhost: %s\n", fault.what());
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/choice.cpp
@@ -0,0 +1,742 @@
+// All decisions of the gateway: quotas, the line, which host, health, further executions, the five rules.
+// Callers own one Choice a gateway, tell it what happens in the order it happens, and do what it calls on the
+// Gateway handed to it; the interface is in include/dewweir/choice.h, the reasons are in docs/design.md.
+#include "dewweir/choice.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <random>
+#include <stdexcept>
+#include <unordered_map>
+#include <vector>
+
+namespace dewweir {
+namespace {
+
+Time whole(double time) { return std::llround(time); }
+
+enum class Repeats { retriable, fingerprinted, binding };
+enum class Stage { counting, waiting, out, over };
+enum class Asked { add, previous, back };
+enum Alarm : std::uint64_t { beat, limit, count_late, follow };
+
+struct Track {
+    Time goal, remembered;
+    Repeats repeats;
+    std::string scope;
+    double late_value;
+};
+
+struct Plan {
+    double rate, burst, extra_benefit, overrun_cost, ceiling_rate, ceiling_burst, parallel;
+    Time window;
+};
+
+struct Host {
+    std::uint32_t id;
+    bool listed = false, trial = false;
+    Time up_since = 0, shut_until = 0, shut_for = 0, last_word = 0, calmed = 0, budget_at = 0;
+    int zone = 0, cell = 0, out = 0, failures = 0;
+    double places = 2, slowness = 0, budget = 1;
+};
+
+struct Customer {
+    std::uint64_t id;
+    int plan, gateways, open = 0;
+    std::int64_t window = -1;
+    // What the counter holds of this window and the one before, as far as told; `own` is what this gateway knows
+    // to have been added, `lost` what the counter forgot, `owed` what was let in while it was away.
+    double total = 0, previous = 0, own = 0, lost = 0, owed = 0;
+    bool previous_known = false, found_over = false;
+    std::vector<std::uint32_t> readers;
+    double level = 0, share = 0, ceiling = 0;  // the quota's store replayed from the totals; our part; the ceiling's
+    Time level_at = 0, share_at = 0, ceiling_at = 0, over_until = 0;
+};
+
+struct Submission {
+    int track, customer;
+    double units;
+    Time came, goal_at, limit_at;
+    Stage stage = Stage::counting;
+    int executions = 0, host = -1, last_host = -1, zone = -1, cell = -1;
+    std::int64_t window = -1;
+    double reading = 0;
+    bool on_counter = false, on_share = false, may_have_run = false, stream = false, given_up = false;
+    Time sent = 0, first_ran = 0;
+};
+
+struct Call {
+    Asked asked;
+    std::uint32_t submission;
+    int customer;
+    std::int64_t window;
+    double amount;
+};
+
+}  // namespace
+
+struct Choice::State {
+    Gateway& gateway;
+    const Terms terms;
+    std::mt19937 chance;
+    Time now, started, step, count_limit, fall, warm_after, longest_advice, beat_every, beat_at;
+    int gateways, most_executions, zone;
+    double largest, cold_from, fall_multiple;
+    bool may_cancel, has_counter, settled_later, list_whole = false;
+    std::vector<Track> tracks;
+    std::vector<Plan> plans;
+    std::vector<Host> hosts;
+    std::vector<Customer> customers;
+    std::unordered_map<std::uint32_t, int> host_index;  // looked up by id, never walked
+    std::unordered_map<std::uint64_t, int> customer_index;
+    std::map<std::uint32_t, Submission> submissions;
+    std::deque<std::uint32_t> line;
+    std::map<std::uint64_t, std::deque<Call>> calls;
+    std::vector<char> named;
+    // The breaker: failed calls in a row, until when it is open, whether its probing call is out.
+    int count_failures = 0;
+    bool probing = false;
+    Time open_until = 0, open_for = 0;
+    double count_took, typical, flow = 0, places_all = 1;
+    int delivered_lately = 0;
+
+    // ---- what is read at start ----
+
+    const std::string* term(const std::string& name) const {
+        const auto found = terms.find(name);
+        return found == terms.end() ? nullptr : &found->second;
+    }
+    double number(const std::string& name) const {
+        const std::string* text = term(name);
+        if (!text) throw std::invalid_argument("term missing: " + name);
+        char* end = nullptr;
+        const double value = std::strtod(text->c_str(), &end);
+        if (text->empty() || *end || !std::isfinite(value)) throw std::invalid_argument("term unreadable: " + name);
+        return value;
+    }
+    double number(const std::string& name, double otherwise) const { return term(name) ? number(name) : otherwise; }
+    Time time(const std::string& name) const { return whole(number(name) * 10); }
+    bool holds(const std::string& name) const { return term(name) && *term(name) == "true"; }
+
+    State(Gateway& g, const Terms& t, std::uint64_t seed, Time at)
+        : gateway(g), terms(t), chance(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))), now(at), started(at) {
+        step = std::max<Time>(1, time("step"));
+        gateways = std::max(1, static_cast<int>(number("gateways")));
+        zone = static_cast<int>(number("zone", 0));
+        most_executions = static_cast<int>(number("limits.executions", 1));
+        may_cancel = holds("limits.cancel");
+        longest_advice = holds("limits.advice") ? time("limits.longest_advice") : 0;
+        has_counter = holds("service.counter");
+        settled_later = holds("service.settled_later");
+        count_limit = has_counter ? time("service.count_limit") : 0;
+        largest = number("service.largest", 1);
+        fall = time("rules.fall");
+        fall_multiple = number("rules.fall_multiple");
+        cold_from = number("rules.cold_from");
+        warm_after = std::max<Time>(1, time("rules.warm_after"));
+        for (int n = 0; n < number("tracks.count"); ++n) {
+            const std::string at_ = "tracks." + std::to_string(n) + ".";
+            const std::string repeats = term(at_ + "repeats") ? *term(at_ + "repeats") : "";
+            if (repeats != "retriable" && repeats != "fingerprinted" && repeats != "binding")
+                throw std::invalid_argument("term missing or unreadable: " + at_ + "repeats");
+            tracks.push_back({time(at_ + "latency_goal"), time(at_ + "remembered"),
+                              repeats == "retriable" ? Repeats::retriable
+                              : repeats == "binding" ? Repeats::binding
+                                                     : Repeats::fingerprinted,
+                              term(at_ + "scope") ? *term(at_ + "scope") : "all", number(at_ + "late_value", 0)});
+        }
+        for (int n = 0; n < number("plans.count", 0); ++n) {
+            const std::string at_ = "plans." + std::to_string(n) + ".";
+            Plan p{number(at_ + "rate", 0) / 10000, number(at_ + "burst", 0), number(at_ + "extra_benefit", 0),
+                   number(at_ + "overrun_cost", 0), number(at_ + "ceiling_rate", 0) / 10000,
+                   number(at_ + "ceiling_burst", 0), number(at_ + "parallel", 0), 0};
+            p.window = p.rate > 0 ? std::max<Time>(step, whole(p.burst / p.rate)) : 0;
+            plans.push_back(p);
+        }
+        if (tracks.empty()) throw std::invalid_argument("term unreadable: tracks.count");
+        Time goal = tracks[0].goal;
+        for (const Track& track : tracks) goal = std::min(goal, track.goal);
+        beat_every = std::max(step, goal / 50);
+        beat_at = now;
+        typical = static_cast<double>(goal) / 6;
+        count_took = static_cast<double>(count_limit) / 10;
+        gateway.arm(beat_every, beat);
+        if (term("discovery") && *term("discovery") == "ask") gateway.follow_list();
+    }
+
+    Time jittered(Time about) { return about / 2 + std::uniform_int_distribution<Time>(0, std::max<Time>(1, about))(chance); }
+
+    // ---- quotas ----
+
+    std::uint64_t name_of(const Customer& c, std::int64_t window) const {
+        return (c.id << 30) | (static_cast<std::uint64_t>(window) & 0x3fffffff);
+    }
+
+    void call(Asked asked, std::uint32_t submission, int customer, std::int64_t window, double amount) {
+        const Customer& c = customers[customer];
+        const std::uint64_t name = name_of(c, window);
+        calls[name].push_back({asked, submission, customer, window, amount});
+        gateway.count(name, amount, std::min<Time>(2 * plans[c.plan].window, 600000));
+    }
+
+    // Brings a customer's record up to this moment: a new window begins, the stores fill.
+    void bring_up(Customer& c) {
+        const Plan& p = plans[c.plan];
+        if (p.rate <= 0) return;
+        const std::int64_t window = now / p.window;
+        if (window != c.window) {
+            const bool next = window == c.window + 1;
+            c.previous = next ? c.total : 0;
+            if (!next) c.level = p.burst;
+            c.previous_known = false;
+            c.total = c.own = c.lost = c.owed = 0;
+            c.window = window;
+        }
+        c.level = std::min(p.burst, c.level + p.rate * static_cast<double>(now - c.level_at));
+        c.share = std::min(p.burst / c.gateways, c.share + p.rate / c.gateways * static_cast<double>(now - c.share_at));
+        c.level_at = c.share_at = now;
+    }
+
+    bool breaker_open() const { return count_failures >= 3 && (now < open_until || probing); }
+
+    void count_failed() {
+        if (++count_failures < 3) return;
+        if (count_failures == 3) gateway.log("counter silent or failing: breaker open, shares decide");
+        open_for = std::clamp(2 * open_for, 4 * count_limit, 40 * count_limit);
+        open_until = now + jittered(open_for);
+        probing = false;
+    }
+    void count_answered(Time took) {
+        if (count_failures >= 3) gateway.log("counter answers: breaker closed");
+        count_failures = 0;
+        open_for = 0;
+        probing = false;
+        count_took += (static_cast<double>(took) - count_took) / 32;
+    }
+
+    void check_quota(std::uint32_t id, Submission& s) {
+        Customer& c = customers[s.customer];
+        const Plan& p = plans[c.plan];
+        bring_up(c);
+        if (p.parallel > 0 && c.open >= std::max(1.0, std::floor(p.parallel / c.gateways))) return turn_down(id, s, 0);
+        if (p.rate <= 0) return take_in(id, s);
+        // Guards the counter and its price against customers far over: one found over by the count stays over until
+        // its store can have refilled, whatever the other gateways let in meanwhile.
+        if (c.found_over && now < c.over_until && c.level < s.units) return beyond(id, s);
+        if (!has_counter || breaker_open()) return decide_by_share(id, s);
+        if (count_failures >= 3) probing = true;
+        s.window = c.window;
+        call(Asked::add, id, s.customer, c.window, s.units + c.owed);
+        c.own += s.units + c.owed;
+        c.owed = 0;
+        gateway.arm(std::min<Time>(count_limit, std::max<Time>(whole(8 * count_took), count_limit / 2)),
+                    count_late | (static_cast<std::uint64_t>(id) << 3));
+    }
+
+    // The design's check: what was counted in this window and the part of the one before that still overlaps.
+    void decide_by_count(std::uint32_t id, Submission& s) {
+        Customer& c = customers[s.customer];
+        const Plan& p = plans[c.plan];
+        bring_up(c);
+        const double passed = static_cast<double>(now % p.window) / static_cast<double>(p.window);
+        const double estimate = c.previous * (1 - passed) + s.reading;
+        // Departure: over by the window, but the quota's own store, replayed from the totals read, holds the units.
+        if (estimate <= p.burst || c.level >= 0) {
+            c.found_over = false;
+            return take_in(id, s);
+        }
+        give_back(s);
+        c.found_over = true;
+        c.over_until = now + std::min(p.window, whole(std::max(0.0, s.units - c.level) / p.rate));
+        beyond(id, s);
+    }
+
+    void decide_by_share(std::uint32_t id, Submission& s) {
+        Customer& c = customers[s.customer];
+        bring_up(c);
+        if (c.share < s.units) return beyond(id, s);
+        c.share -= s.units;
+        c.level -= s.units;
+        c.total += s.units;
+        s.on_share = true;
+        if (s.window < 0) c.owed += s.units;  // else a call is out that may have added them
+        take_in(id, s);
+    }
+
+    void give_back(Submission& s) {
+        Customer& c = customers[s.customer];
+        if (s.on_counter && s.window == c.window) {
+            call(Asked::back, 0, s.customer, s.window, -s.units);
+            c.total -= s.units;
+            c.own -= s.units;
+        } else if (s.on_share) {
+            c.share += s.units;
+            c.total -= s.units;
+            if (s.window < 0) c.owed -= s.units;
+        }
+        if (s.on_counter || s.on_share) c.level += s.units;
+        s.on_counter = s.on_share = false;
+    }
+
+    // Beyond the quota: worth sending only where the plan earns by it, and with room to spare at a host.
+    void beyond(std::uint32_t id, Submission& s) {
+        Customer& c = customers[s.customer];
+        const Plan& p = plans[c.plan];
+        if (p.extra_benefit > p.overrun_cost && line.empty()) {
+            const int host = pick_host(s, 0.5);
+            if (host >= 0) return execute(id, s, host);
+        }
+        turn_down(id, s, whole(std::max(0.0, s.units - c.level) / p.rate));
+    }
+
+    void counted(std::uint64_t name, Verdict verdict, double told, Time took) {
+        const auto found = calls.find(name);
+        if (found == calls.end()) return;
+        const Call made = found->second.front();
+        found->second.pop_front();
+        if (found->second.empty()) calls.erase(found);
+        Customer& c = customers[made.customer];
+        bring_up(c);
+        const auto waiting = submissions.find(made.submission);
+        const bool awaited = waiting != submissions.end() && waiting->second.stage == Stage::counting;
+        if (verdict == Verdict::ok) count_answered(took);
+        else if (awaited || made.asked == Asked::previous) count_failed();
+        if (made.asked == Asked::previous) return previous_told(c, made, verdict, told);
+        if (verdict == Verdict::ok && made.window == c.window) total_told(c, made, told);
+        if (made.asked == Asked::back) return;
+        if (waiting == submissions.end()) return;
+        Submission& s = waiting->second;
+        if (verdict == Verdict::ok) {
+            s.on_counter = true;
+            s.reading = c.total;
+            if (s.on_share) s.on_share = false, c.level += s.units;  // total_told has just taken them again
+            if (s.stage == Stage::over) return give_back(s);
+        } else if (verdict != Verdict::timeout && made.window == c.window) {
+            c.own -= made.amount;
+            c.owed += made.amount - (s.on_share ? 0 : s.units);
+            s.window = -1;
+        }
+        if (!awaited) return;
+        if (verdict != Verdict::ok) return decide_by_share(made.submission, s);
+        // The previous window's total is read once, and only where it can matter.
+        if (!c.previous_known && s.reading + c.previous > plans[c.plan].burst / 2) {
+            if (c.readers.empty()) call(Asked::previous, made.submission, made.customer, c.window - 1, 0);
+            c.readers.push_back(made.submission);
+            return;
+        }
+        decide_by_count(made.submission, s);
+    }
+
+    void total_told(Customer& c, const Call& made, double told) {
+        double total = told + c.lost;
+        // Guards against a counter that forgets or comes back empty: the customer has no fresh window by it.
+        const double least = std::max(c.own, made.amount + (c.total > 4 * largest ? c.total / 2 : 0));
+        if (total < least - 0.01) {
+            const double should = std::max(c.total + made.amount, c.own);
+            c.lost += should - total;
+            total = should;
+        }
+        c.level = std::max(c.level - (total - c.total), -largest);
+        c.total = total;
+    }
+
+    void previous_told(Customer& c, const Call& made, Verdict verdict, double told) {
+        if (verdict == Verdict::ok && made.window == c.window - 1) {
+            if (told > c.previous) {
+                c.level = std::max(c.level - (told - c.previous), -largest);
+                c.previous = told;
+            }
+            c.previous_known = true;
+        }
+        std::vector<std::uint32_t> readers;
+        readers.swap(c.readers);
+        for (const std::uint32_t id : readers) {
+            const auto found = submissions.find(id);
+            if (found != submissions.end() && found->second.stage == Stage::counting) decide_by_count(id, found->second);
+        }
+    }
+
+    // ---- the line and the hosts ----
+
+    double wait_in_line() const { return static_cast<double>(line.size()) * typical / std::max(1.0, places_all); }
+
+    void take_in(std::uint32_t id, Submission& s) {
+        Customer& c = customers[s.customer];
+        const Plan& p = plans[c.plan];
+        if (p.ceiling_rate > 0 && ceiling_of(c) < s.units) return turn_down(id, s, 0);
+        ++c.open;
+        s.stage = Stage::waiting;
+        line.push_back(id);
+        place();
+    }
+
+    // A ceiling must hold whatever the counter says and although gateways restart with nothing: each keeps its own
+    // part, which is empty at its start.
+    double ceiling_of(Customer& c) {
+        const Plan& p = plans[c.plan];
+        c.ceiling = std::min(p.ceiling_burst / c.gateways,
+                             c.ceiling + p.ceiling_rate / c.gateways * static_cast<double>(now - c.ceiling_at));
+        c.ceiling_at = now;
+        return c.ceiling;
+    }
+
+    void place() {
+        for (std::size_t n = 0; n < line.size();) {
+            const std::uint32_t id = line[n];
+            Submission& s = submissions.at(id);
+            const int host = pick_host(s, 1);
+            if (host < 0) {
+                if (!s.may_have_run) break;  // nobody has room for any piece; one bound to a group may just lack its own
+                ++n;
+                continue;
+            }
+            line.erase(line.begin() + static_cast<std::ptrdiff_t>(n));
+            execute(id, s, host);
+        }
+    }
+
+    double warmth(const Host& h) const {
+        if (h.up_since <= 0 || now - h.up_since >= warm_after) return 1;
+        return cold_from + (1 - cold_from) * static_cast<double>(std::max<Time>(0, now - h.up_since)) /
+                               static_cast<double>(warm_after);
+    }
+
+    // A cold host's budget runs over any window and for all gateways together: this one sends no faster than the
+    // part, by age, of what it has a warm host do.
+    bool budget_left(Host& h) {
+        const double warm = warmth(h);
+        if (warm >= 1) return true;
+        const double rate = std::max(warm * flow * fall_multiple / 2, 1.0 / static_cast<double>(fall));
+        h.budget = std::min(1.0, h.budget + rate * static_cast<double>(now - h.budget_at));
+        h.budget_at = now;
+        return h.budget >= 1;
+    }
+
+    int pick_host(const Submission& s, double part) {
+        int best = -1;
+        double least = 0;
+        const Track& track = tracks[s.track];
+        for (int n = 0; n < static_cast<int>(hosts.size()); ++n) {
+            Host& h = hosts[n];
+            if (!h.listed || now < h.shut_until || (h.trial && h.out > 0)) continue;
+            if (s.may_have_run && track.repeats == Repeats::fingerprinted &&
+                ((track.scope == "zone" && h.zone != s.zone) || (track.scope == "cell" && h.cell != s.cell)))
+                continue;
+            const double warm = warmth(h);
+            if (h.out + 1 > std::max(1.0, h.places * warm * part) || !budget_left(h)) continue;
+            double score = std::max(h.slowness, typical / 4) * (h.out + 1) / warm;
+            if (h.zone != zone) score *= 1.1;
+            if (n == s.last_host) score *= 8;
+            if (best < 0 || score < least) best = n, least = score;
+        }
+        return best;
+    }
+
+    void execute(std::uint32_t id, Submission& s, int host) {
+        Host& h = hosts[host];
+        Customer& c = customers[s.customer];
+        if (s.executions == 0 && plans[c.plan].ceiling_rate > 0) {
+            if (ceiling_of(c) < s.units) return turn_down(id, s, 0);
+            c.ceiling -= s.units;
+        }
+        s.stage = Stage::out;
+        s.host = host;
+        s.sent = now;
+        s.given_up = false;
+        ++s.executions;
+        ++h.out;
+        h.budget -= 1;
+        gateway.execute(id, h.id, std::max<Time>(step, s.limit_at - now));
+    }
+
+    // ---- ends ----
+
+    void close(std::uint32_t id, Submission& s) {
+        if (s.stage == Stage::waiting) {
+            --customers[s.customer].open;
+            const auto at = std::find(line.begin(), line.end(), id);
+            if (at != line.end()) line.erase(at);
+        }
+        const bool still_out = s.stage == Stage::out, still_counting = s.stage == Stage::counting && s.window >= 0;
+        s.stage = Stage::over;
+        // An execution that is out, or a call that may yet add, needs the record until its end is told.
+        if (!still_out && !(still_counting && !s.on_counter)) submissions.erase(id);
+    }
+
+    void turn_down(std::uint32_t id, Submission& s, Time advice) {
+        const Track& track = tracks[s.track];
+        if (s.executions == 0) give_back(s);
+        if (!s.may_have_run || track.repeats == Repeats::retriable ||
+            (track.repeats == Repeats::fingerprinted && track.scope == "all"))
+            gateway.bounce(id, std::min(advice, longest_advice));
+        else
+            gateway.write_off(id);
+        close(id, s);
+    }
+
+    bool may_run_again(const Submission& s) const {
+        if (s.executions >= most_executions) return false;
+        const Track& track = tracks[s.track];
+        if (!s.may_have_run || track.repeats == Repeats::retriable) return true;
+        return track.repeats == Repeats::fingerprinted && now + 4 * step < s.first_ran + track.remembered;
+    }
+
+    void host_failed(Host& h, Verdict verdict) {
+        ++h.failures;
+        h.slowness += (static_cast<double>(tracks[0].goal) - h.slowness) / 4;
+        const int enough = verdict == Verdict::connect_failed ? 2 : 3;
+        if (h.failures < enough && !h.trial) return;
+        int listed = 0, shut = 0;
+        for (const Host& other : hosts) {
+            listed += other.listed;
+            shut += other.listed && (other.trial || now < other.shut_until);
+        }
+        if (2 * (shut + 1) > listed && !h.trial) return;  // when all fail at once no host is to blame
+        if (!h.trial) gateway.log("host " + std::to_string(h.id) + " shut: failures in a row");
+        h.shut_for = std::clamp(2 * h.shut_for, tracks[0].goal, 8 * tracks[0].goal);
+        h.shut_until = now + jittered(h.shut_for);
+        h.trial = true;
+    }
+
+    void host_delivered(Host& h, Time took) {
+        const double goal = static_cast<double>(tracks[0].goal);
+        if (h.trial) gateway.log("host " + std::to_string(h.id) + " back");
+        h.trial = false;
+        h.failures = 0;
+        h.shut_for = 0;
+        h.last_word = now;
+        h.slowness += (static_cast<double>(took) - h.slowness) / 8;
+        typical += (static_cast<double>(took) - typical) / 64;
+        if (warmth(h) >= 1) ++delivered_lately;
+        if (h.slowness < 0.35 * goal && h.out + 2 > h.places) h.places += 1 / h.places;
+        if (h.slowness > 0.5 * goal && now - h.calmed > whole(h.slowness)) {
+            h.places = std::max(1.0, 0.9 * h.places);
+            h.calmed = now;
+        }
+    }
+
+    void execution_ended(std::uint32_t id, int, int host, Verdict verdict, Time took, bool settled, double billed) {
+        Host& h = hosts[host];
+        h.out = std::max(0, h.out - 1);
+        const bool ran = verdict != Verdict::full && verdict != Verdict::connect_failed && verdict != Verdict::not_sent;
+        if (verdict == Verdict::ok) host_delivered(h, took);
+        else if (verdict == Verdict::full) h.places = std::max(1.0, h.places / 2), h.last_word = now;
+        else if (verdict != Verdict::called_off && verdict != Verdict::not_sent) host_failed(h, verdict);
+        const auto found = submissions.find(id);
+        if (found == submissions.end()) return place();
+        Submission& s = found->second;
+        --customers[s.customer].open;
+        if (verdict == Verdict::ok && settled_later && billed > 0 && s.on_counter) settle(s, billed);
+        if (s.stage != Stage::out || settled) {
+            s.stage = Stage::over;
+            submissions.erase(found);
+            return place();
+        }
+        if (ran && !s.may_have_run) {
+            s.may_have_run = true;
+            s.first_ran = s.sent;
+            s.zone = h.zone;
+            s.cell = h.cell;
+        }
+        s.last_host = host;
+        s.stage = Stage::waiting;
+        ++customers[s.customer].open;
+        if (now + 2 * step >= s.limit_at) {
+            gateway.write_off(id);
+            close(id, s);
+        } else if (!may_run_again(s)) {
+            turn_down(id, s, whole(typical));
+        } else {
+            line.push_front(id);
+        }
+        place();
+    }
+
+    // Units settled afterwards: the difference goes to the same name, or to our share.
+    void settle(Submission& s, double billed) {
+        Customer& c = customers[s.customer];
+        bring_up(c);
+        const double more = billed - s.units;
+        if (s.window != c.window || more == 0) return;
+        call(Asked::back, 0, s.customer, s.window, more);
+        c.total += more;
+        c.own += more;
+        c.level -= more;
+    }
+
+    // ---- time ----
+
+    void on_beat() {
+        const double passed = static_cast<double>(std::max<Time>(1, now - beat_at));
+        int warm = 0;
+        places_all = 0;
+        for (const Host& h : hosts) {
+            if (!h.listed || h.trial || now < h.shut_until) continue;
+            places_all += h.places;
+            warm += warmth(h) >= 1;
+        }
+        const double pace = delivered_lately / passed / std::max(1, warm);
+        flow += (pace - flow) * std::min(1.0, passed / static_cast<double>(fall));
+        delivered_lately = 0;
+        beat_at = now;
+        std::vector<std::uint32_t> late, silent;
+        for (auto& [id, s] : submissions) {
+            if (s.stage == Stage::waiting && now + whole(typical / 2) > s.goal_at) late.push_back(id);
+            if (s.stage != Stage::out || s.stream || s.given_up || !may_cancel || !may_run_again_if_cancelled(s)) continue;
+            // Guards against hosts that take work and answer nothing: no word since this piece went there.
+            if (now - s.sent > std::max(tracks[s.track].goal * 2 / 5, whole(3 * typical)) &&
+                hosts[s.host].last_word < s.sent)
+                silent.push_back(id);
+        }
+        for (const std::uint32_t id : silent) {
+            Submission& s = submissions.at(id);
+            s.given_up = true;
+            gateway.cancel(id, s.executions - 1);
+            host_failed(hosts[s.host], Verdict::timeout);
+        }
+        for (const std::uint32_t id : late) turn_down(id, submissions.at(id), whole(typical));
+        place();
+        gateway.arm(beat_every, beat);
+    }
+
+    bool may_run_again_if_cancelled(const Submission& s) const {
+        return s.executions < most_executions && tracks[s.track].repeats == Repeats::retriable;
+    }
+
+    void on_limit(std::uint32_t id) {
+        const auto found = submissions.find(id);
+        if (found == submissions.end() || found->second.stage == Stage::over || found->second.stream) return;
+        Submission& s = found->second;
+        if (s.stage == Stage::out && may_cancel) gateway.cancel(id, s.executions - 1);
+        if (s.executions == 0) return turn_down(id, s, 0);
+        gateway.write_off(id);
+        close(id, s);
+    }
+};
+
+// ---- what can happen ----
+
+Choice::Choice(Gateway& gateway, const Terms& terms, std::uint64_t seed, Time now)
+    : state_(std::make_unique<State>(gateway, terms, seed, now)) {}
+Choice::~Choice() = default;
+
+void Choice::list_begins(Time now, bool whole) {
+    state_->now = now;
+    state_->list_whole = whole;
+    state_->named.assign(state_->hosts.size(), 0);
+}
+
+void Choice::host_listed(Time now, std::uint32_t id, Standing standing, Time up_since, int zone, int cell) {
+    State& s = *state_;
+    const auto [at, fresh] = s.host_index.try_emplace(id, static_cast<int>(s.hosts.size()));
+    if (fresh) {
+        s.hosts.push_back({});
+        s.hosts.back().id = id;
+        s.hosts.back().slowness = s.typical;
+    }
+    s.named.resize(s.hosts.size(), 0);
+    s.named[at->second] = 1;
+    Host& h = s.hosts[at->second];
+    if (up_since > h.up_since) {  // started again: nothing learnt of its last life counts
+        h.up_since = up_since;
+        h.failures = 0;
+        h.budget_at = now;
+        h.budget = 0;
+    }
+    h.listed = standing == Standing::ready;
+    h.zone = zone;
+    h.cell = cell;
+}
+
+void Choice::list_ends(Time now) {
+    State& s = *state_;
+    s.now = now;
+    if (s.list_whole)
+        for (std::size_t n = 0; n < s.hosts.size(); ++n)
+            if (!s.named[n]) s.hosts[n].listed = false;
+    s.place();
+}
+
+void Choice::list_failed(Time now) {
+    state_->now = now;
+    state_->gateway.arm(state_->jittered(state_->time("rules.ask_within") / 8), follow);
+}
+
+void Choice::submitted(Time now, std::uint32_t id, int track, int plan, std::uint64_t customer, double units,
+                       int customer_gateways, Time patience_left) {
+    State& s = *state_;
+    s.now = now;
+    const auto [at, fresh] = s.customer_index.try_emplace(customer, static_cast<int>(s.customers.size()));
+    if (fresh) {
+        Customer c;
+        c.id = customer;
+        c.plan = plan;
+        c.gateways = std::max(1, customer_gateways);
+        c.level = s.plans.at(plan).burst;
+        c.share = c.level / c.gateways;
+        c.level_at = c.share_at = now;
+        c.ceiling_at = s.started;
+        s.customers.push_back(c);
+    }
+    Submission fresh_one{track, at->second, units, now, now + std::min(s.tracks.at(track).goal, patience_left),
+                         now + patience_left};
+    Submission& sub = s.submissions.insert_or_assign(id, fresh_one).first->second;
+    s.gateway.arm(std::max<Time>(1, patience_left - 2 * s.step), limit | (static_cast<std::uint64_t>(id) << 3));
+    // Overload: what cannot be answered in useful time is bounced before it is counted.
+    if (now + whole(s.wait_in_line() + s.typical) > sub.goal_at && !s.line.empty())
+        return s.turn_down(id, sub, whole(s.typical));
+    s.check_quota(id, sub);
+}
+
+void Choice::execution_ended(Time now, std::uint32_t id, int execution, std::uint32_t host, Verdict verdict, Time took,
+                             bool settled, double billed) {
+    state_->now = now;
+    const auto found = state_->host_index.find(host);
+    if (found != state_->host_index.end())
+        state_->execution_ended(id, execution, found->second, verdict, took, settled, billed);
+}
+
+void Choice::stream_started(Time now, std::uint32_t id, int) {
+    state_->now = now;
+    const auto found = state_->submissions.find(id);
+    if (found != state_->submissions.end()) found->second.stream = true;
+}
+
+void Choice::client_gone(Time now, std::uint32_t id) {
+    State& s = *state_;
+    s.now = now;
+    const auto found = s.submissions.find(id);
+    if (found == s.submissions.end() || found->second.stage == Stage::over) return;
+    if (found->second.stage == Stage::out && s.may_cancel && !found->second.stream)
+        s.gateway.cancel(id, found->second.executions - 1);
+    if (found->second.executions == 0) s.give_back(found->second);
+    s.close(id, found->second);
+}
+
+void Choice::counted(Time now, std::uint64_t name, Verdict verdict, double total, Time took) {
+    state_->now = now;
+    state_->counted(name, verdict, total, took);
+}
+
+void Choice::probed(Time now, std::uint32_t, Verdict) { state_->now = now; }
+
+void Choice::timer(Time now, std::uint64_t token) {
+    State& s = *state_;
+    s.now = now;
+    const auto id = static_cast<std::uint32_t>(token >> 3);
+    switch (token & 7) {
+        case beat: return s.on_beat();
+        case limit: return s.on_limit(id);
+        case follow: return s.gateway.follow_list();
+        case count_late: {
+            const auto found = s.submissions.find(id);
+            if (found == s.submissions.end() || found->second.stage != Stage::counting) return;
+            if (found->second.on_counter) return s.decide_by_count(id, found->second);
+            s.count_failed();
+            return s.decide_by_share(id, found->second);
+        }
+    }
+}
+
+}  // namespace dewweir
