Count own adds when they are answered, so that calls in flight do not look forgotten

Cause: own adds were tallied when sent, so a total told for an earlier call lay under them and was taken for a forgetting counter; customers then lost room for a window. Conclusion: tallies move only with answers, in their order.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -223,12 +223,11 @@
         if (p.rate <= 0) return take_in(id, s);
         // Guards the counter and its price against customers far over: one found over by the count stays over until
         // its store can have refilled, whatever the other gateways let in meanwhile.
-        if (c.found_over && now < c.over_until && c.level < s.units) return beyond(id, s);
+        if (c.found_over && now < c.over_until) return beyond(id, s);
         if (!has_counter || breaker_open()) return decide_by_share(id, s);
         if (count_failures >= 3) probing = true;
         s.window = c.window;
         call(Asked::add, id, s.customer, c.window, s.units + c.owed);
-        c.own += s.units + c.owed;
         c.owed = 0;
         gateway.arm(std::min<Time>(count_limit, std::max<Time>(whole(8 * count_took), count_limit / 2)),
                     count_late | (static_cast<std::uint64_t>(id) << 3));
@@ -248,7 +247,7 @@
         }
         give_back(s);
         c.found_over = true;
-        c.over_until = now + std::min(p.window, whole(std::max(0.0, s.units - c.level) / p.rate));
+        c.over_until = now + std::min(p.window, whole(std::max(0.0, -c.level) / p.rate));
         beyond(id, s);
     }
 
@@ -267,15 +266,13 @@
     void give_back(Submission& s) {
         Customer& c = customers[s.customer];
         if (s.on_counter && s.window == c.window) {
-            call(Asked::back, 0, s.customer, s.window, -s.units);
-            c.total -= s.units;
-            c.own -= s.units;
+            call(Asked::back, 0, s.customer, s.window, -s.units);  // its answer puts the totals right
         } else if (s.on_share) {
             c.share += s.units;
             c.total -= s.units;
             if (s.window < 0) c.owed -= s.units;
         }
-        if (s.on_counter || s.on_share) c.level += s.units;
+        if (s.on_share) c.level += s.units;
         s.on_counter = s.on_share = false;
     }
 
@@ -313,7 +310,6 @@
             if (s.on_share) s.on_share = false, c.level += s.units;  // total_told has just taken them again
             if (s.stage == Stage::over) return give_back(s);
         } else if (verdict != Verdict::timeout && made.window == c.window) {
-            c.own -= made.amount;
             c.owed += made.amount - (s.on_share ? 0 : s.units);
             s.window = -1;
         }
@@ -331,8 +327,8 @@
     void total_told(Customer& c, const Call& made, double told) {
         double total = told + c.lost;
         // Guards against a counter that forgets or comes back empty: the customer has no fresh window by it.
-        const double least = std::max(c.own, made.amount + (c.total > 4 * largest ? c.total / 2 : 0));
-        if (total < least - 0.01) {
+        c.own += made.amount;
+        if (total < c.own - 0.01) {
             const double should = std::max(c.total + made.amount, c.own);
             c.lost += should - total;
             total = should;
@@ -560,9 +556,6 @@
         const double more = billed - s.units;
         if (s.window != c.window || more == 0) return;
         call(Asked::back, 0, s.customer, s.window, more);
-        c.total += more;
-        c.own += more;
-        c.level -= more;
     }
 
     // ---- time ----
