Line keeps a piece only while most hosts can still answer it within its goal

Cause: a third of overload's answers came just past the goal, since pieces left the line half a usual execution before it. Now the usual time and its swing are kept back.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -98,7 +98,7 @@
     int count_failures = 0;
     bool probing = false;
     Time open_until = 0, open_for = 0;
-    double count_took, typical, flow = 0, places_all = 1;
+    double count_took, typical, swing = 0, flow = 0, places_all = 1;
     int delivered_lately = 0;
 
     // ---- what is read at start ----
@@ -357,6 +357,9 @@
 
     double wait_in_line() const { return static_cast<double>(line.size()) * typical / std::max(1.0, places_all); }
 
+    // The time a host needs for most pieces: the usual time and how far it swings.
+    Time needed() const { return whole(typical + swing); }
+
     void take_in(std::uint32_t id, Submission& s) {
         Customer& c = customers[s.customer];
         const Plan& p = plans[c.plan];
@@ -503,6 +506,7 @@
         h.shut_for = 0;
         h.last_word = now;
         h.slowness += (static_cast<double>(took) - h.slowness) / 8;
+        swing += (std::abs(static_cast<double>(took) - typical) - swing) / 64;
         typical += (static_cast<double>(took) - typical) / 64;
         if (warmth(h) >= 1) ++delivered_lately;
         if (h.slowness < 0.35 * goal && h.out + 2 > h.places) h.places += 1 / h.places;
@@ -575,7 +579,7 @@
         beat_at = now;
         std::vector<std::uint32_t> late, silent;
         for (auto& [id, s] : submissions) {
-            if (s.stage == Stage::waiting && now + whole(typical / 2) > s.goal_at) late.push_back(id);
+            if (s.stage == Stage::waiting && now + needed() > s.goal_at) late.push_back(id);
             if (s.stage != Stage::out || s.stream || s.given_up || !may_cancel || !may_run_again_if_cancelled(s)) continue;
             // Guards against hosts that take work and answer nothing: no word since this piece went there.
             if (now - s.sent > std::max(tracks[s.track].goal * 2 / 5, whole(3 * typical)) &&
@@ -677,7 +681,7 @@
     Submission& sub = s.submissions.insert_or_assign(id, fresh_one).first->second;
     s.gateway.arm(std::max<Time>(1, patience_left - 2 * s.step), limit | (static_cast<std::uint64_t>(id) << 3));
     // Overload: what cannot be answered in useful time is bounced before it is counted.
-    if (now + whole(s.wait_in_line() + s.typical) > sub.goal_at && !s.line.empty())
+    if (now + whole(s.wait_in_line()) + s.needed() > sub.goal_at && !s.line.empty())
         return s.turn_down(id, sub, whole(s.typical));
     s.check_quota(id, sub);
 }
