--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -509,8 +509,8 @@
         swing += (std::abs(static_cast<double>(took) - typical) - swing) / 64;
         typical += (static_cast<double>(took) - typical) / 64;
         if (warmth(h) >= 1) ++delivered_lately;
-        if (h.slowness < 0.35 * goal && h.out + 2 > h.places) h.places += 1 / h.places;
-        if (h.slowness > 0.5 * goal && now - h.calmed > whole(h.slowness)) {
+        if (h.slowness < 0.25 * goal && h.out + 2 > h.places) h.places += 1 / h.places;
+        if (h.slowness > 0.35 * goal && now - h.calmed > whole(h.slowness)) {
             h.places = std::max(1.0, 0.9 * h.places);
             h.calmed = now;
         }
