Line kept to an eighth of the goal: a client's later tries have less time left

It should hold against any shortage of hosts; it could hurt where load comes in waves shorter than the goal.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -681,7 +681,8 @@
     Submission& sub = s.submissions.insert_or_assign(id, fresh_one).first->second;
     s.gateway.arm(std::max<Time>(1, patience_left - 2 * s.step), limit | (static_cast<std::uint64_t>(id) << 3));
     // Overload: what cannot be answered in useful time is bounced before it is counted.
-    if (now + whole(s.wait_in_line()) + s.needed() > sub.goal_at && !s.line.empty())
+    // A try may be its client's second or third, which is not told, so the line is kept well under the goal.
+    if (!s.line.empty() && s.wait_in_line() > static_cast<double>(sub.goal_at - now) / 8)
         return s.turn_down(id, sub, whole(s.typical));
     s.check_quota(id, sub);
 }
