Places below one a host, bounded by their sum, so that many gateways do not overdrive hosts

Symptom: with 8 gateways every host was overdriven from the first second, since each gateway held at least one place at each host. Now a host's places start at a part of the fleet's and may fall under one; their sum bounds the gateway.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -38,7 +38,7 @@
     bool listed = false, trial = false;
     Time up_since = 0, shut_until = 0, shut_for = 0, last_word = 0, calmed = 0, budget_at = 0;
     int zone = 0, cell = 0, out = 0, failures = 0;
-    double places = 2, slowness = 0, budget = 1;
+    double places = 0, slowness = 0, budget = 1;
 };
 
 struct Customer {
@@ -99,6 +99,7 @@
     bool probing = false;
     Time open_until = 0, open_for = 0;
     double count_took, typical, swing = 0, flow = 0, places_all = 1;
+    int out_all = 0;
     int delivered_lately = 0;
 
     // ---- what is read at start ----
@@ -415,6 +416,8 @@
     int pick_host(const Submission& s, double part) {
         int best = -1;
         double least = 0;
+        // Places are parts of the fleet's: below one a host, it is their sum that bounds this gateway.
+        if (out_all + 1 > std::max(1.0, places_all * part)) return -1;
         const Track& track = tracks[s.track];
         for (int n = 0; n < static_cast<int>(hosts.size()); ++n) {
             Host& h = hosts[n];
@@ -445,6 +448,7 @@
         s.given_up = false;
         ++s.executions;
         ++h.out;
+        ++out_all;
         h.budget -= 1;
         gateway.execute(id, h.id, std::max<Time>(step, s.limit_at - now));
     }
@@ -509,19 +513,20 @@
         swing += (std::abs(static_cast<double>(took) - typical) - swing) / 64;
         typical += (static_cast<double>(took) - typical) / 64;
         if (warmth(h) >= 1) ++delivered_lately;
-        if (h.slowness < 0.25 * goal && h.out + 2 > h.places) h.places += 1 / h.places;
+        if (h.slowness < 0.25 * goal && h.out + 2 > h.places) h.places += std::min(h.places, 1 / h.places);
         if (h.slowness > 0.35 * goal && now - h.calmed > whole(h.slowness)) {
-            h.places = std::max(1.0, 0.9 * h.places);
+            h.places = std::max(1.0 / gateways, 0.9 * h.places);
             h.calmed = now;
         }
     }
 
     void execution_ended(std::uint32_t id, int, int host, Verdict verdict, Time took, bool settled, double billed) {
         Host& h = hosts[host];
-        h.out = std::max(0, h.out - 1);
+        --h.out;
+        --out_all;
         const bool ran = verdict != Verdict::full && verdict != Verdict::connect_failed && verdict != Verdict::not_sent;
         if (verdict == Verdict::ok) host_delivered(h, took);
-        else if (verdict == Verdict::full) h.places = std::max(1.0, h.places / 2), h.last_word = now;
+        else if (verdict == Verdict::full) h.places = std::max(1.0 / gateways, h.places / 2), h.last_word = now;
         else if (verdict != Verdict::called_off && verdict != Verdict::not_sent) host_failed(h, verdict);
         const auto found = submissions.find(id);
         if (found == submissions.end()) return place();
@@ -631,6 +636,8 @@
         s.hosts.push_back({});
         s.hosts.back().id = id;
         s.hosts.back().slowness = s.typical;
+        s.hosts.back().places = 4.0 / s.gateways;
+        s.places_all += s.hosts.back().places;
     }
     s.named.resize(s.hosts.size(), 0);
     s.named[at->second] = 1;
