--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -359,7 +359,7 @@
     double wait_in_line() const { return static_cast<double>(line.size()) * typical / std::max(1.0, places_all); }
 
     // The time a host needs for most pieces: the usual time and how far it swings.
-    Time needed() const { return whole(typical + swing); }
+    Time needed(const Submission& s) const { return std::min(whole(typical + swing), tracks[s.track].goal / 2); }
 
     void take_in(std::uint32_t id, Submission& s) {
         Customer& c = customers[s.customer];
@@ -584,7 +584,7 @@
         beat_at = now;
         std::vector<std::uint32_t> late, silent;
         for (auto& [id, s] : submissions) {
-            if (s.stage == Stage::waiting && now + needed() > s.goal_at) late.push_back(id);
+            if (s.stage == Stage::waiting && now + needed(s) > s.goal_at) late.push_back(id);
             if (s.stage != Stage::out || s.stream || s.given_up || !may_cancel || !may_run_again_if_cancelled(s)) continue;
             // Guards against hosts that take work and answer nothing: no word since this piece went there.
             if (now - s.sent > std::max(tracks[s.track].goal * 2 / 5, whole(3 * typical)) &&
