--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -515,7 +515,7 @@
         if (warmth(h) >= 1) ++delivered_lately;
         if (h.slowness < 0.25 * goal && h.out + 2 > h.places) h.places += std::min(h.places, 1 / h.places);
         if (h.slowness > 0.35 * goal && now - h.calmed > whole(h.slowness)) {
-            h.places = std::max(1.0 / gateways, 0.9 * h.places);
+            h.places = std::max(1.0 / gateways, h.places * std::max(0.5, 0.35 * goal / h.slowness));
             h.calmed = now;
         }
     }
