--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -98,7 +98,7 @@
     int count_failures = 0;
     bool probing = false;
     Time open_until = 0, open_for = 0;
-    double count_took, typical, swing = 0, flow = 0, places_all = 1;
+    double count_took, typical, ease, swing = 0, flow = 0, places_all = 1;
     int out_all = 0;
     int delivered_lately = 0;
 
@@ -160,7 +160,7 @@
         for (const Track& track : tracks) goal = std::min(goal, track.goal);
         beat_every = std::max(step, goal / 50);
         beat_at = now;
-        typical = static_cast<double>(goal) / 6;
+        typical = ease = static_cast<double>(goal) / 6;
         count_took = static_cast<double>(count_limit) / 10;
         gateway.arm(beat_every, beat);
         if (term("discovery") && *term("discovery") == "ask") gateway.follow_list();
@@ -513,9 +513,12 @@
         swing += (std::abs(static_cast<double>(took) - typical) - swing) / 64;
         typical += (static_cast<double>(took) - typical) / 64;
         if (warmth(h) >= 1) ++delivered_lately;
-        if (h.slowness < 0.25 * goal && h.out + 2 > h.places) h.places += std::min(h.places, 1 / h.places);
-        if (h.slowness > 0.35 * goal && now - h.calmed > whole(h.slowness)) {
-            h.places = std::max(1.0 / gateways, h.places * std::max(0.5, 0.35 * goal / h.slowness));
+        // Hosts held at a little over their easy time keep their pace; long queues at a host can cost it that.
+        ease += (typical - ease) / (typical < ease ? 16 : 1024);
+        const double most = std::clamp(1.5 * ease, 0.15 * goal, 0.35 * goal);
+        if (h.slowness < 0.75 * most && h.out + 2 > h.places) h.places += std::min(h.places, 1 / h.places);
+        if (h.slowness > most && now - h.calmed > whole(h.slowness)) {
+            h.places = std::max(1.0 / gateways, h.places * std::max(0.5, most / h.slowness));
             h.calmed = now;
         }
     }
