--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -41,13 +41,18 @@
     double places = 0, slowness = 0, budget = 1;
 };
 
+// What the counter holds of one window, as far as told: `own` is what this gateway knows to have been added,
+// `lost` what the counter was found to have forgotten.
+struct Tally {
+    double total = 0, own = 0, lost = 0;
+};
+
 struct Customer {
     std::uint64_t id;
     int plan, gateways, open = 0;
     std::int64_t window = -1;
-    // What the counter holds of this window and the one before, as far as told; `own` is what this gateway knows
-    // to have been added, `lost` what the counter forgot, `owed` what was let in while it was away.
-    double total = 0, previous = 0, own = 0, lost = 0, owed = 0;
+    Tally current, before;
+    double owed = 0;  // let in while the counter was away, to be added with the next call
     bool previous_known = false, found_over = false;
     std::vector<std::uint32_t> readers;
     double level = 0, share = 0, ceiling = 0;  // the quota's store replayed from the totals; our part; the ceiling's
@@ -188,10 +193,11 @@
         const std::int64_t window = now / p.window;
         if (window != c.window) {
             const bool next = window == c.window + 1;
-            c.previous = next ? c.total : 0;
+            c.before = next ? c.current : Tally{};
             if (!next) c.level = p.burst;
             c.previous_known = false;
-            c.total = c.own = c.lost = c.owed = 0;
+            c.current = {};
+            c.owed = 0;
             c.window = window;
         }
         c.level = std::min(p.burst, c.level + p.rate * static_cast<double>(now - c.level_at));
@@ -240,7 +246,7 @@
         const Plan& p = plans[c.plan];
         bring_up(c);
         const double passed = static_cast<double>(now % p.window) / static_cast<double>(p.window);
-        const double estimate = c.previous * (1 - passed) + s.reading;
+        const double estimate = c.before.total * (1 - passed) + s.reading;
         // Departure: over by the window, but the quota's own store, replayed from the totals read, holds the units.
         if (estimate <= p.burst || c.level >= 0) {
             c.found_over = false;
@@ -258,7 +264,7 @@
         if (c.share < s.units) return beyond(id, s);
         c.share -= s.units;
         c.level -= s.units;
-        c.total += s.units;
+        c.current.total += s.units;
         s.on_share = true;
         if (s.window < 0) c.owed += s.units;  // else a call is out that may have added them
         take_in(id, s);
@@ -266,11 +272,11 @@
 
     void give_back(Submission& s) {
         Customer& c = customers[s.customer];
-        if (s.on_counter && s.window == c.window) {
+        if (s.on_counter && s.window + 1 >= c.window) {
             call(Asked::back, 0, s.customer, s.window, -s.units);  // its answer puts the totals right
         } else if (s.on_share) {
             c.share += s.units;
-            c.total -= s.units;
+            c.current.total -= s.units;
             if (s.window < 0) c.owed -= s.units;
         }
         if (s.on_share) c.level += s.units;
@@ -300,14 +306,14 @@
         const bool awaited = waiting != submissions.end() && waiting->second.stage == Stage::counting;
         if (verdict == Verdict::ok) count_answered(took);
         else if (awaited || made.asked == Asked::previous) count_failed();
-        if (made.asked == Asked::previous) return previous_told(c, made, verdict, told);
-        if (verdict == Verdict::ok && made.window == c.window) total_told(c, made, told);
+        if (verdict == Verdict::ok) total_told(c, made, told);
+        if (made.asked == Asked::previous) return previous_told(c, made, verdict);
         if (made.asked == Asked::back) return;
         if (waiting == submissions.end()) return;
         Submission& s = waiting->second;
         if (verdict == Verdict::ok) {
             s.on_counter = true;
-            s.reading = c.total;
+            s.reading = c.current.total;
             if (s.on_share) s.on_share = false, c.level += s.units;  // total_told has just taken them again
             if (s.stage == Stage::over) return give_back(s);
         } else if (verdict != Verdict::timeout && made.window == c.window) {
@@ -317,7 +323,7 @@
         if (!awaited) return;
         if (verdict != Verdict::ok) return decide_by_share(made.submission, s);
         // The previous window's total is read once, and only where it can matter.
-        if (!c.previous_known && s.reading + c.previous > plans[c.plan].burst / 2) {
+        if (!c.previous_known && s.reading + c.before.total > plans[c.plan].burst / 2) {
             if (c.readers.empty()) call(Asked::previous, made.submission, made.customer, c.window - 1, 0);
             c.readers.push_back(made.submission);
             return;
@@ -326,26 +332,22 @@
     }
 
     void total_told(Customer& c, const Call& made, double told) {
-        double total = told + c.lost;
+        if (made.window + 1 < c.window) return;
+        Tally& tally = made.window == c.window ? c.current : c.before;
+        double total = told + tally.lost;
         // Guards against a counter that forgets or comes back empty: the customer has no fresh window by it.
-        c.own += made.amount;
-        if (total < c.own - 0.01) {
-            const double should = std::max(c.total + made.amount, c.own);
-            c.lost += should - total;
+        tally.own += made.amount;
+        if (total < tally.own - 0.01) {
+            const double should = std::max(tally.total + made.amount, tally.own);
+            tally.lost += should - total;
             total = should;
         }
-        c.level = std::max(c.level - (total - c.total), -largest);
-        c.total = total;
+        c.level -= total - tally.total;
+        tally.total = total;
     }
 
-    void previous_told(Customer& c, const Call& made, Verdict verdict, double told) {
-        if (verdict == Verdict::ok && made.window == c.window - 1) {
-            if (told > c.previous) {
-                c.level = std::max(c.level - (told - c.previous), -largest);
-                c.previous = told;
-            }
-            c.previous_known = true;
-        }
+    void previous_told(Customer& c, const Call& made, Verdict verdict) {
+        if (verdict == Verdict::ok && made.window + 1 == c.window) c.previous_known = true;
         std::vector<std::uint32_t> readers;
         readers.swap(c.readers);
         for (const std::uint32_t id : readers) {
