A gateway's part of a quota holds one submission at least

It lets in up to one submission a gateway more at the start of an outage; the refill stays the part's.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -201,7 +201,9 @@
             c.window = window;
         }
         c.level = std::min(p.burst, c.level + p.rate * static_cast<double>(now - c.level_at));
-        c.share = std::min(p.burst / c.gateways, c.share + p.rate / c.gateways * static_cast<double>(now - c.share_at));
+        // A part too small for one submission would let in none: it holds the largest at least.
+        c.share = std::min(std::max(p.burst / c.gateways, largest),
+                           c.share + p.rate / c.gateways * static_cast<double>(now - c.share_at));
         c.level_at = c.share_at = now;
     }
 
@@ -683,7 +685,7 @@
         c.plan = plan;
         c.gateways = std::max(1, customer_gateways);
         c.level = s.plans.at(plan).burst;
-        c.share = c.level / c.gateways;
+        c.share = std::max(c.level / c.gateways, s.largest);
         c.level_at = c.share_at = now;
         c.ceiling_at = s.started;
         s.customers.push_back(c);
