--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -103,7 +103,7 @@
     int count_failures = 0;
     bool probing = false;
     Time open_until = 0, open_for = 0;
-    double count_took, typical, ease, swing = 0, flow = 0, places_all = 1;
+    double count_took, typical, ease, swing = 0, flow = 0, places_all = 0;
     int out_all = 0;
     int delivered_lately = 0;
 
@@ -346,6 +346,8 @@
         }
         c.level -= total - tally.total;
         tally.total = total;
+        // Going over to the part and back must mint no quota: it holds its part of what the store was told to hold.
+        c.share = std::max({0.0, c.level / c.gateways, std::min(c.level, largest)});
     }
 
     void previous_told(Customer& c, const Call& made, Verdict verdict) {
--- /dev/null
+++ b/tests/run.cpp
@@ -0,0 +1,251 @@
+// Plays every scenario of tests/scenarios/. A scenario is lines of: what is read at start, what happens, what must be
+// seen. `wait` lets time pass and timers fire; the counter answers by itself as told by `counter`.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <vector>
+
+#include "dewweir/choice.h"
+
+using namespace dewweir;
+
+namespace {
+
+const char* usual_terms = R"(step=1 gateways=2 zone=0 discovery=push limits.executions=3 limits.cancel=true limits.advice=true
+limits.longest_advice=1000 service.counter=true service.count_limit=50 service.largest=1 rules.fall=2000 rules.fall_multiple=3
+rules.cold_from=0.2 rules.warm_after=15000 rules.ask_within=10000 tracks.count=1 tracks.0.latency_goal=1000
+tracks.0.time_limit=4000 tracks.0.remembered=5000 tracks.0.repeats=retriable tracks.0.scope=all tracks.0.late_value=0.2
+plans.count=1 plans.0.rate=5 plans.0.burst=10 plans.0.extra_benefit=0 plans.0.overrun_cost=0.5)";
+
+struct Stage : Gateway {
+    Time now = 10000000;
+    std::multimap<Time, std::uint64_t> timers;
+    std::vector<std::pair<std::uint64_t, double>> asked;
+    std::map<std::uint64_t, double> counts;
+    std::map<std::uint32_t, int> runs;
+    std::vector<std::string> seen;
+
+    void saw(const std::string& what, std::uint32_t id) { seen.push_back(what + " " + std::to_string(id)); }
+    void execute(std::uint32_t id, std::uint32_t host, Time) override {
+        ++runs[id];
+        seen.push_back("execute " + std::to_string(id) + " on " + std::to_string(host));
+    }
+    void bounce(std::uint32_t id, Time) override { saw("bounce", id); }
+    void write_off(std::uint32_t id) override { saw("write_off", id); }
+    void cancel(std::uint32_t id, int) override { saw("cancel", id); }
+    void probe(std::uint32_t host) override { saw("probe", host); }
+    void count(std::uint64_t name, double amount, Time) override {
+        asked.emplace_back(name, amount);
+        std::ostringstream text;
+        text << "count " << amount;
+        seen.push_back(text.str());
+    }
+    void arm(Time from_now, std::uint64_t token) override { timers.emplace(now + from_now, token); }
+    void follow_list() override { seen.push_back("follow"); }
+    void log(const std::string&) override {}
+};
+
+double value(std::istringstream& line, const std::string& name, double otherwise) {
+    std::istringstream copy(line.str());
+    for (std::string word; copy >> word;)
+        if (word.rfind(name + "=", 0) == 0) return std::stod(word.substr(name.size() + 1));
+    return otherwise;
+}
+
+void read_terms(Terms& terms, std::istream& words) {
+    for (std::string word; words >> word;)
+        terms[word.substr(0, word.find('='))] = word.find('=') + 1 < word.size() ? word.substr(word.find('=') + 1) : "";
+}
+
+struct Play {
+    Stage stage;
+    Terms terms;
+    std::unique_ptr<Choice> choice;
+    std::string counter = "answers";
+
+    Play() {
+        std::istringstream words(usual_terms);
+        read_terms(terms, words);
+    }
+
+    Verdict verdict(const std::string& word) {
+        static const std::map<std::string, Verdict> verdicts = {
+            {"ok", Verdict::ok},           {"error", Verdict::error},       {"full", Verdict::full},
+            {"timeout", Verdict::timeout}, {"no_connection", Verdict::connect_failed},
+            {"broken", Verdict::broken},   {"called_off", Verdict::called_off}};
+        return verdicts.at(word);
+    }
+
+    void answer_counts() {
+        while (!stage.asked.empty() && counter != "silent") {
+            const auto [name, amount] = stage.asked.front();
+            stage.asked.erase(stage.asked.begin());
+            if (counter == "answers") stage.counts[name] += amount;
+            choice->counted(stage.now, name, counter == "answers" ? Verdict::ok : Verdict::full, stage.counts[name], 20);
+        }
+    }
+
+    void wait(Time time) {
+        const Time until = stage.now + time;
+        while (!stage.timers.empty() && stage.timers.begin()->first <= until) {
+            const auto [at, token] = *stage.timers.begin();
+            stage.timers.erase(stage.timers.begin());
+            stage.now = std::max(stage.now, at);
+            choice->timer(stage.now, token);
+            answer_counts();
+        }
+        stage.now = until;
+    }
+
+    void feed(const std::string& hex, const std::string& said) {
+        std::string bytes, out;
+        for (std::size_t n = 0; n + 1 < hex.size(); n += 2) bytes += "\\x" + hex.substr(n, 2);
+        FILE* pipe = popen(("bash -c \"printf '" + bytes + "'\" | " SIMHOST " 2>&1 >/dev/null").c_str(), "r");
+        REQUIRE(pipe);
+        char text[512];
+        while (std::fgets(text, sizeof text, pipe)) out += text;
+        const int status = pclose(pipe);
+        CHECK(WIFEXITED(status));
+        CHECK((WEXITSTATUS(status) == 0) == said.empty());
+        CHECK_MESSAGE(out.find(said) != std::string::npos, "said: " << out);
+    }
+
+    void happen(const std::string& text) {
+        std::istringstream line(text);
+        std::string word;
+        line >> word;
+        if (word.empty() || word[0] == '#') return;
+        if (word == "terms") return read_terms(terms, line);
+        if (word == "without") {
+            line >> word;
+            terms.erase(word);
+            return;
+        }
+        if (word == "feed") {  // bytes for the adapter, and what it must say as it refuses them
+            std::string hex, said;
+            line >> hex >> std::ws;
+            std::getline(line, said);
+            return feed(hex, said);
+        }
+        if (word == "fault") {
+            line >> word;
+            try {
+                Choice(stage, terms, 1, stage.now);
+                FAIL_CHECK("no fault named");
+            } catch (const std::invalid_argument& fault) {
+                CHECK_MESSAGE(std::string(fault.what()).find(word) != std::string::npos, fault.what());
+            }
+            return;
+        }
+        if (!choice) choice = std::make_unique<Choice>(stage, terms, 1, stage.now);
+        if (word == "counter") {  // answers, silent, full; forgets: answers, with all names gone
+            line >> counter;
+            if (counter == "forgets") stage.counts.clear(), counter = "answers";
+            return answer_counts();
+        }
+        if (word == "others") {  // other gateways add to every name there is
+            double amount;
+            line >> amount;
+            for (auto& [name, total] : stage.counts) total += amount;
+            return;
+        }
+        if (word == "hosts" || word == "news") {  // hosts: the whole list; news: a change to it
+            choice->list_begins(stage.now, word == "hosts");
+            std::uint32_t id;
+            while (line >> id >> word)
+                choice->host_listed(stage.now, id,
+                                    word == "draining" ? Standing::draining : word == "gone" ? Standing::gone : Standing::ready,
+                                    word == "young" ? stage.now : 0, id % 10, id);
+            return choice->list_ends(stage.now);
+        }
+        if (word == "fleet") {  // so many hosts that no line forms
+            choice->list_begins(stage.now, true);
+            for (std::uint32_t id = 1; id <= 20; ++id)
+                choice->host_listed(stage.now, id, Standing::ready, 0, 0, 0);
+            return choice->list_ends(stage.now);
+        }
+        if (word == "wait") {
+            double ms;
+            line >> ms;
+            return wait(std::llround(ms * 10));
+        }
+        if (word == "see") {
+            std::getline(line >> std::ws, word);
+            const auto at = std::find(stage.seen.begin(), stage.seen.end(), word);
+            if (at != stage.seen.end()) return static_cast<void>(stage.seen.erase(at));
+            std::string all;
+            for (const std::string& one : stage.seen) all += "[" + one + "] ";
+            FAIL_CHECK("not seen: " << word << ", but " << all);
+            return;
+        }
+        if (word == "never") {
+            std::getline(line >> std::ws, word);
+            for (const std::string& one : stage.seen) CHECK_MESSAGE(one.rfind(word, 0) != 0, "seen: " << one);
+            return;
+        }
+        if (word == "times") {  // how often actions that begin so were seen since the last `forget`
+            int least, most;
+            line >> least >> most;
+            std::getline(line >> std::ws, word);
+            const auto n = std::count_if(stage.seen.begin(), stage.seen.end(),
+                                         [&](const std::string& one) { return one.rfind(word, 0) == 0; });
+            CHECK_MESSAGE((n >= least && n <= most), word << " seen " << n << " times");
+            return;
+        }
+        if (word == "forget") return stage.seen.clear();
+        if (word == "follow_failed") return choice->list_failed(stage.now);
+        std::uint32_t id;
+        line >> id;
+        if (word == "submit")  // submit ID [upto=ID] [every=ms] [customer=] [plan=] [units=] [gateways=] [patience=]
+            for (std::uint32_t last = value(line, "upto", id); id <= last; ++id) {
+                choice->submitted(stage.now, id, 0, value(line, "plan", 0), value(line, "customer", 1),
+                                  value(line, "units", 1), value(line, "gateways", 2), value(line, "patience", 4000) * 10);
+                answer_counts();
+                wait(std::llround(value(line, "every", 0) * 10));
+            }
+        else if (word == "end") {  // end ID VERDICT host=ID [took=ms] [upto=ID] [settled=1] [billed=]
+            line >> word;
+            for (std::uint32_t last = value(line, "upto", id); id <= last; ++id) {
+                choice->execution_ended(stage.now, id, stage.runs[id] - 1, value(line, "host", 1), verdict(word),
+                                        value(line, "took", 50) * 10, value(line, "settled", word == "ok"),
+                                        value(line, "billed", 0));
+                answer_counts();
+            }
+        } else if (word == "gone") {
+            choice->client_gone(stage.now, id);
+        } else if (word == "stream") {
+            choice->stream_started(stage.now, id, 0);
+        } else {
+            FAIL("unknown line: " << text);
+        }
+    }
+};
+
+TEST_CASE("scenarios") {
+    std::vector<std::filesystem::path> files;
+    for (const auto& entry : std::filesystem::directory_iterator(SCENARIOS)) files.push_back(entry.path());
+    std::sort(files.begin(), files.end());
+    REQUIRE(!files.empty());
+    for (const auto& file : files) {
+        std::ifstream in(file);
+        std::unique_ptr<Play> play;
+        std::string title;
+        int number = 0;
+        for (std::string line; std::getline(in, line);) {
+            ++number;
+            if (line.rfind("== ", 0) == 0) title = line.substr(3), play = std::make_unique<Play>();
+            else if (play) {
+                INFO(file.filename().string() << ":" << number << " (" << title << "): " << line);
+                play->happen(line);
+            }
+        }
+    }
+}
+
+}  // namespace
