--- a/include/dewweir/choice.h
+++ b/include/dewweir/choice.h
@@ -42,10 +42,10 @@
     void list_ends(Time now);
     void list_failed(Time now);
 
-    void submitted(Time now, std::uint32_t submission, int track, int plan, std::uint64_t customer, double units,
-                   int customer_gateways, Time patience_left);
-    void execution_ended(Time now, std::uint32_t submission, int execution, std::uint32_t host, Verdict verdict,
-                         Time took, bool settled, double billed_units);
+    void submitted(Time now, std::uint32_t submission, int track, int plan, std::uint64_t customer,
+                   double units, int customer_gateways, Time patience_left);
+    void execution_ended(Time now, std::uint32_t submission, int execution, std::uint32_t host,
+                         Verdict verdict, Time took, bool settled, double billed_units);
     void stream_started(Time now, std::uint32_t submission, int execution);
     void client_gone(Time now, std::uint32_t submission);
     void counted(Time now, std::uint64_t name, Verdict verdict, double total, Time took);
--- a/simhost/main.cpp
+++ b/simhost/main.cpp
@@ -1,5 +1,6 @@
-// The adapter: reads batches of the simulator's wire on standard input, calls one Choice for each instance, and
-// writes what they do as one reply a batch. The wire's names and codes end in this file; nothing is decided here.
+// The adapter: reads batches of the simulator's wire on standard input, calls one Choice for each instance,
+// and writes what they do as one reply a batch. The wire's names and codes end in this file; nothing is
+// decided here.
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
@@ -20,8 +21,7 @@
 class Record {
   public:
     Record(const char* at, std::size_t size) : at_(at), size_(size) {}
-    template <class T>
-    T get(std::size_t offset) const {
+    template <class T> T get(std::size_t offset) const {
         if (offset > size_ || sizeof(T) > size_ - offset) throw std::runtime_error("a record is cut short");
         T value;
         std::memcpy(&value, at_ + offset, sizeof value);
@@ -54,8 +54,7 @@
         ++records_;
         return put(code).put(size);
     }
-    template <class T>
-    Reply& put(T value) {
+    template <class T> Reply& put(T value) {
         bytes_.append(reinterpret_cast<const char*>(&value), sizeof value);
         return *this;
     }
@@ -119,19 +118,45 @@
 // The wire's words for what is read at start, and ours.
 std::string our_words(const std::string& wire_words, char between) {
     static const std::map<std::string, std::string> words = {
-        {"profiles", "tracks"},         {"goalTime", "latency_goal"},       {"hardLimit", "time_limit"},
-        {"idempotency", "repeats"},     {"retryable", "retriable"},         {"dedup", "fingerprinted"},
-        {"fragile", "binding"},         {"keyScope", "scope"},              {"dedupWindow", "remembered"},
-        {"lateValue", "late_value"},    {"worth", "benefit"},               {"contracts", "plans"},
-        {"mostAtOnce", "burst"},        {"hardBurst", "ceiling_burst"},     {"neverOverRate", "ceiling_rate"},
-        {"worthFactor", "benefit"},     {"extraWorth", "extra_benefit"},    {"overrunCost", "overrun_cost"},
-        {"contract", "rules"},          {"coldFrom", "cold_from"},          {"warmAfter", "warm_after"},
-        {"fallMultiple", "fall_multiple"}, {"askWithin", "ask_within"},     {"answerSlack", "answer_slack"},
-        {"specifics", "service"},       {"countLimit", "count_limit"},      {"postPaid", "settled_later"},
-        {"fleetSize", "gateways"},      {"az", "zone"},                     {"maxAttempts", "executions"},
-        {"maxRetryAfter", "longest_advice"}, {"worstClass", "worst_track"}, {"worstTenant", "worst_plan"},
-        {"crossZone", "cross_zone"},    {"lateFail", "late_write_off"},     {"retryAfter", "advice"},
-        {"secondCopies", "second_copies"}, {"ceilingSlack", "ceiling_slack"}, {"countFee", "count_fee"},
+        {"profiles", "tracks"},
+        {"goalTime", "latency_goal"},
+        {"hardLimit", "time_limit"},
+        {"idempotency", "repeats"},
+        {"retryable", "retriable"},
+        {"dedup", "fingerprinted"},
+        {"fragile", "binding"},
+        {"keyScope", "scope"},
+        {"dedupWindow", "remembered"},
+        {"lateValue", "late_value"},
+        {"worth", "benefit"},
+        {"contracts", "plans"},
+        {"mostAtOnce", "burst"},
+        {"hardBurst", "ceiling_burst"},
+        {"neverOverRate", "ceiling_rate"},
+        {"worthFactor", "benefit"},
+        {"extraWorth", "extra_benefit"},
+        {"overrunCost", "overrun_cost"},
+        {"contract", "rules"},
+        {"coldFrom", "cold_from"},
+        {"warmAfter", "warm_after"},
+        {"fallMultiple", "fall_multiple"},
+        {"askWithin", "ask_within"},
+        {"answerSlack", "answer_slack"},
+        {"specifics", "service"},
+        {"countLimit", "count_limit"},
+        {"postPaid", "settled_later"},
+        {"fleetSize", "gateways"},
+        {"az", "zone"},
+        {"maxAttempts", "executions"},
+        {"maxRetryAfter", "longest_advice"},
+        {"worstClass", "worst_track"},
+        {"worstTenant", "worst_plan"},
+        {"crossZone", "cross_zone"},
+        {"lateFail", "late_write_off"},
+        {"retryAfter", "advice"},
+        {"secondCopies", "second_copies"},
+        {"ceilingSlack", "ceiling_slack"},
+        {"countFee", "count_fee"},
     };
     std::string ours;
     for (std::size_t from = 0; from <= wire_words.size();) {
@@ -196,10 +221,9 @@
         fresh.choice.reset();
         fresh.wire = std::make_unique<Wire>(reply, i);
         try {
-            fresh.choice = std::make_unique<Choice>(*fresh.wire, terms_of(r.text(16)), r.get<std::uint64_t>(8), now);
-        } catch (const std::invalid_argument& missing) {
-            fresh.wire->die(missing.what());
-        }
+            fresh.choice =
+                std::make_unique<Choice>(*fresh.wire, terms_of(r.text(16)), r.get<std::uint64_t>(8), now);
+        } catch (const std::invalid_argument& missing) { fresh.wire->die(missing.what()); }
         return;
     }
     const auto found = instances.find(i);
@@ -208,14 +232,14 @@
     switch (code) {
         case 257: return list_news(choice, r, now);
         case 258:
-            return choice.submitted(now, r.get<std::uint32_t>(8), r.get<std::uint16_t>(37), r.get<std::uint32_t>(25),
-                                    r.get<std::uint64_t>(29), r.get<float>(13),
+            return choice.submitted(now, r.get<std::uint32_t>(8), r.get<std::uint16_t>(37),
+                                    r.get<std::uint32_t>(25), r.get<std::uint64_t>(29), r.get<float>(13),
                                     static_cast<int>(std::clamp(r.get<float>(17), 0.0f, 1e6f)), r.time(39));
         case 259: return choice.stream_started(now, r.get<std::uint32_t>(8), r.get<std::uint16_t>(12));
         case 260:
             return choice.execution_ended(now, r.get<std::uint32_t>(8), r.get<std::uint16_t>(30),
-                                          r.get<std::uint32_t>(26), verdict_of(r.get<std::uint8_t>(25)), r.time(15),
-                                          r.get<std::uint8_t>(14) != 0, r.get<std::uint16_t>(23));
+                                          r.get<std::uint32_t>(26), verdict_of(r.get<std::uint8_t>(25)),
+                                          r.time(15), r.get<std::uint8_t>(14) != 0, r.get<std::uint16_t>(23));
         case 261: return choice.client_gone(now, r.get<std::uint32_t>(8));
         case 262: return choice.timer(now, r.get<std::uint64_t>(8));
         case 263: return choice.probed(now, r.get<std::uint32_t>(8), verdict_of(r.get<std::uint8_t>(12)));
@@ -244,7 +268,8 @@
         const Time now = header.time(12);
         if (length < 20) throw std::runtime_error("a batch is shorter than its header");
         std::string body(length - 20, '\0');
-        if (!body.empty() && !read_all(body.data(), body.size())) throw std::runtime_error("a batch has no body");
+        if (!body.empty() && !read_all(body.data(), body.size()))
+            throw std::runtime_error("a batch has no body");
         reply.begin(number);
         std::size_t at = 0;
         for (std::uint32_t n = 0; n < records; ++n) {
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -55,7 +55,8 @@
     double owed = 0;  // let in while the counter was away, to be added with the next call
     bool previous_known = false, found_over = false;
     std::vector<std::uint32_t> readers;
-    double level = 0, share = 0, ceiling = 0;  // the quota's store replayed from the totals; our part; the ceiling's
+    double level = 0, share = 0,
+           ceiling = 0;  // the quota's store replayed from the totals; our part; the ceiling's
     Time level_at = 0, share_at = 0, ceiling_at = 0, over_until = 0;
 };
 
@@ -118,15 +119,22 @@
         if (!text) throw std::invalid_argument("term missing: " + name);
         char* end = nullptr;
         const double value = std::strtod(text->c_str(), &end);
-        if (text->empty() || *end || !std::isfinite(value)) throw std::invalid_argument("term unreadable: " + name);
+        if (text->empty() || *end || !std::isfinite(value))
+            throw std::invalid_argument("term unreadable: " + name);
         return value;
     }
-    double number(const std::string& name, double otherwise) const { return term(name) ? number(name) : otherwise; }
+    double number(const std::string& name, double otherwise) const {
+        return term(name) ? number(name) : otherwise;
+    }
     Time time(const std::string& name) const { return whole(number(name) * 10); }
     bool holds(const std::string& name) const { return term(name) && *term(name) == "true"; }
 
     State(Gateway& g, const Terms& t, std::uint64_t seed, Time at)
-        : gateway(g), terms(t), chance(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))), now(at), started(at) {
+        : gateway(g),
+          terms(t),
+          chance(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))),
+          now(at),
+          started(at) {
         step = std::max<Time>(1, time("step"));
         gateways = std::max(1, static_cast<int>(number("gateways")));
         zone = static_cast<int>(number("zone", 0));
@@ -150,13 +158,19 @@
                               repeats == "retriable" ? Repeats::retriable
                               : repeats == "binding" ? Repeats::binding
                                                      : Repeats::fingerprinted,
-                              term(at_ + "scope") ? *term(at_ + "scope") : "all", number(at_ + "late_value", 0)});
+                              term(at_ + "scope") ? *term(at_ + "scope") : "all",
+                              number(at_ + "late_value", 0)});
         }
         for (int n = 0; n < number("plans.count", 0); ++n) {
             const std::string at_ = "plans." + std::to_string(n) + ".";
-            Plan p{number(at_ + "rate", 0) / 10000, number(at_ + "burst", 0), number(at_ + "extra_benefit", 0),
-                   number(at_ + "overrun_cost", 0), number(at_ + "ceiling_rate", 0) / 10000,
-                   number(at_ + "ceiling_burst", 0), number(at_ + "parallel", 0), 0};
+            Plan p{number(at_ + "rate", 0) / 10000,
+                   number(at_ + "burst", 0),
+                   number(at_ + "extra_benefit", 0),
+                   number(at_ + "overrun_cost", 0),
+                   number(at_ + "ceiling_rate", 0) / 10000,
+                   number(at_ + "ceiling_burst", 0),
+                   number(at_ + "parallel", 0),
+                   0};
             p.window = p.rate > 0 ? std::max<Time>(step, whole(p.burst / p.rate)) : 0;
             plans.push_back(p);
         }
@@ -171,7 +185,9 @@
         if (term("discovery") && *term("discovery") == "ask") gateway.follow_list();
     }
 
-    Time jittered(Time about) { return about / 2 + std::uniform_int_distribution<Time>(0, std::max<Time>(1, about))(chance); }
+    Time jittered(Time about) {
+        return about / 2 + std::uniform_int_distribution<Time>(0, std::max<Time>(1, about))(chance);
+    }
 
     // ---- quotas ----
 
@@ -228,10 +244,11 @@
         Customer& c = customers[s.customer];
         const Plan& p = plans[c.plan];
         bring_up(c);
-        if (p.parallel > 0 && c.open >= std::max(1.0, std::floor(p.parallel / c.gateways))) return turn_down(id, s, 0);
+        if (p.parallel > 0 && c.open >= std::max(1.0, std::floor(p.parallel / c.gateways)))
+            return turn_down(id, s, 0);
         if (p.rate <= 0) return take_in(id, s);
-        // Guards the counter and its price against customers far over: one found over by the count stays over until
-        // its store can have refilled, whatever the other gateways let in meanwhile.
+        // Guards the counter and its price against customers far over: one found over by the count stays over
+        // until its store can have refilled, whatever the other gateways let in meanwhile.
         if (c.found_over && now < c.over_until) return beyond(id, s);
         if (!has_counter || breaker_open()) return decide_by_share(id, s);
         if (count_failures >= 3) probing = true;
@@ -249,7 +266,8 @@
         bring_up(c);
         const double passed = static_cast<double>(now % p.window) / static_cast<double>(p.window);
         const double estimate = c.before.total * (1 - passed) + s.reading;
-        // Departure: over by the window, but the quota's own store, replayed from the totals read, holds the units.
+        // Departure: over by the window, but the quota's own store, replayed from the totals read, holds the
+        // units.
         if (estimate <= p.burst || c.level >= 0) {
             c.found_over = false;
             return take_in(id, s);
@@ -346,7 +364,8 @@
         }
         c.level -= total - tally.total;
         tally.total = total;
-        // Going over to the part and back must mint no quota: it holds its part of what the store was told to hold.
+        // Going over to the part and back must mint no quota: it holds its part of what the store was told to
+        // hold.
         c.share = std::max({0.0, c.level / c.gateways, std::min(c.level, largest)});
     }
 
@@ -356,16 +375,21 @@
         readers.swap(c.readers);
         for (const std::uint32_t id : readers) {
             const auto found = submissions.find(id);
-            if (found != submissions.end() && found->second.stage == Stage::counting) decide_by_count(id, found->second);
+            if (found != submissions.end() && found->second.stage == Stage::counting)
+                decide_by_count(id, found->second);
         }
     }
 
     // ---- the line and the hosts ----
 
-    double wait_in_line() const { return static_cast<double>(line.size()) * typical / std::max(1.0, places_all); }
+    double wait_in_line() const {
+        return static_cast<double>(line.size()) * typical / std::max(1.0, places_all);
+    }
 
     // The time a host needs for most pieces: the usual time and how far it swings.
-    Time needed(const Submission& s) const { return std::min(whole(typical + swing), tracks[s.track].goal / 2); }
+    Time needed(const Submission& s) const {
+        return std::min(whole(typical + swing), tracks[s.track].goal / 2);
+    }
 
     void take_in(std::uint32_t id, Submission& s) {
         Customer& c = customers[s.customer];
@@ -377,12 +401,13 @@
         place();
     }
 
-    // A ceiling must hold whatever the counter says and although gateways restart with nothing: each keeps its own
-    // part, which is empty at its start.
+    // A ceiling must hold whatever the counter says and although gateways restart with nothing: each keeps
+    // its own part, which is empty at its start.
     double ceiling_of(Customer& c) {
         const Plan& p = plans[c.plan];
-        c.ceiling = std::min(p.ceiling_burst / c.gateways,
-                             c.ceiling + p.ceiling_rate / c.gateways * static_cast<double>(now - c.ceiling_at));
+        c.ceiling =
+            std::min(p.ceiling_burst / c.gateways,
+                     c.ceiling + p.ceiling_rate / c.gateways * static_cast<double>(now - c.ceiling_at));
         c.ceiling_at = now;
         return c.ceiling;
     }
@@ -393,7 +418,8 @@
             Submission& s = submissions.at(id);
             const int host = pick_host(s, 1);
             if (host < 0) {
-                if (!s.may_have_run) break;  // nobody has room for any piece; one bound to a group may just lack its own
+                if (!s.may_have_run)
+                    break;  // nobody has room for any piece; one bound to a group may just lack its own
                 ++n;
                 continue;
             }
@@ -408,8 +434,8 @@
                                static_cast<double>(warm_after);
     }
 
-    // A cold host's budget runs over any window and for all gateways together: this one sends no faster than the
-    // part, by age, of what it has a warm host do.
+    // A cold host's budget runs over any window and for all gateways together: this one sends no faster than
+    // the part, by age, of what it has a warm host do.
     bool budget_left(Host& h) {
         const double warm = warmth(h);
         if (warm >= 1) return true;
@@ -467,7 +493,8 @@
             const auto at = std::find(line.begin(), line.end(), id);
             if (at != line.end()) line.erase(at);
         }
-        const bool still_out = s.stage == Stage::out, still_counting = s.stage == Stage::counting && s.window >= 0;
+        const bool still_out = s.stage == Stage::out,
+                   still_counting = s.stage == Stage::counting && s.window >= 0;
         s.stage = Stage::over;
         // An execution that is out, or a call that may yet add, needs the record until its end is told.
         if (!still_out && !(still_counting && !s.on_counter)) submissions.erase(id);
@@ -479,8 +506,7 @@
         if (!s.may_have_run || track.repeats == Repeats::retriable ||
             (track.repeats == Repeats::fingerprinted && track.scope == "all"))
             gateway.bounce(id, std::min(advice, longest_advice));
-        else
-            gateway.write_off(id);
+        else gateway.write_off(id);
         close(id, s);
     }
 
@@ -519,7 +545,8 @@
         swing += (std::abs(static_cast<double>(took) - typical) - swing) / 64;
         typical += (static_cast<double>(took) - typical) / 64;
         if (warmth(h) >= 1) ++delivered_lately;
-        // Hosts held at a little over their easy time keep their pace; long queues at a host can cost it that.
+        // Hosts held at a little over their easy time keep their pace; long queues at a host can cost it
+        // that.
         ease += (typical - ease) / (typical < ease ? 16 : 1024);
         const double most = std::clamp(1.5 * ease, 0.15 * goal, 0.35 * goal);
         if (h.slowness < 0.75 * most && h.out + 2 > h.places) h.places += std::min(h.places, 1 / h.places);
@@ -529,13 +556,16 @@
         }
     }
 
-    void execution_ended(std::uint32_t id, int, int host, Verdict verdict, Time took, bool settled, double billed) {
+    void execution_ended(std::uint32_t id, int, int host, Verdict verdict, Time took, bool settled,
+                         double billed) {
         Host& h = hosts[host];
         --h.out;
         --out_all;
-        const bool ran = verdict != Verdict::full && verdict != Verdict::connect_failed && verdict != Verdict::not_sent;
+        const bool ran =
+            verdict != Verdict::full && verdict != Verdict::connect_failed && verdict != Verdict::not_sent;
         if (verdict == Verdict::ok) host_delivered(h, took);
-        else if (verdict == Verdict::full) h.places = std::max(1.0 / gateways, h.places / 2), h.last_word = now;
+        else if (verdict == Verdict::full)
+            h.places = std::max(1.0 / gateways, h.places / 2), h.last_word = now;
         else if (verdict != Verdict::called_off && verdict != Verdict::not_sent) host_failed(h, verdict);
         const auto found = submissions.find(id);
         if (found == submissions.end()) return place();
@@ -594,7 +624,9 @@
         std::vector<std::uint32_t> late, silent;
         for (auto& [id, s] : submissions) {
             if (s.stage == Stage::waiting && now + needed(s) > s.goal_at) late.push_back(id);
-            if (s.stage != Stage::out || s.stream || s.given_up || !may_cancel || !may_run_again_if_cancelled(s)) continue;
+            if (s.stage != Stage::out || s.stream || s.given_up || !may_cancel ||
+                !may_run_again_if_cancelled(s))
+                continue;
             // Guards against hosts that take work and answer nothing: no word since this piece went there.
             if (now - s.sent > std::max(tracks[s.track].goal * 2 / 5, whole(3 * typical)) &&
                 hosts[s.host].last_word < s.sent)
@@ -692,10 +724,15 @@
         c.ceiling_at = s.started;
         s.customers.push_back(c);
     }
-    Submission fresh_one{track, at->second, units, now, now + std::min(s.tracks.at(track).goal, patience_left),
+    Submission fresh_one{track,
+                         at->second,
+                         units,
+                         now,
+                         now + std::min(s.tracks.at(track).goal, patience_left),
                          now + patience_left};
     Submission& sub = s.submissions.insert_or_assign(id, fresh_one).first->second;
-    s.gateway.arm(std::max<Time>(1, patience_left - 2 * s.step), limit | (static_cast<std::uint64_t>(id) << 3));
+    s.gateway.arm(std::max<Time>(1, patience_left - 2 * s.step),
+                  limit | (static_cast<std::uint64_t>(id) << 3));
     // Overload: what cannot be answered in useful time is bounced before it is counted.
     // A try may be its client's second or third, which is not told, so the line is kept well under the goal.
     if (!s.line.empty() && s.wait_in_line() > static_cast<double>(sub.goal_at - now) / 8)
@@ -703,8 +740,8 @@
     s.check_quota(id, sub);
 }
 
-void Choice::execution_ended(Time now, std::uint32_t id, int execution, std::uint32_t host, Verdict verdict, Time took,
-                             bool settled, double billed) {
+void Choice::execution_ended(Time now, std::uint32_t id, int execution, std::uint32_t host, Verdict verdict,
+                             Time took, bool settled, double billed) {
     state_->now = now;
     const auto found = state_->host_index.find(host);
     if (found != state_->host_index.end())
--- a/tests/run.cpp
+++ b/tests/run.cpp
@@ -1,11 +1,11 @@
-// Plays every scenario of tests/scenarios/. A scenario is lines of: what is read at start, what happens, what must be
-// seen. `wait` lets time pass and timers fire; the counter answers by itself as told by `counter`.
+// Plays every scenario of tests/scenarios/. A scenario is lines of: what is read at start, what happens, what
+// must be seen. `wait` lets time pass and timers fire; the counter answers by itself as told by `counter`.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
 #include <sys/wait.h>
 
 #include <algorithm>
 #include <cstdio>
-#include <doctest/doctest.h>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -17,7 +17,8 @@
 
 namespace {
 
-const char* usual_terms = R"(step=1 gateways=2 zone=0 discovery=push limits.executions=3 limits.cancel=true limits.advice=true
+const char* usual_terms =
+    R"(step=1 gateways=2 zone=0 discovery=push limits.executions=3 limits.cancel=true limits.advice=true
 limits.longest_advice=1000 service.counter=true service.count_limit=50 service.largest=1 rules.fall=2000 rules.fall_multiple=3
 rules.cold_from=0.2 rules.warm_after=15000 rules.ask_within=10000 tracks.count=1 tracks.0.latency_goal=1000
 tracks.0.time_limit=4000 tracks.0.remembered=5000 tracks.0.repeats=retriable tracks.0.scope=all tracks.0.late_value=0.2
@@ -60,7 +61,8 @@
 
 void read_terms(Terms& terms, std::istream& words) {
     for (std::string word; words >> word;)
-        terms[word.substr(0, word.find('='))] = word.find('=') + 1 < word.size() ? word.substr(word.find('=') + 1) : "";
+        terms[word.substr(0, word.find('='))] =
+            word.find('=') + 1 < word.size() ? word.substr(word.find('=') + 1) : "";
 }
 
 struct Play {
@@ -75,10 +77,13 @@
     }
 
     Verdict verdict(const std::string& word) {
-        static const std::map<std::string, Verdict> verdicts = {
-            {"ok", Verdict::ok},           {"error", Verdict::error},       {"full", Verdict::full},
-            {"timeout", Verdict::timeout}, {"no_connection", Verdict::connect_failed},
-            {"broken", Verdict::broken},   {"called_off", Verdict::called_off}};
+        static const std::map<std::string, Verdict> verdicts = {{"ok", Verdict::ok},
+                                                                {"error", Verdict::error},
+                                                                {"full", Verdict::full},
+                                                                {"timeout", Verdict::timeout},
+                                                                {"no_connection", Verdict::connect_failed},
+                                                                {"broken", Verdict::broken},
+                                                                {"called_off", Verdict::called_off}};
         return verdicts.at(word);
     }
 
@@ -87,7 +92,8 @@
             const auto [name, amount] = stage.asked.front();
             stage.asked.erase(stage.asked.begin());
             if (counter == "answers") stage.counts[name] += amount;
-            choice->counted(stage.now, name, counter == "answers" ? Verdict::ok : Verdict::full, stage.counts[name], 20);
+            choice->counted(stage.now, name, counter == "answers" ? Verdict::ok : Verdict::full,
+                            stage.counts[name], 20);
         }
     }
 
@@ -160,7 +166,9 @@
             std::uint32_t id;
             while (line >> id >> word)
                 choice->host_listed(stage.now, id,
-                                    word == "draining" ? Standing::draining : word == "gone" ? Standing::gone : Standing::ready,
+                                    word == "draining" ? Standing::draining
+                                    : word == "gone"   ? Standing::gone
+                                                       : Standing::ready,
                                     word == "young" ? stage.now : 0, id % 10, id);
             return choice->list_ends(stage.now);
         }
@@ -202,19 +210,21 @@
         if (word == "follow_failed") return choice->list_failed(stage.now);
         std::uint32_t id;
         line >> id;
-        if (word == "submit")  // submit ID [upto=ID] [every=ms] [customer=] [plan=] [units=] [gateways=] [patience=]
+        if (word ==
+            "submit")  // submit ID [upto=ID] [every=ms] [customer=] [plan=] [units=] [gateways=] [patience=]
             for (std::uint32_t last = value(line, "upto", id); id <= last; ++id) {
                 choice->submitted(stage.now, id, 0, value(line, "plan", 0), value(line, "customer", 1),
-                                  value(line, "units", 1), value(line, "gateways", 2), value(line, "patience", 4000) * 10);
+                                  value(line, "units", 1), value(line, "gateways", 2),
+                                  value(line, "patience", 4000) * 10);
                 answer_counts();
                 wait(std::llround(value(line, "every", 0) * 10));
             }
         else if (word == "end") {  // end ID VERDICT host=ID [took=ms] [upto=ID] [settled=1] [billed=]
             line >> word;
             for (std::uint32_t last = value(line, "upto", id); id <= last; ++id) {
-                choice->execution_ended(stage.now, id, stage.runs[id] - 1, value(line, "host", 1), verdict(word),
-                                        value(line, "took", 50) * 10, value(line, "settled", word == "ok"),
-                                        value(line, "billed", 0));
+                choice->execution_ended(stage.now, id, stage.runs[id] - 1, value(line, "host", 1),
+                                        verdict(word), value(line, "took", 50) * 10,
+                                        value(line, "settled", word == "ok"), value(line, "billed", 0));
                 answer_counts();
             }
         } else if (word == "gone") {
