--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -628,7 +628,7 @@
                 !may_run_again_if_cancelled(s))
                 continue;
             // Guards against hosts that take work and answer nothing: no word since this piece went there.
-            if (now - s.sent > std::max(tracks[s.track].goal * 2 / 5, whole(3 * typical)) &&
+            if (s.executions == 1 && now - s.sent > std::max(tracks[s.track].goal * 2 / 5, whole(typical + 4 * swing)) &&
                 hosts[s.host].last_word < s.sent)
                 silent.push_back(id);
         }
