--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -547,11 +547,11 @@
         if (warmth(h) >= 1) ++delivered_lately;
         // Hosts held at a little over their easy time keep their pace; long queues at a host can cost it
         // that.
-        ease += (typical - ease) / (typical < ease ? 16 : 1024);
+        ease += (typical - ease) / (typical < ease ? 16 : 16384);
         const double most = std::clamp(1.5 * ease, 0.15 * goal, 0.35 * goal);
         if (h.slowness < 0.75 * most && h.out + 2 > h.places) h.places += std::min(h.places, 1 / h.places);
         if (h.slowness > most && now - h.calmed > whole(h.slowness)) {
-            h.places = std::max(1.0 / gateways, h.places * std::max(0.5, most / h.slowness));
+            h.places = std::max(2.0 / gateways, h.places * std::max(0.5, most / h.slowness));
             h.calmed = now;
         }
     }
@@ -565,7 +565,7 @@
             verdict != Verdict::full && verdict != Verdict::connect_failed && verdict != Verdict::not_sent;
         if (verdict == Verdict::ok) host_delivered(h, took);
         else if (verdict == Verdict::full)
-            h.places = std::max(1.0 / gateways, h.places / 2), h.last_word = now;
+            h.places = std::max(2.0 / gateways, h.places / 2), h.last_word = now;
         else if (verdict != Verdict::called_off && verdict != Verdict::not_sent) host_failed(h, verdict);
         const auto found = submissions.find(id);
         if (found == submissions.end()) return place();
