--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -549,7 +549,7 @@
         // that.
         ease += (typical - ease) / (typical < ease ? 16 : 16384);
         const double most = std::clamp(1.5 * ease, 0.15 * goal, 0.35 * goal);
-        if (h.slowness < 0.75 * most && h.out + 2 > h.places) h.places += std::min(h.places, 1 / h.places);
+        if (h.slowness < 0.75 * most && h.out + 2 > h.places) h.places += std::min(h.places, 1 / (h.places * gateways));
         if (h.slowness > most && now - h.calmed > whole(h.slowness)) {
             h.places = std::max(2.0 / gateways, h.places * std::max(0.5, most / h.slowness));
             h.calmed = now;
