--- a/include/dewweir/choice.h
+++ b/include/dewweir/choice.h
@@ -22,7 +22,6 @@
     virtual void bounce(std::uint32_t submission, Time come_back_in) = 0;
     virtual void write_off(std::uint32_t submission) = 0;
     virtual void cancel(std::uint32_t submission, int execution) = 0;
-    virtual void probe(std::uint32_t host) = 0;
     virtual void count(std::uint64_t name, double amount, Time keep_for) = 0;
     virtual void arm(Time from_now, std::uint64_t token) = 0;
     virtual void follow_list() = 0;
@@ -49,7 +48,6 @@
     void stream_started(Time now, std::uint32_t submission, int execution);
     void client_gone(Time now, std::uint32_t submission);
     void counted(Time now, std::uint64_t name, Verdict verdict, double total, Time took);
-    void probed(Time now, std::uint32_t host, Verdict verdict);
     void timer(Time now, std::uint64_t token);
 
   private:
--- a/simhost/main.cpp
+++ b/simhost/main.cpp
@@ -91,7 +91,6 @@
     void cancel(std::uint32_t submission, int execution) override {
         reply_.action(259, 8).put(i_).put(submission).put<std::uint16_t>(execution);
     }
-    void probe(std::uint32_t host) override { reply_.action(261, 6).put(i_).put(host); }
     void count(std::uint64_t name, double amount, Time keep_for) override {
         reply_.action(268, 22).put(i_).put(name).put<float>(amount).put(ms(keep_for));
     }
@@ -242,7 +241,7 @@
                                           r.time(15), r.get<std::uint8_t>(14) != 0, r.get<std::uint16_t>(23));
         case 261: return choice.client_gone(now, r.get<std::uint32_t>(8));
         case 262: return choice.timer(now, r.get<std::uint64_t>(8));
-        case 263: return choice.probed(now, r.get<std::uint32_t>(8), verdict_of(r.get<std::uint8_t>(12)));
+        case 263: return;  // no probe is sent
         case 264: return;  // gateways learn of each other by the counter alone
         case 265: instances.erase(found); return;
         case 266:
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -16,28 +16,25 @@
 
 Time whole(double time) { return std::llround(time); }
 
-enum class Repeats { retriable, fingerprinted, binding };
 enum class Stage { counting, waiting, out, over };
 enum class Asked { add, previous, back };
 enum Alarm : std::uint64_t { beat, limit, count_late, follow };
 
 struct Track {
     Time goal, remembered;
-    Repeats repeats;
-    std::string scope;
-    double late_value;
+    std::string repeats, scope;
 };
 
 struct Plan {
-    double rate, burst, extra_benefit, overrun_cost, ceiling_rate, ceiling_burst, parallel;
-    Time window;
+    double rate, burst, extra_benefit, overrun_cost, ceiling_rate = 0, ceiling_burst = 0, parallel = 0;
+    Time window = 0;
 };
 
 struct Host {
     std::uint32_t id;
     bool listed = false, trial = false;
     Time up_since = 0, shut_until = 0, shut_for = 0, last_word = 0, calmed = 0, budget_at = 0;
-    int zone = 0, cell = 0, out = 0, failures = 0;
+    int zone = 0, cell = 0, out = 0, failures = 0, list_round = 0;
     double places = 0, slowness = 0, budget = 1;
 };
 
@@ -48,22 +45,22 @@
 };
 
 struct Customer {
-    std::uint64_t id;
-    int plan, gateways, open = 0;
+    std::uint64_t id = 0;
+    int plan = 0, gateways = 1, open = 0;
     std::int64_t window = -1;
     Tally current, before;
     double owed = 0;  // let in while the counter was away, to be added with the next call
     bool previous_known = false, found_over = false;
     std::vector<std::uint32_t> readers;
     double level = 0, share = 0,
-           ceiling = 0;  // the quota's store replayed from the totals; our part; the ceiling's
+           ceiling = 0;  // the store replayed from the totals; our part of it; of the ceiling
     Time level_at = 0, share_at = 0, ceiling_at = 0, over_until = 0;
 };
 
 struct Submission {
     int track, customer;
     double units;
-    Time came, goal_at, limit_at;
+    Time goal_at, limit_at;
     Stage stage = Stage::counting;
     int executions = 0, host = -1, last_host = -1, zone = -1, cell = -1;
     std::int64_t window = -1;
@@ -90,6 +87,7 @@
     int gateways, most_executions, zone;
     double largest, cold_from, fall_multiple;
     bool may_cancel, has_counter, settled_later, list_whole = false;
+    int list_round = 0;
     std::vector<Track> tracks;
     std::vector<Plan> plans;
     std::vector<Host> hosts;
@@ -99,14 +97,14 @@
     std::map<std::uint32_t, Submission> submissions;
     std::deque<std::uint32_t> line;
     std::map<std::uint64_t, std::deque<Call>> calls;
-    std::vector<char> named;
     // The breaker: failed calls in a row, until when it is open, whether its probing call is out.
     int count_failures = 0;
     bool probing = false;
     Time open_until = 0, open_for = 0;
+    // Of all hosts: the usual time of an execution, how far it swings, what it is with little out; deliveries
+    // a warm host and tenth; places here, and how many are taken.
     double count_took, typical, ease, swing = 0, flow = 0, places_all = 0;
-    int out_all = 0;
-    int delivered_lately = 0;
+    int out_all = 0, delivered_lately = 0;
 
     // ---- what is read at start ----
 
@@ -132,7 +130,7 @@
     State(Gateway& g, const Terms& t, std::uint64_t seed, Time at)
         : gateway(g),
           terms(t),
-          chance(static_cast<std::mt19937::result_type>(seed ^ (seed >> 32))),
+          chance(static_cast<std::uint32_t>(seed ^ (seed >> 32))),
           now(at),
           started(at) {
         step = std::max<Time>(1, time("step"));
@@ -154,23 +152,16 @@
             const std::string repeats = term(at_ + "repeats") ? *term(at_ + "repeats") : "";
             if (repeats != "retriable" && repeats != "fingerprinted" && repeats != "binding")
                 throw std::invalid_argument("term missing or unreadable: " + at_ + "repeats");
-            tracks.push_back({time(at_ + "latency_goal"), time(at_ + "remembered"),
-                              repeats == "retriable" ? Repeats::retriable
-                              : repeats == "binding" ? Repeats::binding
-                                                     : Repeats::fingerprinted,
-                              term(at_ + "scope") ? *term(at_ + "scope") : "all",
-                              number(at_ + "late_value", 0)});
+            const std::string scope = term(at_ + "scope") ? *term(at_ + "scope") : "all";
+            tracks.push_back({time(at_ + "latency_goal"), time(at_ + "remembered"), repeats, scope});
         }
         for (int n = 0; n < number("plans.count", 0); ++n) {
             const std::string at_ = "plans." + std::to_string(n) + ".";
-            Plan p{number(at_ + "rate", 0) / 10000,
-                   number(at_ + "burst", 0),
-                   number(at_ + "extra_benefit", 0),
-                   number(at_ + "overrun_cost", 0),
-                   number(at_ + "ceiling_rate", 0) / 10000,
-                   number(at_ + "ceiling_burst", 0),
-                   number(at_ + "parallel", 0),
-                   0};
+            const auto of = [&](const char* what) { return number(at_ + what, 0); };
+            Plan p{of("rate") / 10000, of("burst"), of("extra_benefit"), of("overrun_cost")};
+            p.ceiling_rate = of("ceiling_rate") / 10000;
+            p.ceiling_burst = of("ceiling_burst");
+            p.parallel = of("parallel");
             p.window = p.rate > 0 ? std::max<Time>(step, whole(p.burst / p.rate)) : 0;
             plans.push_back(p);
         }
@@ -181,23 +172,27 @@
         beat_at = now;
         typical = ease = static_cast<double>(goal) / 6;
         count_took = static_cast<double>(count_limit) / 10;
-        gateway.arm(beat_every, beat);
+        arm(beat_every, beat);
         if (term("discovery") && *term("discovery") == "ask") gateway.follow_list();
     }
 
+    State& at(Time moment) { return now = moment, *this; }
+    double since(Time moment) const { return static_cast<double>(now - moment); }
+    void arm(Time from_now, Alarm alarm, std::uint64_t id = 0) { gateway.arm(from_now, id << 3 | alarm); }
+    // The submission with this id, unless it has had its final answer.
+    Submission* open_one(std::uint32_t id) {
+        const auto found = submissions.find(id);
+        return found == submissions.end() || found->second.stage == Stage::over ? nullptr : &found->second;
+    }
     Time jittered(Time about) {
         return about / 2 + std::uniform_int_distribution<Time>(0, std::max<Time>(1, about))(chance);
     }
 
     // ---- quotas ----
 
-    std::uint64_t name_of(const Customer& c, std::int64_t window) const {
-        return (c.id << 30) | (static_cast<std::uint64_t>(window) & 0x3fffffff);
-    }
-
     void call(Asked asked, std::uint32_t submission, int customer, std::int64_t window, double amount) {
         const Customer& c = customers[customer];
-        const std::uint64_t name = name_of(c, window);
+        const std::uint64_t name = (c.id << 30) | (static_cast<std::uint64_t>(window) & 0x3fffffff);
         calls[name].push_back({asked, submission, customer, window, amount});
         gateway.count(name, amount, std::min<Time>(2 * plans[c.plan].window, 600000));
     }
@@ -216,15 +211,13 @@
             c.owed = 0;
             c.window = window;
         }
-        c.level = std::min(p.burst, c.level + p.rate * static_cast<double>(now - c.level_at));
+        c.level = std::min(p.burst, c.level + p.rate * since(c.level_at));
         // A part too small for one submission would let in none: it holds the largest at least.
         c.share = std::min(std::max(p.burst / c.gateways, largest),
-                           c.share + p.rate / c.gateways * static_cast<double>(now - c.share_at));
+                           c.share + p.rate / c.gateways * since(c.share_at));
         c.level_at = c.share_at = now;
     }
 
-    bool breaker_open() const { return count_failures >= 3 && (now < open_until || probing); }
-
     void count_failed() {
         if (++count_failures < 3) return;
         if (count_failures == 3) gateway.log("counter silent or failing: breaker open, shares decide");
@@ -250,13 +243,13 @@
         // Guards the counter and its price against customers far over: one found over by the count stays over
         // until its store can have refilled, whatever the other gateways let in meanwhile.
         if (c.found_over && now < c.over_until) return beyond(id, s);
-        if (!has_counter || breaker_open()) return decide_by_share(id, s);
+        if (!has_counter || (count_failures >= 3 && (now < open_until || probing)))
+            return decide_by_share(id, s);
         if (count_failures >= 3) probing = true;
         s.window = c.window;
         call(Asked::add, id, s.customer, c.window, s.units + c.owed);
         c.owed = 0;
-        gateway.arm(std::min<Time>(count_limit, std::max<Time>(whole(8 * count_took), count_limit / 2)),
-                    count_late | (static_cast<std::uint64_t>(id) << 3));
+        arm(std::min(count_limit, std::max(whole(8 * count_took), count_limit / 2)), count_late, id);
     }
 
     // The design's check: what was counted in this window and the part of the one before that still overlaps.
@@ -266,7 +259,7 @@
         bring_up(c);
         const double passed = static_cast<double>(now % p.window) / static_cast<double>(p.window);
         const double estimate = c.before.total * (1 - passed) + s.reading;
-        // Departure: over by the window, but the quota's own store, replayed from the totals read, holds the
+        // Departure: over by the window, but the quota's store, replayed from all totals told, holds the
         // units.
         if (estimate <= p.burst || c.level >= 0) {
             c.found_over = false;
@@ -292,14 +285,14 @@
 
     void give_back(Submission& s) {
         Customer& c = customers[s.customer];
-        if (s.on_counter && s.window + 1 >= c.window) {
-            call(Asked::back, 0, s.customer, s.window, -s.units);  // its answer puts the totals right
-        } else if (s.on_share) {
+        // On the counter, the answer puts the totals right.
+        if (s.on_counter && s.window + 1 >= c.window) call(Asked::back, 0, s.customer, s.window, -s.units);
+        if (s.on_share) {
             c.share += s.units;
+            c.level += s.units;
             c.current.total -= s.units;
             if (s.window < 0) c.owed -= s.units;
         }
-        if (s.on_share) c.level += s.units;
         s.on_counter = s.on_share = false;
     }
 
@@ -309,7 +302,7 @@
         const Plan& p = plans[c.plan];
         if (p.extra_benefit > p.overrun_cost && line.empty()) {
             const int host = pick_host(s, 0.5);
-            if (host >= 0) return execute(id, s, host);
+            if (host >= 0) return ++c.open, execute(id, s, host);
         }
         turn_down(id, s, whole(std::max(0.0, s.units - c.level) / p.rate));
     }
@@ -325,7 +318,7 @@
         const auto waiting = submissions.find(made.submission);
         const bool awaited = waiting != submissions.end() && waiting->second.stage == Stage::counting;
         if (verdict == Verdict::ok) count_answered(took);
-        else if (awaited || made.asked == Asked::previous) count_failed();
+        else if (awaited || probing || made.asked == Asked::previous) count_failed();
         if (verdict == Verdict::ok) total_told(c, made, told);
         if (made.asked == Asked::previous) return previous_told(c, made, verdict);
         if (made.asked == Asked::back) return;
@@ -335,11 +328,12 @@
             s.on_counter = true;
             s.reading = c.current.total;
             if (s.on_share) s.on_share = false, c.level += s.units;  // total_told has just taken them again
-            if (s.stage == Stage::over) return give_back(s);
+            if (s.stage == Stage::over) give_back(s);
         } else if (verdict != Verdict::timeout && made.window == c.window) {
             c.owed += made.amount - (s.on_share ? 0 : s.units);
             s.window = -1;
         }
+        if (s.stage == Stage::over && s.executions == 0) submissions.erase(waiting);
         if (!awaited) return;
         if (verdict != Verdict::ok) return decide_by_share(made.submission, s);
         // The previous window's total is read once, and only where it can matter.
@@ -364,8 +358,7 @@
         }
         c.level -= total - tally.total;
         tally.total = total;
-        // Going over to the part and back must mint no quota: it holds its part of what the store was told to
-        // hold.
+        // Going over to the part and back must mint no quota: it follows what the store was told to hold.
         c.share = std::max({0.0, c.level / c.gateways, std::min(c.level, largest)});
     }
 
@@ -374,9 +367,8 @@
         std::vector<std::uint32_t> readers;
         readers.swap(c.readers);
         for (const std::uint32_t id : readers) {
-            const auto found = submissions.find(id);
-            if (found != submissions.end() && found->second.stage == Stage::counting)
-                decide_by_count(id, found->second);
+            Submission* const s = open_one(id);
+            if (s && s->stage == Stage::counting) decide_by_count(id, *s);
         }
     }
 
@@ -405,9 +397,8 @@
     // its own part, which is empty at its start.
     double ceiling_of(Customer& c) {
         const Plan& p = plans[c.plan];
-        c.ceiling =
-            std::min(p.ceiling_burst / c.gateways,
-                     c.ceiling + p.ceiling_rate / c.gateways * static_cast<double>(now - c.ceiling_at));
+        c.ceiling = std::min(p.ceiling_burst / c.gateways,
+                             c.ceiling + p.ceiling_rate / c.gateways * since(c.ceiling_at));
         c.ceiling_at = now;
         return c.ceiling;
     }
@@ -417,21 +408,16 @@
             const std::uint32_t id = line[n];
             Submission& s = submissions.at(id);
             const int host = pick_host(s, 1);
-            if (host < 0) {
-                if (!s.may_have_run)
-                    break;  // nobody has room for any piece; one bound to a group may just lack its own
-                ++n;
-                continue;
-            }
-            line.erase(line.begin() + static_cast<std::ptrdiff_t>(n));
-            execute(id, s, host);
+            if (host < 0 && !s.may_have_run) break;  // no room for any; one bound to a group may lack its own
+            if (host < 0) ++n;
+            else line.erase(line.begin() + static_cast<std::ptrdiff_t>(n)), execute(id, s, host);
         }
     }
 
     double warmth(const Host& h) const {
         if (h.up_since <= 0 || now - h.up_since >= warm_after) return 1;
-        return cold_from + (1 - cold_from) * static_cast<double>(std::max<Time>(0, now - h.up_since)) /
-                               static_cast<double>(warm_after);
+        return cold_from +
+               (1 - cold_from) * std::max(0.0, since(h.up_since)) / static_cast<double>(warm_after);
     }
 
     // A cold host's budget runs over any window and for all gateways together: this one sends no faster than
@@ -440,7 +426,7 @@
         const double warm = warmth(h);
         if (warm >= 1) return true;
         const double rate = std::max(warm * flow * fall_multiple / 2, 1.0 / static_cast<double>(fall));
-        h.budget = std::min(1.0, h.budget + rate * static_cast<double>(now - h.budget_at));
+        h.budget = std::min(1.0, h.budget + rate * since(h.budget_at));
         h.budget_at = now;
         return h.budget >= 1;
     }
@@ -451,12 +437,12 @@
         // Places are parts of the fleet's: below one a host, it is their sum that bounds this gateway.
         if (out_all + 1 > std::max(1.0, places_all * part)) return -1;
         const Track& track = tracks[s.track];
+        const bool grouped = s.may_have_run && track.repeats == "fingerprinted";
         for (int n = 0; n < static_cast<int>(hosts.size()); ++n) {
             Host& h = hosts[n];
             if (!h.listed || now < h.shut_until || (h.trial && h.out > 0)) continue;
-            if (s.may_have_run && track.repeats == Repeats::fingerprinted &&
-                ((track.scope == "zone" && h.zone != s.zone) || (track.scope == "cell" && h.cell != s.cell)))
-                continue;
+            if (grouped && track.scope == "zone" && h.zone != s.zone) continue;
+            if (grouped && track.scope == "cell" && h.cell != s.cell) continue;
             const double warm = warmth(h);
             if (h.out + 1 > std::max(1.0, h.places * warm * part) || !budget_left(h)) continue;
             double score = std::max(h.slowness, typical / 4) * (h.out + 1) / warm;
@@ -493,18 +479,18 @@
             const auto at = std::find(line.begin(), line.end(), id);
             if (at != line.end()) line.erase(at);
         }
-        const bool still_out = s.stage == Stage::out,
-                   still_counting = s.stage == Stage::counting && s.window >= 0;
-        s.stage = Stage::over;
         // An execution that is out, or a call that may yet add, needs the record until its end is told.
-        if (!still_out && !(still_counting && !s.on_counter)) submissions.erase(id);
+        const bool owed =
+            s.stage == Stage::out || (s.stage == Stage::counting && s.window >= 0 && !s.on_counter);
+        s.stage = Stage::over;
+        if (!owed) submissions.erase(id);
     }
 
     void turn_down(std::uint32_t id, Submission& s, Time advice) {
         const Track& track = tracks[s.track];
         if (s.executions == 0) give_back(s);
-        if (!s.may_have_run || track.repeats == Repeats::retriable ||
-            (track.repeats == Repeats::fingerprinted && track.scope == "all"))
+        if (!s.may_have_run || track.repeats == "retriable" ||
+            (track.repeats == "fingerprinted" && track.scope == "all"))
             gateway.bounce(id, std::min(advice, longest_advice));
         else gateway.write_off(id);
         close(id, s);
@@ -513,8 +499,8 @@
     bool may_run_again(const Submission& s) const {
         if (s.executions >= most_executions) return false;
         const Track& track = tracks[s.track];
-        if (!s.may_have_run || track.repeats == Repeats::retriable) return true;
-        return track.repeats == Repeats::fingerprinted && now + 4 * step < s.first_ran + track.remembered;
+        if (!s.may_have_run || track.repeats == "retriable") return true;
+        return track.repeats == "fingerprinted" && now + 4 * step < s.first_ran + track.remembered;
     }
 
     void host_failed(Host& h, Verdict verdict) {
@@ -545,18 +531,18 @@
         swing += (std::abs(static_cast<double>(took) - typical) - swing) / 64;
         typical += (static_cast<double>(took) - typical) / 64;
         if (warmth(h) >= 1) ++delivered_lately;
-        // Hosts held at a little over their easy time keep their pace; long queues at a host can cost it
-        // that.
+        // Hosts held at a little over their easy time keep their pace; long queues at a host can cost it.
         ease += (typical - ease) / (typical < ease ? 16 : 16384);
         const double most = std::clamp(1.5 * ease, 0.15 * goal, 0.35 * goal);
-        if (h.slowness < 0.75 * most && h.out + 2 > h.places) h.places += std::min(h.places, 1 / (h.places * gateways));
+        if (h.slowness < 0.75 * most && h.out + 2 > h.places)
+            h.places += std::min(h.places, 1 / (h.places * gateways));
         if (h.slowness > most && now - h.calmed > whole(h.slowness)) {
             h.places = std::max(2.0 / gateways, h.places * std::max(0.5, most / h.slowness));
             h.calmed = now;
         }
     }
 
-    void execution_ended(std::uint32_t id, int, int host, Verdict verdict, Time took, bool settled,
+    void execution_ended(std::uint32_t id, int host, Verdict verdict, Time took, bool settled,
                          double billed) {
         Host& h = hosts[host];
         --h.out;
@@ -571,7 +557,9 @@
         if (found == submissions.end()) return place();
         Submission& s = found->second;
         --customers[s.customer].open;
-        if (verdict == Verdict::ok && settled_later && billed > 0 && s.on_counter) settle(s, billed);
+        // Units settled afterwards: the difference goes to the same name.
+        if (verdict == Verdict::ok && settled_later && billed > 0 && s.on_counter && billed != s.units)
+            call(Asked::back, 0, s.customer, s.window, billed - s.units);
         if (s.stage != Stage::out || settled) {
             s.stage = Stage::over;
             submissions.erase(found);
@@ -586,26 +574,12 @@
         s.last_host = host;
         s.stage = Stage::waiting;
         ++customers[s.customer].open;
-        if (now + 2 * step >= s.limit_at) {
-            gateway.write_off(id);
-            close(id, s);
-        } else if (!may_run_again(s)) {
-            turn_down(id, s, whole(typical));
-        } else {
-            line.push_front(id);
-        }
+        if (now + 2 * step >= s.limit_at) gateway.write_off(id), close(id, s);
+        else if (!may_run_again(s)) turn_down(id, s, whole(typical));
+        else line.push_front(id);
         place();
     }
 
-    // Units settled afterwards: the difference goes to the same name, or to our share.
-    void settle(Submission& s, double billed) {
-        Customer& c = customers[s.customer];
-        bring_up(c);
-        const double more = billed - s.units;
-        if (s.window != c.window || more == 0) return;
-        call(Asked::back, 0, s.customer, s.window, more);
-    }
-
     // ---- time ----
 
     void on_beat() {
@@ -624,12 +598,12 @@
         std::vector<std::uint32_t> late, silent;
         for (auto& [id, s] : submissions) {
             if (s.stage == Stage::waiting && now + needed(s) > s.goal_at) late.push_back(id);
-            if (s.stage != Stage::out || s.stream || s.given_up || !may_cancel ||
-                !may_run_again_if_cancelled(s))
-                continue;
-            // Guards against hosts that take work and answer nothing: no word since this piece went there.
-            if (s.executions == 1 && now - s.sent > std::max(tracks[s.track].goal * 2 / 5, whole(typical + 4 * swing)) &&
-                hosts[s.host].last_word < s.sent)
+            // Guards against hosts that take work and answer nothing: no word since this piece went there. A
+            // long piece is as long again elsewhere, so only its first execution is called off.
+            if (s.stage == Stage::out && !s.stream && !s.given_up && s.executions == 1 &&
+                most_executions > 1 && may_cancel && tracks[s.track].repeats == "retriable" &&
+                hosts[s.host].last_word < s.sent &&
+                now - s.sent > std::max(tracks[s.track].goal * 2 / 5, whole(typical + 4 * swing)))
                 silent.push_back(id);
         }
         for (const std::uint32_t id : silent) {
@@ -640,21 +614,32 @@
         }
         for (const std::uint32_t id : late) turn_down(id, submissions.at(id), whole(typical));
         place();
-        gateway.arm(beat_every, beat);
-    }
-
-    bool may_run_again_if_cancelled(const Submission& s) const {
-        return s.executions < most_executions && tracks[s.track].repeats == Repeats::retriable;
+        arm(beat_every, beat);
     }
 
     void on_limit(std::uint32_t id) {
-        const auto found = submissions.find(id);
-        if (found == submissions.end() || found->second.stage == Stage::over || found->second.stream) return;
-        Submission& s = found->second;
-        if (s.stage == Stage::out && may_cancel) gateway.cancel(id, s.executions - 1);
-        if (s.executions == 0) return turn_down(id, s, 0);
+        Submission* const s = open_one(id);
+        if (!s || s->stream) return;
+        if (s->stage == Stage::out && may_cancel) gateway.cancel(id, s->executions - 1);
+        if (s->executions == 0) return turn_down(id, *s, 0);
         gateway.write_off(id);
-        close(id, s);
+        close(id, *s);
+    }
+
+    void client_gone(std::uint32_t id) {
+        Submission* const s = open_one(id);
+        if (!s) return;
+        if (s->stage == Stage::out && may_cancel && !s->stream) gateway.cancel(id, s->executions - 1);
+        if (s->executions == 0) give_back(*s);
+        close(id, *s);
+    }
+
+    void on_count_late(std::uint32_t id) {
+        Submission* const s = open_one(id);
+        if (!s || s->stage != Stage::counting) return;
+        if (s->on_counter) return decide_by_count(id, *s);  // just the window before is not told
+        count_failed();
+        decide_by_share(id, *s);
     }
 };
 
@@ -665,24 +650,20 @@
 Choice::~Choice() = default;
 
 void Choice::list_begins(Time now, bool whole) {
-    state_->now = now;
-    state_->list_whole = whole;
-    state_->named.assign(state_->hosts.size(), 0);
+    state_->at(now).list_whole = whole;
+    ++state_->list_round;
 }
 
 void Choice::host_listed(Time now, std::uint32_t id, Standing standing, Time up_since, int zone, int cell) {
     State& s = *state_;
     const auto [at, fresh] = s.host_index.try_emplace(id, static_cast<int>(s.hosts.size()));
     if (fresh) {
-        s.hosts.push_back({});
-        s.hosts.back().id = id;
+        s.hosts.push_back({id});
         s.hosts.back().slowness = s.typical;
-        s.hosts.back().places = 4.0 / s.gateways;
-        s.places_all += s.hosts.back().places;
+        s.places_all += s.hosts.back().places = 4.0 / s.gateways;
     }
-    s.named.resize(s.hosts.size(), 0);
-    s.named[at->second] = 1;
     Host& h = s.hosts[at->second];
+    h.list_round = s.list_round;
     if (up_since > h.up_since) {  // started again: nothing learnt of its last life counts
         h.up_since = up_since;
         h.failures = 0;
@@ -695,23 +676,19 @@
 }
 
 void Choice::list_ends(Time now) {
-    State& s = *state_;
-    s.now = now;
-    if (s.list_whole)
-        for (std::size_t n = 0; n < s.hosts.size(); ++n)
-            if (!s.named[n]) s.hosts[n].listed = false;
+    State& s = state_->at(now);
+    for (Host& h : s.hosts) h.listed &= !s.list_whole || h.list_round == s.list_round;
     s.place();
 }
 
 void Choice::list_failed(Time now) {
-    state_->now = now;
-    state_->gateway.arm(state_->jittered(state_->time("rules.ask_within") / 8), follow);
+    State& s = state_->at(now);
+    s.arm(s.jittered(s.time("rules.ask_within") / 8), follow);
 }
 
 void Choice::submitted(Time now, std::uint32_t id, int track, int plan, std::uint64_t customer, double units,
                        int customer_gateways, Time patience_left) {
-    State& s = *state_;
-    s.now = now;
+    State& s = state_->at(now);
     const auto [at, fresh] = s.customer_index.try_emplace(customer, static_cast<int>(s.customers.size()));
     if (fresh) {
         Customer c;
@@ -724,15 +701,9 @@
         c.ceiling_at = s.started;
         s.customers.push_back(c);
     }
-    Submission fresh_one{track,
-                         at->second,
-                         units,
-                         now,
-                         now + std::min(s.tracks.at(track).goal, patience_left),
-                         now + patience_left};
-    Submission& sub = s.submissions.insert_or_assign(id, fresh_one).first->second;
-    s.gateway.arm(std::max<Time>(1, patience_left - 2 * s.step),
-                  limit | (static_cast<std::uint64_t>(id) << 3));
+    const Time goal_at = now + std::min(s.tracks.at(track).goal, patience_left);
+    Submission& sub = s.submissions[id] = {track, at->second, units, goal_at, now + patience_left};
+    s.arm(std::max<Time>(1, patience_left - 2 * s.step), limit, id);
     // Overload: what cannot be answered in useful time is bounced before it is counted.
     // A try may be its client's second or third, which is not told, so the line is kept well under the goal.
     if (!s.line.empty() && s.wait_in_line() > static_cast<double>(sub.goal_at - now) / 8)
@@ -740,53 +711,31 @@
     s.check_quota(id, sub);
 }
 
-void Choice::execution_ended(Time now, std::uint32_t id, int execution, std::uint32_t host, Verdict verdict,
-                             Time took, bool settled, double billed) {
-    state_->now = now;
-    const auto found = state_->host_index.find(host);
-    if (found != state_->host_index.end())
-        state_->execution_ended(id, execution, found->second, verdict, took, settled, billed);
+void Choice::execution_ended(Time now, std::uint32_t id, int, std::uint32_t host, Verdict verdict, Time took,
+                             bool settled, double billed) {
+    State& s = state_->at(now);
+    const auto known = s.host_index.find(host);
+    if (known != s.host_index.end()) s.execution_ended(id, known->second, verdict, took, settled, billed);
 }
 
 void Choice::stream_started(Time now, std::uint32_t id, int) {
-    state_->now = now;
-    const auto found = state_->submissions.find(id);
-    if (found != state_->submissions.end()) found->second.stream = true;
+    if (Submission* const s = state_->at(now).open_one(id)) s->stream = true;
 }
 
-void Choice::client_gone(Time now, std::uint32_t id) {
-    State& s = *state_;
-    s.now = now;
-    const auto found = s.submissions.find(id);
-    if (found == s.submissions.end() || found->second.stage == Stage::over) return;
-    if (found->second.stage == Stage::out && s.may_cancel && !found->second.stream)
-        s.gateway.cancel(id, found->second.executions - 1);
-    if (found->second.executions == 0) s.give_back(found->second);
-    s.close(id, found->second);
-}
+void Choice::client_gone(Time now, std::uint32_t id) { state_->at(now).client_gone(id); }
 
 void Choice::counted(Time now, std::uint64_t name, Verdict verdict, double total, Time took) {
-    state_->now = now;
-    state_->counted(name, verdict, total, took);
+    state_->at(now).counted(name, verdict, total, took);
 }
 
-void Choice::probed(Time now, std::uint32_t, Verdict) { state_->now = now; }
-
 void Choice::timer(Time now, std::uint64_t token) {
-    State& s = *state_;
-    s.now = now;
+    State& s = state_->at(now);
     const auto id = static_cast<std::uint32_t>(token >> 3);
     switch (token & 7) {
         case beat: return s.on_beat();
         case limit: return s.on_limit(id);
         case follow: return s.gateway.follow_list();
-        case count_late: {
-            const auto found = s.submissions.find(id);
-            if (found == s.submissions.end() || found->second.stage != Stage::counting) return;
-            if (found->second.on_counter) return s.decide_by_count(id, found->second);
-            s.count_failed();
-            return s.decide_by_share(id, found->second);
-        }
+        case count_late: return s.on_count_late(id);
     }
 }
 
--- a/tests/run.cpp
+++ b/tests/run.cpp
@@ -40,7 +40,6 @@
     void bounce(std::uint32_t id, Time) override { saw("bounce", id); }
     void write_off(std::uint32_t id) override { saw("write_off", id); }
     void cancel(std::uint32_t id, int) override { saw("cancel", id); }
-    void probe(std::uint32_t host) override { saw("probe", host); }
     void count(std::uint64_t name, double amount, Time) override {
         asked.emplace_back(name, amount);
         std::ostringstream text;
