While calls fail now and then, shares decide a part of the submissions

A crowded counter turned away up to a third of all calls and the breaker flapped. It could hurt where a counter fails at random though it has room: then shares decide what a call would have told.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -103,7 +103,7 @@
     Time open_until = 0, open_for = 0;
     // Of all hosts: the usual time of an execution, how far it swings, what it is with little out; deliveries
     // a warm host and tenth; places here, and how many are taken.
-    double count_took, typical, ease, swing = 0, flow = 0, places_all = 0;
+    double counted_part = 1, count_took, typical, ease, swing = 0, flow = 0, places_all = 0;
     int out_all = 0, delivered_lately = 0;
 
     // ---- what is read at start ----
@@ -219,6 +219,7 @@
     }
 
     void count_failed() {
+        counted_part = std::max(1.0 / 32, counted_part * 0.97);
         if (++count_failures < 3) return;
         if (count_failures == 3) gateway.log("counter silent or failing: breaker open, shares decide");
         open_for = std::clamp(2 * open_for, 4 * count_limit, 40 * count_limit);
@@ -227,6 +228,7 @@
     }
     void count_answered(Time took) {
         if (count_failures >= 3) gateway.log("counter answers: breaker closed");
+        counted_part = std::min(1.0, counted_part + 1.0 / 400);
         count_failures = 0;
         open_for = 0;
         probing = false;
@@ -243,6 +245,9 @@
         // Guards the counter and its price against customers far over: one found over by the count stays over
         // until its store can have refilled, whatever the other gateways let in meanwhile.
         if (c.found_over && now < c.over_until) return beyond(id, s);
+        // Guards a crowded counter: while calls fail now and then, shares decide a part of the submissions, and the
+        // next call of a customer adds for them too.
+        if (counted_part < 1 && std::uniform_real_distribution<>()(chance) > counted_part) return decide_by_share(id, s);
         if (!has_counter || (count_failures >= 3 && (now < open_until || probing)))
             return decide_by_share(id, s);
         if (count_failures >= 3) probing = true;
