A small share runs into debt by one submission; owed units go over into the next window

Holding one submission at each reading let many gateways pass a small plan several times over; now half of the part is enough and the rest is owed to it. Units let in while the counter was away were forgotten at the window's end.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -85,7 +85,7 @@
     std::mt19937 chance;
     Time now, started, step, count_limit, fall, warm_after, longest_advice, beat_every, beat_at;
     int gateways, most_executions, zone;
-    double largest, cold_from, fall_multiple;
+    double cold_from, fall_multiple;
     bool may_cancel, has_counter, settled_later, list_whole = false;
     int list_round = 0;
     std::vector<Track> tracks;
@@ -142,7 +142,6 @@
         has_counter = holds("service.counter");
         settled_later = holds("service.settled_later");
         count_limit = has_counter ? time("service.count_limit") : 0;
-        largest = number("service.largest", 1);
         fall = time("rules.fall");
         fall_multiple = number("rules.fall_multiple");
         cold_from = number("rules.cold_from");
@@ -207,14 +206,13 @@
             c.before = next ? c.current : Tally{};
             if (!next) c.level = p.burst;
             c.previous_known = false;
-            c.current = {};
-            c.owed = 0;
+            if (!next) c.owed = 0;
+            c.current = {c.owed};  // what the counter was not told of yet goes on the new name
             c.window = window;
         }
         c.level = std::min(p.burst, c.level + p.rate * since(c.level_at));
-        // A part too small for one submission would let in none: it holds the largest at least.
-        c.share = std::min(std::max(p.burst / c.gateways, largest),
-                           c.share + p.rate / c.gateways * since(c.share_at));
+        const double part = 1.0 / c.gateways;
+        c.share = std::min(part * p.burst, c.share + part * p.rate * since(c.share_at));
         c.level_at = c.share_at = now;
     }
 
@@ -279,7 +277,8 @@
     void decide_by_share(std::uint32_t id, Submission& s) {
         Customer& c = customers[s.customer];
         bring_up(c);
-        if (c.share < s.units) return beyond(id, s);
+        // A part smaller than one submission would let in none: half of the part is enough, the rest is owed to it.
+        if (c.share < std::min(s.units, plans[c.plan].burst / c.gateways / 2)) return beyond(id, s);
         c.share -= s.units;
         c.level -= s.units;
         c.current.total += s.units;
@@ -364,7 +363,7 @@
         c.level -= total - tally.total;
         tally.total = total;
         // Going over to the part and back must mint no quota: it follows what the store was told to hold.
-        c.share = std::max({0.0, c.level / c.gateways, std::min(c.level, largest)});
+        c.share = std::max(0.0, c.level / c.gateways);
     }
 
     void previous_told(Customer& c, const Call& made, Verdict verdict) {
@@ -701,7 +700,7 @@
         c.plan = plan;
         c.gateways = std::max(1, customer_gateways);
         c.level = s.plans.at(plan).burst;
-        c.share = std::max(c.level / c.gateways, s.largest);
+        c.share = c.level / c.gateways;
         c.level_at = c.share_at = now;
         c.ceiling_at = s.started;
         s.customers.push_back(c);
