--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -242,7 +242,7 @@
         if (p.rate <= 0) return take_in(id, s);
         // Guards the counter and its price against customers far over: one found over by the count stays over
         // until its store can have refilled, whatever the other gateways let in meanwhile.
-        if (c.found_over && now < c.over_until) return beyond(id, s);
+        if (c.found_over && now < c.over_until) return beyond(id, s, c.over_until - now);
         // Guards a crowded counter: while calls fail now and then, shares decide a part of the submissions, and the
         // next call of a customer adds for them too.
         if (counted_part < 1 && std::uniform_real_distribution<>()(chance) > counted_part) return decide_by_share(id, s);
@@ -271,14 +271,16 @@
         give_back(s);
         c.found_over = true;
         c.over_until = now + std::min(p.window, whole(std::max(0.0, -c.level) / p.rate));
-        beyond(id, s);
+        beyond(id, s, c.over_until - now);
     }
 
     void decide_by_share(std::uint32_t id, Submission& s) {
         Customer& c = customers[s.customer];
         bring_up(c);
         // A part smaller than one submission would let in none: half of the part is enough, the rest is owed to it.
-        if (c.share < std::min(s.units, plans[c.plan].burst / c.gateways / 2)) return beyond(id, s);
+        const Plan& p = plans[c.plan];
+        const double lacks = std::min(s.units, p.burst / c.gateways / 2) - c.share;
+        if (lacks > 0) return beyond(id, s, whole(lacks * c.gateways / p.rate));
         c.share -= s.units;
         c.level -= s.units;
         c.current.total += s.units;
@@ -301,14 +303,14 @@
     }
 
     // Beyond the quota: worth sending only where the plan earns by it, and with room to spare at a host.
-    void beyond(std::uint32_t id, Submission& s) {
+    void beyond(std::uint32_t id, Submission& s, Time room_in) {
         Customer& c = customers[s.customer];
         const Plan& p = plans[c.plan];
         if (p.extra_benefit > p.overrun_cost && line.empty()) {
             const int host = pick_host(s, 0.5);
             if (host >= 0) return ++c.open, execute(id, s, host);
         }
-        turn_down(id, s, whole(std::max(0.0, s.units - c.level) / p.rate));
+        turn_down(id, s, room_in);
     }
 
     void counted(std::uint64_t name, Verdict verdict, double told, Time took) {
