--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -242,7 +242,7 @@
         if (p.rate <= 0) return take_in(id, s);
         // Guards the counter and its price against customers far over: one found over by the count stays over
         // until its store can have refilled, whatever the other gateways let in meanwhile.
-        if (c.found_over && now < c.over_until) return beyond(id, s, c.over_until - now);
+        if (c.found_over && now < c.over_until && c.level < s.units) return beyond(id, s, room_in(c, s.units));
         // Guards a crowded counter: while calls fail now and then, shares decide a part of the submissions, and the
         // next call of a customer adds for them too.
         if (counted_part < 1 && std::uniform_real_distribution<>()(chance) > counted_part) return decide_by_share(id, s);
@@ -255,6 +255,8 @@
         arm(std::min(count_limit, std::max(whole(8 * count_took), count_limit / 2)), count_late, id);
     }
 
+    Time room_in(const Customer& c, double units) { return whole(std::max(0.0, units - c.level) / plans[c.plan].rate); }
+
     // The design's check: what was counted in this window and the part of the one before that still overlaps.
     void decide_by_count(std::uint32_t id, Submission& s) {
         Customer& c = customers[s.customer];
@@ -270,8 +272,8 @@
         }
         give_back(s);
         c.found_over = true;
-        c.over_until = now + std::min(p.window, whole(std::max(0.0, -c.level) / p.rate));
-        beyond(id, s, c.over_until - now);
+        c.over_until = now + p.window;
+        beyond(id, s, room_in(c, 0));  // its units are out of the store until the answer to the call that gives them back
     }
 
     void decide_by_share(std::uint32_t id, Submission& s) {
@@ -303,14 +305,14 @@
     }
 
     // Beyond the quota: worth sending only where the plan earns by it, and with room to spare at a host.
-    void beyond(std::uint32_t id, Submission& s, Time room_in) {
+    void beyond(std::uint32_t id, Submission& s, Time advice) {
         Customer& c = customers[s.customer];
         const Plan& p = plans[c.plan];
         if (p.extra_benefit > p.overrun_cost && line.empty()) {
             const int host = pick_host(s, 0.5);
             if (host >= 0) return ++c.open, execute(id, s, host);
         }
-        turn_down(id, s, room_in);
+        turn_down(id, s, advice);
     }
 
     void counted(std::uint64_t name, Verdict verdict, double told, Time took) {
