A share decision's units are not credited again when its late call is answered

A call answered after the share had let its submission in gave the store back what the total had already taken into account. The advice of share decisions goes by the whole store now, since a client may come to any gateway.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -50,7 +50,7 @@
     std::int64_t window = -1;
     Tally current, before;
     double owed = 0;  // let in while the counter was away, to be added with the next call
-    bool previous_known = false, found_over = false;
+    bool previous_known = false;
     std::vector<std::uint32_t> readers;
     double level = 0, share = 0,
            ceiling = 0;  // the store replayed from the totals; our part of it; of the ceiling
@@ -86,7 +86,7 @@
     Time now, started, step, count_limit, fall, warm_after, longest_advice, beat_every, beat_at;
     int gateways, most_executions, zone;
     double cold_from, fall_multiple;
-    bool may_cancel, has_counter, settled_later, list_whole = false;
+    bool may_cancel, has_counter, list_whole = false;
     int list_round = 0;
     std::vector<Track> tracks;
     std::vector<Plan> plans;
@@ -128,11 +128,7 @@
     bool holds(const std::string& name) const { return term(name) && *term(name) == "true"; }
 
     State(Gateway& g, const Terms& t, std::uint64_t seed, Time at)
-        : gateway(g),
-          terms(t),
-          chance(static_cast<std::uint32_t>(seed ^ (seed >> 32))),
-          now(at),
-          started(at) {
+        : gateway(g), terms(t), chance(static_cast<std::uint32_t>(seed)), now(at), started(at) {
         step = std::max<Time>(1, time("step"));
         gateways = std::max(1, static_cast<int>(number("gateways")));
         zone = static_cast<int>(number("zone", 0));
@@ -140,7 +136,6 @@
         may_cancel = holds("limits.cancel");
         longest_advice = holds("limits.advice") ? time("limits.longest_advice") : 0;
         has_counter = holds("service.counter");
-        settled_later = holds("service.settled_later");
         count_limit = has_counter ? time("service.count_limit") : 0;
         fall = time("rules.fall");
         fall_multiple = number("rules.fall_multiple");
@@ -191,7 +186,7 @@
 
     void call(Asked asked, std::uint32_t submission, int customer, std::int64_t window, double amount) {
         const Customer& c = customers[customer];
-        const std::uint64_t name = (c.id << 30) | (static_cast<std::uint64_t>(window) & 0x3fffffff);
+        const std::uint64_t name = (c.id << 30) | (window & 0x3fffffff);
         calls[name].push_back({asked, submission, customer, window, amount});
         gateway.count(name, amount, std::min<Time>(2 * plans[c.plan].window, 600000));
     }
@@ -240,13 +235,13 @@
         if (p.parallel > 0 && c.open >= std::max(1.0, std::floor(p.parallel / c.gateways)))
             return turn_down(id, s, 0);
         if (p.rate <= 0) return take_in(id, s);
-        // Guards the counter and its price against customers far over: one found over by the count stays over
-        // until its store can have refilled, whatever the other gateways let in meanwhile.
-        if (c.found_over && now < c.over_until && c.level < s.units) return beyond(id, s, room_in(c, s.units));
-        // Guards a crowded counter: while calls fail now and then, shares decide a part of the submissions, and the
-        // next call of a customer adds for them too.
-        if (counted_part < 1 && std::uniform_real_distribution<>()(chance) > counted_part) return decide_by_share(id, s);
-        if (!has_counter || (count_failures >= 3 && (now < open_until || probing)))
+        // Guards the counter against customers far over: one found over stays so until its store can have
+        // refilled, whatever the other gateways let in meanwhile, but asks once a window.
+        if (now < c.over_until && c.level < s.units) return beyond(id, s, room_in(c, s.units));
+        // Guards a crowded counter: while calls fail now and then, shares decide a part of the submissions,
+        // and the next call of a customer adds for them too.
+        const bool open = count_failures >= 3 && (now < open_until || probing);
+        if (!has_counter || open || std::uniform_real_distribution<>()(chance) > counted_part)
             return decide_by_share(id, s);
         if (count_failures >= 3) probing = true;
         s.window = c.window;
@@ -255,7 +250,9 @@
         arm(std::min(count_limit, std::max(whole(8 * count_took), count_limit / 2)), count_late, id);
     }
 
-    Time room_in(const Customer& c, double units) { return whole(std::max(0.0, units - c.level) / plans[c.plan].rate); }
+    Time room_in(const Customer& c, double units) {
+        return whole(std::max(0.0, units - c.level) / plans[c.plan].rate);
+    }
 
     // The design's check: what was counted in this window and the part of the one before that still overlaps.
     void decide_by_count(std::uint32_t id, Submission& s) {
@@ -264,25 +261,22 @@
         bring_up(c);
         const double passed = static_cast<double>(now % p.window) / static_cast<double>(p.window);
         const double estimate = c.before.total * (1 - passed) + s.reading;
-        // Departure: over by the window, but the quota's store, replayed from all totals told, holds the
-        // units.
+        // Departure: over by the window, but the quota's store, replayed from the totals, holds the units.
         if (estimate <= p.burst || c.level >= 0) {
-            c.found_over = false;
+            c.over_until = 0;
             return take_in(id, s);
         }
         give_back(s);
-        c.found_over = true;
         c.over_until = now + p.window;
-        beyond(id, s, room_in(c, 0));  // its units are out of the store until the answer to the call that gives them back
+        beyond(id, s, room_in(c, 0));  // its own units leave the store only with the next answer
     }
 
     void decide_by_share(std::uint32_t id, Submission& s) {
         Customer& c = customers[s.customer];
         bring_up(c);
-        // A part smaller than one submission would let in none: half of the part is enough, the rest is owed to it.
-        const Plan& p = plans[c.plan];
-        const double lacks = std::min(s.units, p.burst / c.gateways / 2) - c.share;
-        if (lacks > 0) return beyond(id, s, whole(lacks * c.gateways / p.rate));
+        // Half of a part smaller than one submission is enough, the rest is owed to it: else it lets in none.
+        if (c.share < std::min(s.units, plans[c.plan].burst / c.gateways / 2))
+            return beyond(id, s, room_in(c, s.units));
         c.share -= s.units;
         c.level -= s.units;
         c.current.total += s.units;
@@ -329,13 +323,12 @@
         else if (awaited || probing || made.asked == Asked::previous) count_failed();
         if (verdict == Verdict::ok) total_told(c, made, told);
         if (made.asked == Asked::previous) return previous_told(c, made, verdict);
-        if (made.asked == Asked::back) return;
-        if (waiting == submissions.end()) return;
+        if (made.asked == Asked::back || waiting == submissions.end()) return;
         Submission& s = waiting->second;
         if (verdict == Verdict::ok) {
             s.on_counter = true;
             s.reading = c.current.total;
-            if (s.on_share) s.on_share = false, c.level += s.units;  // total_told has just taken them again
+            s.on_share = false;
             if (s.stage == Stage::over) give_back(s);
         } else if (verdict != Verdict::timeout && made.window == c.window) {
             c.owed += made.amount - (s.on_share ? 0 : s.units);
@@ -566,7 +559,7 @@
         Submission& s = found->second;
         --customers[s.customer].open;
         // Units settled afterwards: the difference goes to the same name.
-        if (verdict == Verdict::ok && settled_later && billed > 0 && s.on_counter && billed != s.units)
+        if (verdict == Verdict::ok && billed > 0 && s.on_counter && billed != s.units)
             call(Asked::back, 0, s.customer, s.window, billed - s.units);
         if (s.stage != Stage::out || settled) {
             s.stage = Stage::over;
