--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -215,7 +215,7 @@
         counted_part = std::max(1.0 / 32, counted_part * 0.97);
         if (++count_failures < 3) return;
         if (count_failures == 3) gateway.log("counter silent or failing: breaker open, shares decide");
-        open_for = std::clamp(2 * open_for, 4 * count_limit, 40 * count_limit);
+        open_for = std::clamp(2 * open_for, 2 * count_limit, 8 * count_limit);
         open_until = now + jittered(open_for);
         probing = false;
     }
