Advice for quota is never past the last moment that can still be in time

Clients that heed long advice come back past the goal, are let in and use up units that fresh submissions need; by try 3% of answers are late, by client 15%.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -306,7 +306,9 @@
             const int host = pick_host(s, 0.5);
             if (host >= 0) return ++c.open, execute(id, s, host);
         }
-        turn_down(id, s, advice);
+        // Advice past the goal would bring clients back late, to take units that fresh submissions need: the
+        // latest moment that can still be in time is told instead.
+        turn_down(id, s, std::min(advice, std::max<Time>(0, s.goal_at - needed(s) - now)));
     }
 
     void counted(std::uint64_t name, Verdict verdict, double told, Time took) {
--- a/tests/run.cpp
+++ b/tests/run.cpp
@@ -31,13 +31,14 @@
     std::map<std::uint64_t, double> counts;
     std::map<std::uint32_t, int> runs;
     std::vector<std::string> seen;
+    Time last_advice = 0;
 
     void saw(const std::string& what, std::uint32_t id) { seen.push_back(what + " " + std::to_string(id)); }
     void execute(std::uint32_t id, std::uint32_t host, Time) override {
         ++runs[id];
         seen.push_back("execute " + std::to_string(id) + " on " + std::to_string(host));
     }
-    void bounce(std::uint32_t id, Time) override { saw("bounce", id); }
+    void bounce(std::uint32_t id, Time advice) override { saw("bounce", id), last_advice = advice; }
     void write_off(std::uint32_t id) override { saw("write_off", id); }
     void cancel(std::uint32_t id, int) override { saw("cancel", id); }
     void count(std::uint64_t name, double amount, Time) override {
@@ -205,6 +206,12 @@
             CHECK_MESSAGE((n >= least && n <= most), word << " seen " << n << " times");
             return;
         }
+        if (word == "advice") {  // of the last bounce, in ms
+            double least, most;
+            line >> least >> most;
+            CHECK_MESSAGE((stage.last_advice >= least * 10 && stage.last_advice <= most * 10), stage.last_advice);
+            return;
+        }
         if (word == "forget") return stage.seen.clear();
         if (word == "follow_failed") return choice->list_failed(stage.now);
         std::uint32_t id;
