--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -710,7 +710,7 @@
     // Overload: what cannot be answered in useful time is bounced before it is counted.
     // A try may be its client's second or third, which is not told, so the line is kept well under the goal.
     if (!s.line.empty() && s.wait_in_line() > static_cast<double>(sub.goal_at - now) / 8)
-        return s.turn_down(id, sub, whole(s.typical));
+        return s.turn_down(id, sub, whole(s.wait_in_line() / 2));
     s.check_quota(id, sub);
 }
 
