--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -18,7 +18,7 @@
 
 enum class Stage { counting, waiting, out, over };
 enum class Asked { add, previous, back };
-enum Alarm : std::uint64_t { beat, limit, count_late, follow };
+enum Alarm : std::uint64_t { beat, limit, count_late, follow, place_free };
 
 struct Track {
     Time goal, remembered;
@@ -548,8 +548,9 @@
     void execution_ended(std::uint32_t id, int host, Verdict verdict, Time took, bool settled,
                          double billed) {
         Host& h = hosts[host];
-        --h.out;
-        --out_all;
+        // Work that is called off may run on unseen: its place is not free before a usual time has passed.
+        if (verdict == Verdict::called_off) arm(whole(h.slowness), place_free, host);
+        else --h.out, --out_all;
         const bool ran =
             verdict != Verdict::full && verdict != Verdict::connect_failed && verdict != Verdict::not_sent;
         if (verdict == Verdict::ok) host_delivered(h, took);
@@ -738,6 +739,7 @@
         case beat: return s.on_beat();
         case limit: return s.on_limit(id);
         case follow: return s.gateway.follow_list();
+        case place_free: return --s.hosts[id].out, --s.out_all, s.place();
         case count_late: return s.on_count_late(id);
     }
 }
