--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -545,12 +545,14 @@
         }
     }
 
+    void free_place(Host& h) { --h.out, --out_all; }
+
     void execution_ended(std::uint32_t id, int host, Verdict verdict, Time took, bool settled,
                          double billed) {
         Host& h = hosts[host];
         // Work that is called off may run on unseen: its place is not free before a usual time has passed.
         if (verdict == Verdict::called_off) arm(whole(h.slowness), place_free, host);
-        else --h.out, --out_all;
+        else free_place(h);
         const bool ran =
             verdict != Verdict::full && verdict != Verdict::connect_failed && verdict != Verdict::not_sent;
         if (verdict == Verdict::ok) host_delivered(h, took);
@@ -739,7 +741,7 @@
         case beat: return s.on_beat();
         case limit: return s.on_limit(id);
         case follow: return s.gateway.follow_list();
-        case place_free: return --s.hosts[id].out, --s.out_all, s.place();
+        case place_free: return s.free_place(s.hosts[id]), s.place();
         case count_late: return s.on_count_late(id);
     }
 }
--- a/tests/run.cpp
+++ b/tests/run.cpp
@@ -209,7 +209,8 @@
         if (word == "advice") {  // of the last bounce, in ms
             double least, most;
             line >> least >> most;
-            CHECK_MESSAGE((stage.last_advice >= least * 10 && stage.last_advice <= most * 10), stage.last_advice);
+            CHECK_MESSAGE((stage.last_advice >= least * 10 && stage.last_advice <= most * 10),
+                          stage.last_advice);
             return;
         }
         if (word == "forget") return stage.seen.clear();
