--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -9,6 +9,7 @@
 #include <random>
 #include <stdexcept>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace dewweir {
@@ -367,9 +368,7 @@
 
     void previous_told(Customer& c, const Call& made, Verdict verdict) {
         if (verdict == Verdict::ok && made.window + 1 == c.window) c.previous_known = true;
-        std::vector<std::uint32_t> readers;
-        readers.swap(c.readers);
-        for (const std::uint32_t id : readers) {
+        for (const std::uint32_t id : std::exchange(c.readers, {})) {
             Submission* const s = open_one(id);
             if (s && s->stage == Stage::counting) decide_by_count(id, *s);
         }
@@ -388,8 +387,7 @@
 
     void take_in(std::uint32_t id, Submission& s) {
         Customer& c = customers[s.customer];
-        const Plan& p = plans[c.plan];
-        if (p.ceiling_rate > 0 && ceiling_of(c) < s.units) return turn_down(id, s, 0);
+        if (plans[c.plan].ceiling_rate > 0 && ceiling_of(c) < s.units) return turn_down(id, s, 0);
         ++c.open;
         s.stage = Stage::waiting;
         line.push_back(id);
@@ -562,12 +560,11 @@
         const auto found = submissions.find(id);
         if (found == submissions.end()) return place();
         Submission& s = found->second;
-        --customers[s.customer].open;
         // Units settled afterwards: the difference goes to the same name.
         if (verdict == Verdict::ok && billed > 0 && s.on_counter && billed != s.units)
             call(Asked::back, 0, s.customer, s.window, billed - s.units);
         if (s.stage != Stage::out || settled) {
-            s.stage = Stage::over;
+            --customers[s.customer].open;
             submissions.erase(found);
             return place();
         }
@@ -579,7 +576,6 @@
         }
         s.last_host = host;
         s.stage = Stage::waiting;
-        ++customers[s.customer].open;
         if (now + 2 * step >= s.limit_at) gateway.write_off(id), close(id, s);
         else if (!may_run_again(s)) turn_down(id, s, whole(typical));
         else line.push_front(id);
