One piece each for calling off, cutting places and being shut; a host's warmth read once

Three places called an execution off, two held the floor of a host's places, two asked whether a host is shut; picking a host read its warmth twice, and execute reset a mark that cannot be set by then.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -102,8 +102,8 @@
     int count_failures = 0;
     bool probing = false;
     Time open_until = 0, open_for = 0;
-    // Of all hosts: the usual time of an execution, how far it swings, what it is with little out; deliveries
-    // a warm host and tenth; places here, and how many are taken.
+    // The part of the submissions that call. Of all hosts: the usual time of an execution, how far it swings,
+    // what it is with little out; deliveries a warm host and tenth; places here, and how many are taken.
     double counted_part = 1, count_took, typical, ease, swing = 0, flow = 0, places_all = 0;
     int out_all = 0, delivered_lately = 0;
 
@@ -200,9 +200,8 @@
         if (window != c.window) {
             const bool next = window == c.window + 1;
             c.before = next ? c.current : Tally{};
-            if (!next) c.level = p.burst;
+            if (!next) c.level = p.burst, c.owed = 0;
             c.previous_known = false;
-            if (!next) c.owed = 0;
             c.current = {c.owed};  // what the counter was not told of yet goes on the new name
             c.window = window;
         }
@@ -423,8 +422,7 @@
 
     // A cold host's budget runs over any window and for all gateways together: this one sends no faster than
     // the part, by age, of what it has a warm host do.
-    bool budget_left(Host& h) {
-        const double warm = warmth(h);
+    bool budget_left(Host& h, double warm) {
         if (warm >= 1) return true;
         const double rate = std::max(warm * flow * fall_multiple / 2, 1.0 / static_cast<double>(fall));
         h.budget = std::min(1.0, h.budget + rate * since(h.budget_at));
@@ -445,7 +443,7 @@
             if (grouped && track.scope == "zone" && h.zone != s.zone) continue;
             if (grouped && track.scope == "cell" && h.cell != s.cell) continue;
             const double warm = warmth(h);
-            if (h.out + 1 > std::max(1.0, h.places * warm * part) || !budget_left(h)) continue;
+            if (h.out + 1 > std::max(1.0, h.places * warm * part) || !budget_left(h, warm)) continue;
             double score = std::max(h.slowness, typical / 4) * (h.out + 1) / warm;
             if (h.zone != zone) score *= 1.1;
             if (n == s.last_host) score *= 8;
@@ -464,7 +462,6 @@
         s.stage = Stage::out;
         s.host = host;
         s.sent = now;
-        s.given_up = false;
         ++s.executions;
         ++h.out;
         ++out_all;
@@ -504,23 +501,27 @@
         return track.repeats == "fingerprinted" && now + 4 * step < s.first_ran + track.remembered;
     }
 
+    bool shut(const Host& h) const { return h.trial || now < h.shut_until; }
+
     void host_failed(Host& h, Verdict verdict) {
         ++h.failures;
         h.slowness += (static_cast<double>(tracks[0].goal) - h.slowness) / 4;
         const int enough = verdict == Verdict::connect_failed ? 2 : 3;
         if (h.failures < enough && !h.trial) return;
-        int listed = 0, shut = 0;
+        int listed = 0, gone = 0;
         for (const Host& other : hosts) {
             listed += other.listed;
-            shut += other.listed && (other.trial || now < other.shut_until);
+            gone += other.listed && shut(other);
         }
-        if (2 * (shut + 1) > listed && !h.trial) return;  // when all fail at once no host is to blame
+        if (2 * (gone + 1) > listed && !h.trial) return;  // when all fail at once no host is to blame
         if (!h.trial) gateway.log("host " + std::to_string(h.id) + " shut: failures in a row");
         h.shut_for = std::clamp(2 * h.shut_for, tracks[0].goal, 8 * tracks[0].goal);
         h.shut_until = now + jittered(h.shut_for);
         h.trial = true;
     }
 
+    void cut_places(Host& h, double to) { h.places = std::max(2.0 / gateways, h.places * to); }
+
     void host_delivered(Host& h, Time took) {
         const double goal = static_cast<double>(tracks[0].goal);
         if (h.trial) gateway.log("host " + std::to_string(h.id) + " back");
@@ -538,11 +539,15 @@
         if (h.slowness < 0.75 * most && h.out + 2 > h.places)
             h.places += std::min(h.places, 1 / (h.places * gateways));
         if (h.slowness > most && now - h.calmed > whole(h.slowness)) {
-            h.places = std::max(2.0 / gateways, h.places * std::max(0.5, most / h.slowness));
+            cut_places(h, std::max(0.5, most / h.slowness));
             h.calmed = now;
         }
     }
 
+    void call_off(std::uint32_t id, const Submission& s) {
+        if (s.stage == Stage::out && may_cancel && !s.stream) gateway.cancel(id, s.executions - 1);
+    }
+
     void free_place(Host& h) { --h.out, --out_all; }
 
     void execution_ended(std::uint32_t id, int host, Verdict verdict, Time took, bool settled,
@@ -554,8 +559,7 @@
         const bool ran =
             verdict != Verdict::full && verdict != Verdict::connect_failed && verdict != Verdict::not_sent;
         if (verdict == Verdict::ok) host_delivered(h, took);
-        else if (verdict == Verdict::full)
-            h.places = std::max(2.0 / gateways, h.places / 2), h.last_word = now;
+        else if (verdict == Verdict::full) cut_places(h, 0.5), h.last_word = now;
         else if (verdict != Verdict::called_off && verdict != Verdict::not_sent) host_failed(h, verdict);
         const auto found = submissions.find(id);
         if (found == submissions.end()) return place();
@@ -589,7 +593,7 @@
         int warm = 0;
         places_all = 0;
         for (const Host& h : hosts) {
-            if (!h.listed || h.trial || now < h.shut_until) continue;
+            if (!h.listed || shut(h)) continue;
             places_all += h.places;
             warm += warmth(h) >= 1;
         }
@@ -611,7 +615,7 @@
         for (const std::uint32_t id : silent) {
             Submission& s = submissions.at(id);
             s.given_up = true;
-            gateway.cancel(id, s.executions - 1);
+            call_off(id, s);
             host_failed(hosts[s.host], Verdict::timeout);
         }
         for (const std::uint32_t id : late) turn_down(id, submissions.at(id), whole(typical));
@@ -622,7 +626,7 @@
     void on_limit(std::uint32_t id) {
         Submission* const s = open_one(id);
         if (!s || s->stream) return;
-        if (s->stage == Stage::out && may_cancel) gateway.cancel(id, s->executions - 1);
+        call_off(id, *s);
         if (s->executions == 0) return turn_down(id, *s, 0);
         gateway.write_off(id);
         close(id, *s);
@@ -631,7 +635,7 @@
     void client_gone(std::uint32_t id) {
         Submission* const s = open_one(id);
         if (!s) return;
-        if (s->stage == Stage::out && may_cancel && !s->stream) gateway.cancel(id, s->executions - 1);
+        call_off(id, *s);
         if (s->executions == 0) give_back(*s);
         close(id, *s);
     }
--- a/tests/run.cpp
+++ b/tests/run.cpp
@@ -217,8 +217,8 @@
         if (word == "follow_failed") return choice->list_failed(stage.now);
         std::uint32_t id;
         line >> id;
-        if (word ==
-            "submit")  // submit ID [upto=ID] [every=ms] [customer=] [plan=] [units=] [gateways=] [patience=]
+        // submit ID [upto=ID] [every=ms] [customer=] [plan=] [units=] [gateways=] [patience=]
+        if (word == "submit")
             for (std::uint32_t last = value(line, "upto", id); id <= last; ++id) {
                 choice->submitted(stage.now, id, 0, value(line, "plan", 0), value(line, "customer", 1),
                                   value(line, "units", 1), value(line, "gateways", 2),
