--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -53,8 +53,7 @@
     double owed = 0;  // let in while the counter was away, to be added with the next call
     bool previous_known = false;
     std::vector<std::uint32_t> readers;
-    double level = 0, share = 0,
-           ceiling = 0;  // the store replayed from the totals; our part of it; of the ceiling
+    double level = 0, share = 0, ceiling = 0;  // the store replayed; our part of it; of the ceiling
     Time level_at = 0, share_at = 0, ceiling_at = 0, over_until = 0;
 };
 
@@ -98,8 +97,7 @@
     std::map<std::uint32_t, Submission> submissions;
     std::deque<std::uint32_t> line;
     std::map<std::uint64_t, std::deque<Call>> calls;
-    // The breaker: failed calls in a row, until when it is open, whether its probing call is out.
-    int count_failures = 0;
+    int count_failures = 0;  // in a row; three open the breaker, whose probing call may be out
     bool probing = false;
     Time open_until = 0, open_for = 0;
     // The part of the submissions that call. Of all hosts: the usual time of an execution, how far it swings,
@@ -206,13 +204,15 @@
             c.window = window;
         }
         c.level = std::min(p.burst, c.level + p.rate * since(c.level_at));
-        const double part = 1.0 / c.gateways;
-        c.share = std::min(part * p.burst, c.share + part * p.rate * since(c.share_at));
+        c.share = std::min(whole_share(c), c.share + p.rate / c.gateways * since(c.share_at));
         c.level_at = c.share_at = now;
     }
 
+    // Our part of the burst, or one unit where that is more.
+    double whole_share(const Customer& c) const { return std::max(plans[c.plan].burst / c.gateways, 1.0); }
+
     void count_failed() {
-        counted_part = std::max(1.0 / 32, counted_part * 0.97);
+        counted_part = std::max(1.0 / 32, counted_part * 0.85);
         if (++count_failures < 3) return;
         if (count_failures == 3) gateway.log("counter silent or failing: breaker open, shares decide");
         open_for = std::clamp(2 * open_for, 2 * count_limit, 8 * count_limit);
@@ -221,7 +221,7 @@
     }
     void count_answered(Time took) {
         if (count_failures >= 3) gateway.log("counter answers: breaker closed");
-        counted_part = std::min(1.0, counted_part + 1.0 / 400);
+        counted_part = std::min(1.0, counted_part * 1.02);
         count_failures = 0;
         open_for = 0;
         probing = false;
@@ -235,8 +235,9 @@
         if (p.parallel > 0 && c.open >= std::max(1.0, std::floor(p.parallel / c.gateways)))
             return turn_down(id, s, 0);
         if (p.rate <= 0) return take_in(id, s);
-        // Guards the counter against customers far over: one found over stays so until its store can have
-        // refilled, whatever the other gateways let in meanwhile, but asks once a window.
+        // Guards the counter against customers far over: one found over is not asked for until its store can
+        // have refilled, a window at most; where our part is under one unit, that decides until it is whole.
+        if (now < c.over_until && p.burst / c.gateways < 1) return decide_by_share(id, s);
         if (now < c.over_until && c.level < s.units) return beyond(id, s, room_in(c, s.units));
         // Guards a crowded counter: while calls fail now and then, shares decide a part of the submissions,
         // and the next call of a customer adds for them too.
@@ -267,17 +268,18 @@
             return take_in(id, s);
         }
         give_back(s);
-        c.over_until = now + p.window;
+        c.over_until = now + std::max(p.window, whole(s.units * c.gateways / p.rate));
         beyond(id, s, room_in(c, 0));  // its own units leave the store only with the next answer
     }
 
     void decide_by_share(std::uint32_t id, Submission& s) {
         Customer& c = customers[s.customer];
         bring_up(c);
-        // Half of a part smaller than one submission is enough, the rest is owed to it: else it lets in none.
-        if (c.share < std::min(s.units, plans[c.plan].burst / c.gateways / 2))
-            return beyond(id, s, room_in(c, s.units));
-        c.share -= s.units;
+        // A share smaller than the submission lets it in by chance, so that all shares together let in the
+        // quota: neither nothing nor one piece at each gateway.
+        const bool pass = c.share >= s.units * std::uniform_real_distribution<>()(chance);
+        c.share = std::max(0.0, c.share - s.units);
+        if (!pass) return beyond(id, s, room_in(c, s.units));
         c.level -= s.units;
         c.current.total += s.units;
         s.on_share = true;
@@ -362,7 +364,7 @@
         c.level -= total - tally.total;
         tally.total = total;
         // Going over to the part and back must mint no quota: it follows what the store was told to hold.
-        c.share = std::max(0.0, c.level / c.gateways);
+        c.share = std::max(0.0, whole_share(c) * c.level / plans[c.plan].burst);
     }
 
     void previous_told(Customer& c, const Call& made, Verdict verdict) {
@@ -478,10 +480,9 @@
             if (at != line.end()) line.erase(at);
         }
         // An execution that is out, or a call that may yet add, needs the record until its end is told.
-        const bool owed =
-            s.stage == Stage::out || (s.stage == Stage::counting && s.window >= 0 && !s.on_counter);
-        s.stage = Stage::over;
-        if (!owed) submissions.erase(id);
+        const bool called = s.stage == Stage::counting && s.window >= 0 && !s.on_counter;
+        if (s.stage != Stage::out && !called) submissions.erase(id);
+        else s.stage = Stage::over;
     }
 
     void turn_down(std::uint32_t id, Submission& s, Time advice) {
@@ -506,8 +507,7 @@
     void host_failed(Host& h, Verdict verdict) {
         ++h.failures;
         h.slowness += (static_cast<double>(tracks[0].goal) - h.slowness) / 4;
-        const int enough = verdict == Verdict::connect_failed ? 2 : 3;
-        if (h.failures < enough && !h.trial) return;
+        if (h.failures < (verdict == Verdict::connect_failed ? 2 : 3) && !h.trial) return;
         int listed = 0, gone = 0;
         for (const Host& other : hosts) {
             listed += other.listed;
@@ -555,11 +555,11 @@
         // Work that is called off may run on unseen: its place is not free before a usual time has passed.
         if (verdict == Verdict::called_off) arm(whole(h.slowness), place_free, host);
         else free_place(h);
-        const bool ran =
-            verdict != Verdict::full && verdict != Verdict::connect_failed && verdict != Verdict::not_sent;
+        const bool moot = verdict == Verdict::not_sent;
+        const bool ran = verdict != Verdict::full && verdict != Verdict::connect_failed && !moot;
         if (verdict == Verdict::ok) host_delivered(h, took);
         else if (verdict == Verdict::full) cut_places(h, 0.5), h.last_word = now;
-        else if (verdict != Verdict::called_off && verdict != Verdict::not_sent) host_failed(h, verdict);
+        else if (verdict != Verdict::called_off && !moot) host_failed(h, verdict);
         const auto found = submissions.find(id);
         if (found == submissions.end()) return place();
         Submission& s = found->second;
@@ -702,15 +702,16 @@
         c.gateways = std::max(1, customer_gateways);
         c.level = s.plans.at(plan).burst;
         c.share = c.level / c.gateways;
-        c.level_at = c.share_at = now;
+        c.level_at = now;
+        c.share_at = s.started;
         c.ceiling_at = s.started;
         s.customers.push_back(c);
     }
     const Time goal_at = now + std::min(s.tracks.at(track).goal, patience_left);
     Submission& sub = s.submissions[id] = {track, at->second, units, goal_at, now + patience_left};
     s.arm(std::max<Time>(1, patience_left - 2 * s.step), limit, id);
-    // Overload: what cannot be answered in useful time is bounced before it is counted.
-    // A try may be its client's second or third, which is not told, so the line is kept well under the goal.
+    // Overload: what cannot be answered in useful time is bounced before it is counted. A try may be its
+    // client's third, which is not told, so the line is kept well under the goal.
     if (!s.line.empty() && s.wait_in_line() > static_cast<double>(sub.goal_at - now) / 8)
         return s.turn_down(id, sub, whole(s.wait_in_line() / 2));
     s.check_quota(id, sub);
