Over eight gateways, what may be out in all is learnt from all answers

Now a gateway has a reach: an answer slower than twice the aim takes a fifth off, another adds a twentieth while it is used, so about a fifth of the answers may be that slow. Could harm where a fifth of the pieces are that long by nature: reach stays at one or two. Host counts for 'all fail at once' kept by the beat.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -102,8 +102,8 @@
     Time open_until = 0, open_for = 0;
     // The part of the submissions that call. Of all hosts: the usual time of an execution, how far it swings,
     // what it is with little out; deliveries a warm host and tenth; places here, and how many are taken.
-    double counted_part = 1, count_took, typical, ease, swing = 0, flow = 0, places_all = 0;
-    int out_all = 0, delivered_lately = 0;
+    double counted_part = 1, count_took, typical, ease, swing = 0, flow = 0, places_all = 0, reach = 1;
+    int out_all = 0, delivered_lately = 0, hosts_listed = 0, hosts_open = 0;
 
     // ---- what is read at start ----
 
@@ -238,7 +238,7 @@
         // Guards the counter against customers far over: one found over is not asked for until its store can
         // have refilled, a window at most; where our part is under one unit, that decides until it is whole.
         if (now < c.over_until && p.burst / c.gateways < 1) return decide_by_share(id, s);
-        if (now < c.over_until && c.level < s.units) return beyond(id, s, room_in(c, s.units));
+        if (now < c.over_until && c.level < s.units) return beyond(id, s, s.units);
         // Guards a crowded counter: while calls fail now and then, shares decide a part of the submissions,
         // and the next call of a customer adds for them too.
         const bool open = count_failures >= 3 && (now < open_until || probing);
@@ -251,10 +251,6 @@
         arm(std::min(count_limit, std::max(whole(8 * count_took), count_limit / 2)), count_late, id);
     }
 
-    Time room_in(const Customer& c, double units) {
-        return whole(std::max(0.0, units - c.level) / plans[c.plan].rate);
-    }
-
     // The design's check: what was counted in this window and the part of the one before that still overlaps.
     void decide_by_count(std::uint32_t id, Submission& s) {
         Customer& c = customers[s.customer];
@@ -269,7 +265,7 @@
         }
         give_back(s);
         c.over_until = now + std::max(p.window, whole(s.units * c.gateways / p.rate));
-        beyond(id, s, room_in(c, 0));  // its own units leave the store only with the next answer
+        beyond(id, s, 0);  // its own units leave the store only with the next answer
     }
 
     void decide_by_share(std::uint32_t id, Submission& s) {
@@ -279,7 +275,7 @@
         // quota: neither nothing nor one piece at each gateway.
         const bool pass = c.share >= s.units * std::uniform_real_distribution<>()(chance);
         c.share = std::max(0.0, c.share - s.units);
-        if (!pass) return beyond(id, s, room_in(c, s.units));
+        if (!pass) return beyond(id, s, s.units);
         c.level -= s.units;
         c.current.total += s.units;
         s.on_share = true;
@@ -301,7 +297,7 @@
     }
 
     // Beyond the quota: worth sending only where the plan earns by it, and with room to spare at a host.
-    void beyond(std::uint32_t id, Submission& s, Time advice) {
+    void beyond(std::uint32_t id, Submission& s, double lacking) {
         Customer& c = customers[s.customer];
         const Plan& p = plans[c.plan];
         if (p.extra_benefit > p.overrun_cost && line.empty()) {
@@ -310,7 +306,8 @@
         }
         // Advice past the goal would bring clients back late, to take units that fresh submissions need: the
         // latest moment that can still be in time is told instead.
-        turn_down(id, s, std::min(advice, std::max<Time>(0, s.goal_at - needed(s) - now)));
+        const Time refilled = whole(std::max(0.0, lacking - c.level) / p.rate);
+        turn_down(id, s, std::min(refilled, std::max<Time>(0, s.goal_at - needed(s) - now)));
     }
 
     void counted(std::uint64_t name, Verdict verdict, double told, Time took) {
@@ -377,8 +374,10 @@
 
     // ---- the line and the hosts ----
 
-    // Places are parts of the fleet's: their sum bounds this gateway, with the chance swing of a small sum.
-    double room() const { return 1 + places_all + 2 * std::sqrt(places_all); }
+    // With so many gateways that each has under half a place at a host, one host's answers come too rarely to
+    // learn its places from: what may be out in all is learnt from all answers.
+    bool few_places() const { return gateways > 8; }
+    double room() const { return few_places() ? reach : 1 + places_all + 2 * std::sqrt(places_all); }
     double wait_in_line() const { return static_cast<double>(line.size()) * typical / room(); }
 
     Time needed(const Submission& s) const {
@@ -433,9 +432,8 @@
         int best = -1;
         double least = 0;
         if (out_all + 1 > room() * part) return -1;
-        // With fewer places than hosts, pieces out here say nothing of a host's load, and all gateways would
-        // find the same host best: chance chooses, faster hosts more often.
-        const bool by_chance = places_all < static_cast<double>(hosts.size());
+        // Then pieces out here say nothing of a host's load either, and all gateways would find the same host
+        // best: chance chooses, faster hosts more often.
         const Track& track = tracks[s.track];
         const bool grouped = s.may_have_run && track.repeats == "fingerprinted";
         for (int n = 0; n < static_cast<int>(hosts.size()); ++n) {
@@ -448,7 +446,7 @@
             double score = std::max(h.slowness, typical / 4) * (h.out + 1) / warm;
             if (h.zone != zone) score *= 1.1;
             if (n == s.last_host) score *= 8;
-            if (by_chance) score *= std::exponential_distribution<>()(chance);
+            if (few_places()) score *= std::exponential_distribution<>()(chance);
             if (best < 0 || score < least) best = n, least = score;
         }
         return best;
@@ -508,12 +506,8 @@
         ++h.failures;
         h.slowness += (static_cast<double>(tracks[0].goal) - h.slowness) / 4;
         if (h.failures < (verdict == Verdict::connect_failed ? 2 : 3) && !h.trial) return;
-        int listed = 0, gone = 0;
-        for (const Host& other : hosts) {
-            listed += other.listed;
-            gone += other.listed && shut(other);
-        }
-        if (2 * (gone + 1) > listed && !h.trial) return;  // when all fail at once no host is to blame
+        if (2 * hosts_open < hosts_listed + 2 && !h.trial) return;  // when all fail at once none is to blame
+        hosts_open -= !h.trial;
         if (!h.trial) gateway.log("host " + std::to_string(h.id) + " shut: failures in a row");
         h.shut_for = std::clamp(2 * h.shut_for, tracks[0].goal, 8 * tracks[0].goal);
         h.shut_until = now + jittered(h.shut_for);
@@ -536,6 +530,8 @@
         // Hosts held at a little over their easy time keep their pace; long queues at a host can cost it.
         ease += (typical - ease) / (typical < ease ? 16 : 16384);
         const double most = std::clamp(1.5 * ease, 0.15 * goal, 0.35 * goal);
+        if (took > 2 * most) reach = std::max(1.0, reach * 0.8);
+        else if (out_all + 2 > reach) reach *= 1.05;
         if (h.slowness < 0.75 * most && h.out + 2 > h.places)
             h.places += std::min(h.places, 1 / (h.places * gateways));
         if (h.slowness > most && now - h.calmed > whole(h.slowness)) {
@@ -590,9 +586,11 @@
     void on_beat() {
         const double passed = static_cast<double>(std::max<Time>(1, now - beat_at));
         int warm = 0;
-        places_all = 0;
+        places_all = hosts_listed = hosts_open = 0;
         for (const Host& h : hosts) {
+            hosts_listed += h.listed;
             if (!h.listed || shut(h)) continue;
+            ++hosts_open;
             places_all += h.places;
             warm += warmth(h) >= 1;
         }
@@ -666,6 +664,7 @@
         s.hosts.push_back({id});
         s.hosts.back().slowness = s.typical;
         s.places_all += s.hosts.back().places = 4.0 / s.gateways;
+        s.reach = 1 + s.places_all + 2 * std::sqrt(s.places_all);
     }
     Host& h = s.hosts[at->second];
     h.list_round = s.list_round;
