Cold hosts get each gateway's part of a piece; one found over is asked for again by crowding

Cause: the floor of a cold host's budget was one piece each fall at every gateway (hundreds at 300). It is now the part of one fall multiple a fall, from a chance level.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -39,8 +39,7 @@
     double places = 0, slowness = 0, budget = 1;
 };
 
-// What the counter holds of one window, as far as told: `own` is what this gateway knows to have been added,
-// `lost` what the counter was found to have forgotten.
+// What the counter is told to hold of one window; what is known to be ours; what it was found to have lost.
 struct Tally {
     double total = 0, own = 0, lost = 0;
 };
@@ -99,9 +98,9 @@
     std::map<std::uint64_t, std::deque<Call>> calls;
     int count_failures = 0;  // in a row; three open the breaker, whose probing call may be out
     bool probing = false;
-    Time open_until = 0, open_for = 0;
-    // The part of the submissions that call. Of all hosts: the usual time of an execution, how far it swings,
-    // what it is with little out; deliveries a warm host and tenth; places here, and how many are taken.
+    Time open_until = 0;
+    // The part of the submissions that call. Of all hosts: the usual time of an execution, what it is with
+    // little out, how far it swings; deliveries a warm host and tenth; places here; what may be out in all.
     double counted_part = 1, count_took, typical, ease, swing = 0, flow = 0, places_all = 0, reach = 1;
     int out_all = 0, delivered_lately = 0, hosts_listed = 0, hosts_open = 0;
 
@@ -210,20 +209,19 @@
 
     // Our part of the burst, or one unit where that is more.
     double whole_share(const Customer& c) const { return std::max(plans[c.plan].burst / c.gateways, 1.0); }
+    bool tiny_share(const Customer& c) const { return plans[c.plan].burst < c.gateways; }
 
     void count_failed() {
         counted_part = std::max(1.0 / 32, counted_part * 0.85);
         if (++count_failures < 3) return;
         if (count_failures == 3) gateway.log("counter silent or failing: breaker open, shares decide");
-        open_for = std::clamp(2 * open_for, 2 * count_limit, 8 * count_limit);
-        open_until = now + jittered(open_for);
+        open_until = now + jittered(4 * count_limit);
         probing = false;
     }
     void count_answered(Time took) {
         if (count_failures >= 3) gateway.log("counter answers: breaker closed");
         counted_part = std::min(1.0, counted_part * 1.02);
         count_failures = 0;
-        open_for = 0;
         probing = false;
         count_took += (static_cast<double>(took) - count_took) / 32;
     }
@@ -235,14 +233,14 @@
         if (p.parallel > 0 && c.open >= std::max(1.0, std::floor(p.parallel / c.gateways)))
             return turn_down(id, s, 0);
         if (p.rate <= 0) return take_in(id, s);
-        // Guards the counter against customers far over: one found over is not asked for until its store can
-        // have refilled, a window at most; where our part is under one unit, that decides until it is whole.
-        if (now < c.over_until && p.burst / c.gateways < 1) return decide_by_share(id, s);
-        if (now < c.over_until && c.level < s.units) return beyond(id, s, s.units);
-        // Guards a crowded counter: while calls fail now and then, shares decide a part of the submissions,
-        // and the next call of a customer adds for them too.
-        const bool open = count_failures >= 3 && (now < open_until || probing);
-        if (!has_counter || open || std::uniform_real_distribution<>()(chance) > counted_part)
+        // Guards the counter against customers far over: one found over is not asked for again before a
+        // window has passed, longer at a crowded counter, or its store has refilled; a tiny share decides
+        // meanwhile.
+        if (now < c.over_until && tiny_share(c)) return decide_by_share(id, s);
+        if (now < c.over_until && c.level < 0.9 * s.units) return beyond(id, s, s.units);
+        // Guards a crowded counter: shares decide a part, and a customer's next call adds for them too.
+        if (count_failures >= 3 && (now < open_until || probing)) return decide_by_share(id, s);
+        if (!has_counter || std::uniform_real_distribution<>()(chance) > counted_part)
             return decide_by_share(id, s);
         if (count_failures >= 3) probing = true;
         s.window = c.window;
@@ -251,20 +249,25 @@
         arm(std::min(count_limit, std::max(whole(8 * count_took), count_limit / 2)), count_late, id);
     }
 
+    double passed(const Plan& p) const {
+        return static_cast<double>(now % p.window) / static_cast<double>(p.window);
+    }
+
     // The design's check: what was counted in this window and the part of the one before that still overlaps.
     void decide_by_count(std::uint32_t id, Submission& s) {
         Customer& c = customers[s.customer];
         const Plan& p = plans[c.plan];
         bring_up(c);
-        const double passed = static_cast<double>(now % p.window) / static_cast<double>(p.window);
-        const double estimate = c.before.total * (1 - passed) + s.reading;
+        const double estimate = c.before.total * (1 - passed(p)) + s.reading;
         // Departure: over by the window, but the quota's store, replayed from the totals, holds the units.
         if (estimate <= p.burst || c.level >= 0) {
             c.over_until = 0;
             return take_in(id, s);
         }
-        give_back(s);
-        c.over_until = now + std::max(p.window, whole(s.units * c.gateways / p.rate));
+        // At a crowded counter, what is not given back pays for what the tiny shares let in.
+        if (tiny_share(c) && counted_part < 0.5) s.on_counter = false;
+        else give_back(s);
+        c.over_until = now + whole(static_cast<double>(p.window) / counted_part);
         beyond(id, s, 0);  // its own units leave the store only with the next answer
     }
 
@@ -339,7 +342,9 @@
         if (!awaited) return;
         if (verdict != Verdict::ok) return decide_by_share(made.submission, s);
         // The previous window's total is read once, and only where it can matter.
-        if (!c.previous_known && s.reading + c.before.total > plans[c.plan].burst / 2) {
+        const Plan& p = plans[c.plan];
+        if (!c.previous_known && s.reading > p.burst * passed(p) &&
+            s.reading + c.before.total > p.burst / 2) {
             if (c.readers.empty()) call(Asked::previous, made.submission, made.customer, c.window - 1, 0);
             c.readers.push_back(made.submission);
             return;
@@ -365,7 +370,7 @@
     }
 
     void previous_told(Customer& c, const Call& made, Verdict verdict) {
-        if (verdict == Verdict::ok && made.window + 1 == c.window) c.previous_known = true;
+        c.previous_known |= verdict == Verdict::ok && made.window + 1 == c.window;
         for (const std::uint32_t id : std::exchange(c.readers, {})) {
             Submission* const s = open_one(id);
             if (s && s->stage == Stage::counting) decide_by_count(id, *s);
@@ -413,16 +418,16 @@
     }
 
     double warmth(const Host& h) const {
-        if (h.up_since <= 0 || now - h.up_since >= warm_after) return 1;
-        return cold_from +
-               (1 - cold_from) * std::max(0.0, since(h.up_since)) / static_cast<double>(warm_after);
+        const double age = std::max(0.0, since(h.up_since)) / static_cast<double>(warm_after);
+        return h.up_since <= 0 || age >= 1 ? 1 : cold_from + (1 - cold_from) * age;
     }
 
     // A cold host's budget runs over any window and for all gateways together: this one sends no faster than
-    // the part, by age, of what it has a warm host do.
+    // the part, by age, of what it has a warm host do, from a chance level: parts are far under one piece.
     bool budget_left(Host& h, double warm) {
         if (warm >= 1) return true;
-        const double rate = std::max(warm * flow * fall_multiple / 2, 1.0 / static_cast<double>(fall));
+        const double rate =
+            std::max(warm * flow * fall_multiple / 2, fall_multiple / static_cast<double>(fall * gateways));
         h.budget = std::min(1.0, h.budget + rate * since(h.budget_at));
         h.budget_at = now;
         return h.budget >= 1;
@@ -432,8 +437,6 @@
         int best = -1;
         double least = 0;
         if (out_all + 1 > room() * part) return -1;
-        // Then pieces out here say nothing of a host's load either, and all gateways would find the same host
-        // best: chance chooses, faster hosts more often.
         const Track& track = tracks[s.track];
         const bool grouped = s.may_have_run && track.repeats == "fingerprinted";
         for (int n = 0; n < static_cast<int>(hosts.size()); ++n) {
@@ -446,6 +449,8 @@
             double score = std::max(h.slowness, typical / 4) * (h.out + 1) / warm;
             if (h.zone != zone) score *= 1.1;
             if (n == s.last_host) score *= 8;
+            // With few places, pieces out here say nothing of a host's load, and all gateways would find the
+            // same host best: chance chooses, faster hosts more often.
             if (few_places()) score *= std::exponential_distribution<>()(chance);
             if (best < 0 || score < least) best = n, least = score;
         }
@@ -474,8 +479,7 @@
     void close(std::uint32_t id, Submission& s) {
         if (s.stage == Stage::waiting) {
             --customers[s.customer].open;
-            const auto at = std::find(line.begin(), line.end(), id);
-            if (at != line.end()) line.erase(at);
+            std::erase(line, id);
         }
         // An execution that is out, or a call that may yet add, needs the record until its end is told.
         const bool called = s.stage == Stage::counting && s.window >= 0 && !s.on_counter;
@@ -595,10 +599,10 @@
             warm += warmth(h) >= 1;
         }
         const double pace = delivered_lately / passed / std::max(1, warm);
-        flow += (pace - flow) * std::min(1.0, passed / static_cast<double>(fall));
+        if (warm > 0) flow += (pace - flow) * std::min(1.0, passed / static_cast<double>(fall));
         delivered_lately = 0;
         beat_at = now;
-        std::vector<std::uint32_t> late, silent;
+        std::vector<std::uint32_t> late;
         for (auto& [id, s] : submissions) {
             if (s.stage == Stage::waiting && now + needed(s) > s.goal_at) late.push_back(id);
             // Guards against hosts that take work and answer nothing: no word since this piece went there. A
@@ -606,14 +610,11 @@
             if (s.stage == Stage::out && !s.stream && !s.given_up && s.executions == 1 &&
                 most_executions > 1 && may_cancel && tracks[s.track].repeats == "retriable" &&
                 hosts[s.host].last_word < s.sent &&
-                now - s.sent > std::max(tracks[s.track].goal * 2 / 5, whole(typical + 4 * swing)))
-                silent.push_back(id);
-        }
-        for (const std::uint32_t id : silent) {
-            Submission& s = submissions.at(id);
-            s.given_up = true;
-            call_off(id, s);
-            host_failed(hosts[s.host], Verdict::timeout);
+                now - s.sent > std::max(tracks[s.track].goal * 2 / 5, whole(typical + 4 * swing))) {
+                s.given_up = true;
+                call_off(id, s);
+                host_failed(hosts[s.host], Verdict::timeout);
+            }
         }
         for (const std::uint32_t id : late) turn_down(id, submissions.at(id), whole(typical));
         place();
@@ -672,7 +673,7 @@
         h.up_since = up_since;
         h.failures = 0;
         h.budget_at = now;
-        h.budget = 0;
+        h.budget = std::uniform_real_distribution<>()(s.chance);
     }
     h.listed = standing == Standing::ready;
     h.zone = zone;
