With few places one failure shuts a host for about the time between pieces there

Told from dead hosts by pairs: a pair that failed went on failing while other gateways got through. One failure now shuts, for the usual time between two pieces there (one to sixteen goals, doubling).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -509,11 +509,13 @@
     void host_failed(Host& h, Verdict verdict) {
         ++h.failures;
         h.slowness += (static_cast<double>(tracks[0].goal) - h.slowness) / 4;
-        if (h.failures < (verdict == Verdict::connect_failed ? 2 : 3) && !h.trial) return;
+        // With few places the next piece there may be a minute off: one failure is a row, and shuts it so long.
+        if (h.failures < (few_places() ? 1 : verdict == Verdict::connect_failed ? 2 : 3) && !h.trial) return;
         if (2 * hosts_open < hosts_listed + 2 && !h.trial) return;  // when all fail at once none is to blame
         hosts_open -= !h.trial;
         if (!h.trial) gateway.log("host " + std::to_string(h.id) + " shut: failures in a row");
-        h.shut_for = std::clamp(2 * h.shut_for, tracks[0].goal, 8 * tracks[0].goal);
+        const Time least = std::clamp(whole(1 / std::max(flow, 1e-9)), tracks[0].goal, 16 * tracks[0].goal);
+        h.shut_for = std::clamp(2 * h.shut_for, least, 8 * least);
         h.shut_until = now + jittered(h.shut_for);
         h.trial = true;
     }
