A share starts full while half of the reach is free, at its part of the burst else

Which of the two costs more depends on the hosts, so their load decides. Could harm where one customer asks at very many gateways at once: each lets one unit in.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -207,7 +207,8 @@
         c.level_at = c.share_at = now;
     }
 
-    // Our part of the burst, or one unit where that is more.
+    // Our part of the burst, or one unit where that is more; it starts full only while half the reach is
+    // free.
     double whole_share(const Customer& c) const { return std::max(plans[c.plan].burst / c.gateways, 1.0); }
     bool tiny_share(const Customer& c) const { return plans[c.plan].burst < c.gateways; }
 
@@ -249,9 +250,7 @@
         arm(std::min(count_limit, std::max(whole(8 * count_took), count_limit / 2)), count_late, id);
     }
 
-    double passed(const Plan& p) const {
-        return static_cast<double>(now % p.window) / static_cast<double>(p.window);
-    }
+    double passed(const Plan& p) const { return static_cast<double>(now % p.window) / p.window; }
 
     // The design's check: what was counted in this window and the part of the one before that still overlaps.
     void decide_by_count(std::uint32_t id, Submission& s) {
@@ -330,9 +329,8 @@
         if (made.asked == Asked::back || waiting == submissions.end()) return;
         Submission& s = waiting->second;
         if (verdict == Verdict::ok) {
-            s.on_counter = true;
+            s.on_counter = true, s.on_share = false;
             s.reading = c.current.total;
-            s.on_share = false;
             if (s.stage == Stage::over) give_back(s);
         } else if (verdict != Verdict::timeout && made.window == c.window) {
             c.owed += made.amount - (s.on_share ? 0 : s.units);
@@ -509,7 +507,8 @@
     void host_failed(Host& h, Verdict verdict) {
         ++h.failures;
         h.slowness += (static_cast<double>(tracks[0].goal) - h.slowness) / 4;
-        // With few places the next piece there may be a minute off: one failure is a row, and shuts it so long.
+        // With few places the next piece there may be a minute off: one failure is a row, and shuts it so
+        // long.
         if (h.failures < (few_places() ? 1 : verdict == Verdict::connect_failed ? 2 : 3) && !h.trial) return;
         if (2 * hosts_open < hosts_listed + 2 && !h.trial) return;  // when all fail at once none is to blame
         hosts_open -= !h.trial;
@@ -703,10 +702,9 @@
         c.plan = plan;
         c.gateways = std::max(1, customer_gateways);
         c.level = s.plans.at(plan).burst;
-        c.share = c.level / c.gateways;
+        c.share = 2 * s.out_all < s.room() ? s.whole_share(c) : c.level / c.gateways;
         c.level_at = now;
-        c.share_at = s.started;
-        c.ceiling_at = s.started;
+        c.share_at = c.ceiling_at = s.started;
         s.customers.push_back(c);
     }
     const Time goal_at = now + std::min(s.tracks.at(track).goal, patience_left);
