--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -34,8 +34,8 @@
 struct Host {
     std::uint32_t id;
     bool listed = false, trial = false;
-    Time up_since = 0, shut_until = 0, shut_for = 0, last_word = 0, calmed = 0, budget_at = 0;
-    int zone = 0, cell = 0, out = 0, failures = 0, list_round = 0;
+    Time up_since = 0, full_until = 0, shut_until = 0, shut_for = 0, last_word = 0, budget_at = 0;
+    int zone = 0, cell = 0, out = 0, failures = 0, list_round = 0, full_for = -1;
     double places = 0, slowness = 0, budget = 1;
 };
 
@@ -48,10 +48,10 @@
     std::uint64_t id = 0;
     int plan = 0, gateways = 1, open = 0;
     std::int64_t window = -1;
-    Tally current, before;
+    Tally current{}, before{};
     double owed = 0;  // let in while the counter was away, to be added with the next call
     bool previous_known = false;
-    std::vector<std::uint32_t> readers;
+    std::vector<std::uint32_t> readers{};
     double level = 0, share = 0, ceiling = 0;  // the store replayed; our part of it; of the ceiling
     Time level_at = 0, share_at = 0, ceiling_at = 0, over_until = 0;
 };
@@ -446,7 +446,9 @@
             if (h.out + 1 > std::max(1.0, h.places * warm * part) || !budget_left(h, warm)) continue;
             double score = std::max(h.slowness, typical / 4) * (h.out + 1) / warm;
             if (h.zone != zone) score *= 1.1;
-            if (n == s.last_host) score *= 8;
+            // Guards against hosts that turn away what one plan sends, though others still get in.
+            const bool full = now < h.full_until && h.full_for == customers[s.customer].plan;
+            if (n == s.last_host || full) score *= 8;
             // With few places, pieces out here say nothing of a host's load, and all gateways would find the
             // same host best: chance chooses, faster hosts more often.
             if (few_places()) score *= std::exponential_distribution<>()(chance);
@@ -502,19 +504,20 @@
         return track.repeats == "fingerprinted" && now + 4 * step < s.first_ran + track.remembered;
     }
 
-    bool shut(const Host& h) const { return h.trial || now < h.shut_until; }
+    // The usual time between two pieces of ours at one host, within bounds.
+    Time between_pieces() const {
+        return std::clamp(whole(1 / std::max(flow, 1e-9)), tracks[0].goal, 16 * tracks[0].goal);
+    }
 
     void host_failed(Host& h, Verdict verdict) {
         ++h.failures;
         h.slowness += (static_cast<double>(tracks[0].goal) - h.slowness) / 4;
-        // With few places the next piece there may be a minute off: one failure is a row, and shuts it so
-        // long.
+        // With few places the next piece there may be a minute off: one failure is a row.
         if (h.failures < (few_places() ? 1 : verdict == Verdict::connect_failed ? 2 : 3) && !h.trial) return;
         if (2 * hosts_open < hosts_listed + 2 && !h.trial) return;  // when all fail at once none is to blame
         hosts_open -= !h.trial;
         if (!h.trial) gateway.log("host " + std::to_string(h.id) + " shut: failures in a row");
-        const Time least = std::clamp(whole(1 / std::max(flow, 1e-9)), tracks[0].goal, 16 * tracks[0].goal);
-        h.shut_for = std::clamp(2 * h.shut_for, least, 8 * least);
+        h.shut_for = std::clamp(2 * h.shut_for, between_pieces(), 8 * between_pieces());
         h.shut_until = now + jittered(h.shut_for);
         h.trial = true;
     }
@@ -528,7 +531,7 @@
         h.failures = 0;
         h.shut_for = 0;
         h.last_word = now;
-        h.slowness += (static_cast<double>(took) - h.slowness) / 8;
+        h.slowness += (static_cast<double>(took) - h.slowness) / (few_places() ? 3 : 8);
         swing += (std::abs(static_cast<double>(took) - typical) - swing) / 64;
         typical += (static_cast<double>(took) - typical) / 64;
         if (warmth(h) >= 1) ++delivered_lately;
@@ -539,10 +542,7 @@
         else if (out_all + 2 > reach) reach *= 1.05;
         if (h.slowness < 0.75 * most && h.out + 2 > h.places)
             h.places += std::min(h.places, 1 / (h.places * gateways));
-        if (h.slowness > most && now - h.calmed > whole(h.slowness)) {
-            cut_places(h, std::max(0.5, most / h.slowness));
-            h.calmed = now;
-        }
+        if (h.slowness > most) cut_places(h, 1 - std::min(0.5, 1 - most / h.slowness) / (h.out + 1));
     }
 
     void call_off(std::uint32_t id, const Submission& s) {
@@ -556,12 +556,15 @@
         // Work that is called off may run on unseen: its place is not free before a usual time has passed.
         if (verdict == Verdict::called_off) arm(whole(h.slowness), place_free, host);
         else free_place(h);
+        const auto found = submissions.find(id);
         const bool moot = verdict == Verdict::not_sent;
         const bool ran = verdict != Verdict::full && verdict != Verdict::connect_failed && !moot;
         if (verdict == Verdict::ok) host_delivered(h, took);
-        else if (verdict == Verdict::full) cut_places(h, 0.5), h.last_word = now;
-        else if (verdict != Verdict::called_off && !moot) host_failed(h, verdict);
-        const auto found = submissions.find(id);
+        else if (verdict == Verdict::full) {
+            cut_places(h, 0.5);
+            h.last_word = now, h.full_until = now + jittered(between_pieces());
+            if (found != submissions.end()) h.full_for = customers[found->second.customer].plan;
+        } else if (verdict != Verdict::called_off && !moot) host_failed(h, verdict);
         if (found == submissions.end()) return place();
         Submission& s = found->second;
         // Units settled afterwards: the difference goes to the same name.
@@ -594,7 +597,7 @@
         places_all = hosts_listed = hosts_open = 0;
         for (const Host& h : hosts) {
             hosts_listed += h.listed;
-            if (!h.listed || shut(h)) continue;
+            if (!h.listed || h.trial) continue;
             ++hosts_open;
             places_all += h.places;
             warm += warmth(h) >= 1;
@@ -697,10 +700,7 @@
     State& s = state_->at(now);
     const auto [at, fresh] = s.customer_index.try_emplace(customer, static_cast<int>(s.customers.size()));
     if (fresh) {
-        Customer c;
-        c.id = customer;
-        c.plan = plan;
-        c.gateways = std::max(1, customer_gateways);
+        Customer c{customer, plan, std::max(1, customer_gateways)};
         c.level = s.plans.at(plan).burst;
         c.share = 2 * s.out_all < s.room() ? s.whole_share(c) : c.level / c.gateways;
         c.level_at = now;
