--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -370,8 +370,7 @@
     void previous_told(Customer& c, const Call& made, Verdict verdict) {
         c.previous_known |= verdict == Verdict::ok && made.window + 1 == c.window;
         for (const std::uint32_t id : std::exchange(c.readers, {})) {
-            Submission* const s = open_one(id);
-            if (s && s->stage == Stage::counting) decide_by_count(id, *s);
+            if (Submission* const s = open_one(id); s && s->stage == Stage::counting) decide_by_count(id, *s);
         }
     }
 
@@ -528,8 +527,7 @@
         const double goal = static_cast<double>(tracks[0].goal);
         if (h.trial) gateway.log("host " + std::to_string(h.id) + " back");
         h.trial = false;
-        h.failures = 0;
-        h.shut_for = 0;
+        h.failures = 0, h.shut_for = 0;
         h.last_word = now;
         h.slowness += (static_cast<double>(took) - h.slowness) / (few_places() ? 3 : 8);
         swing += (std::abs(static_cast<double>(took) - typical) - swing) / 64;
@@ -561,12 +559,15 @@
         const bool ran = verdict != Verdict::full && verdict != Verdict::connect_failed && !moot;
         if (verdict == Verdict::ok) host_delivered(h, took);
         else if (verdict == Verdict::full) {
+            // Guards against hammering: what is turned away at once would come again at once.
+            reach = std::max(1.0, reach * 0.9);
             cut_places(h, 0.5);
             h.last_word = now, h.full_until = now + jittered(between_pieces());
             if (found != submissions.end()) h.full_for = customers[found->second.customer].plan;
         } else if (verdict != Verdict::called_off && !moot) host_failed(h, verdict);
         if (found == submissions.end()) return place();
         Submission& s = found->second;
+        if (s.stage == Stage::waiting) return place();  // of no execution that is out
         // Units settled afterwards: the difference goes to the same name.
         if (verdict == Verdict::ok && billed > 0 && s.on_counter && billed != s.units)
             call(Asked::back, 0, s.customer, s.window, billed - s.units);
@@ -675,8 +676,7 @@
     h.list_round = s.list_round;
     if (up_since > h.up_since) {  // started again: nothing learnt of its last life counts
         h.up_since = up_since;
-        h.failures = 0;
-        h.budget_at = now;
+        h.failures = 0, h.budget_at = now;
         h.budget = std::uniform_real_distribution<>()(s.chance);
     }
     h.listed = standing == Standing::ready;
