--- a/tests/run.cpp
+++ b/tests/run.cpp
@@ -29,13 +29,13 @@
     std::multimap<Time, std::uint64_t> timers;
     std::vector<std::pair<std::uint64_t, double>> asked;
     std::map<std::uint64_t, double> counts;
-    std::map<std::uint32_t, int> runs;
+    std::map<std::uint32_t, int> runs, on;
     std::vector<std::string> seen;
     Time last_advice = 0;
 
     void saw(const std::string& what, std::uint32_t id) { seen.push_back(what + " " + std::to_string(id)); }
     void execute(std::uint32_t id, std::uint32_t host, Time) override {
-        ++runs[id];
+        ++runs[id], on[id] = static_cast<int>(host);
         seen.push_back("execute " + std::to_string(id) + " on " + std::to_string(host));
     }
     void bounce(std::uint32_t id, Time advice) override { saw("bounce", id), last_advice = advice; }
@@ -77,14 +77,11 @@
     }
 
     Verdict verdict(const std::string& word) {
-        static const std::map<std::string, Verdict> verdicts = {{"ok", Verdict::ok},
-                                                                {"error", Verdict::error},
-                                                                {"full", Verdict::full},
-                                                                {"timeout", Verdict::timeout},
-                                                                {"no_connection", Verdict::connect_failed},
-                                                                {"broken", Verdict::broken},
-                                                                {"called_off", Verdict::called_off}};
-        return verdicts.at(word);
+        const std::vector<std::string> words = {"ok",     "error",     "full", "timeout", "no_connection",
+                                                "broken", "called_off"};
+        const auto at = std::find(words.begin(), words.end(), word);
+        REQUIRE(at != words.end());
+        return static_cast<Verdict>(at - words.begin());
     }
 
     void answer_counts() {
@@ -217,6 +214,10 @@
         if (word == "follow_failed") return choice->list_failed(stage.now);
         std::uint32_t id;
         line >> id;
+        if (word == "serve") {  // serve ID VERDICT ...: submitted at its customer's only gateway, and ended
+            happen("submit " + std::to_string(id) + " gateways=1");
+            return happen("end" + text.substr(5) + " settled=1");
+        }
         // submit ID [upto=ID] [every=ms] [customer=] [plan=] [units=] [gateways=] [patience=]
         if (word == "submit")
             for (std::uint32_t last = value(line, "upto", id); id <= last; ++id) {
@@ -226,10 +227,10 @@
                 answer_counts();
                 wait(std::llround(value(line, "every", 0) * 10));
             }
-        else if (word == "end") {  // end ID VERDICT host=ID [took=ms] [upto=ID] [settled=1] [billed=]
+        else if (word == "end") {  // end ID VERDICT [host=ID] [took=ms] [upto=ID] [settled=1] [billed=]
             line >> word;
             for (std::uint32_t last = value(line, "upto", id); id <= last; ++id) {
-                choice->execution_ended(stage.now, id, stage.runs[id] - 1, value(line, "host", 1),
+                choice->execution_ended(stage.now, id, stage.runs[id] - 1, value(line, "host", stage.on[id]),
                                         verdict(word), value(line, "took", 50) * 10,
                                         value(line, "settled", word == "ok"), value(line, "billed", 0));
                 answer_counts();
