--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -84,7 +84,7 @@
     std::mt19937 chance;
     Time now, started, step, count_limit, fall, warm_after, longest_advice, beat_every, beat_at;
     int gateways, most_executions, zone;
-    double cold_from, fall_multiple;
+    double cold_from, fall_multiple, failing = 0;  // the part of the executions that fail lately
     bool may_cancel, has_counter, list_whole = false;
     int list_round = 0;
     std::vector<Track> tracks;
@@ -158,8 +158,7 @@
             plans.push_back(p);
         }
         if (tracks.empty()) throw std::invalid_argument("term unreadable: tracks.count");
-        Time goal = tracks[0].goal;
-        for (const Track& track : tracks) goal = std::min(goal, track.goal);
+        const Time goal = tracks[0].goal;
         beat_every = std::max(step, goal / 50);
         beat_at = now;
         typical = ease = static_cast<double>(goal) / 6;
@@ -423,8 +422,7 @@
     // the part, by age, of what it has a warm host do, from a chance level: parts are far under one piece.
     bool budget_left(Host& h, double warm) {
         if (warm >= 1) return true;
-        const double rate =
-            std::max(warm * flow * fall_multiple / 2, fall_multiple / static_cast<double>(fall * gateways));
+        const double rate = std::max(warm * flow * fall_multiple / 2, fall_multiple / (fall * gateways));
         h.budget = std::min(1.0, h.budget + rate * since(h.budget_at));
         h.budget_at = now;
         return h.budget >= 1;
@@ -448,8 +446,9 @@
             // Guards against hosts that turn away what one plan sends, though others still get in.
             const bool full = now < h.full_until && h.full_for == customers[s.customer].plan;
             if (n == s.last_host || full) score *= 8;
-            // With few places, pieces out here say nothing of a host's load, and all gateways would find the
-            // same host best: chance chooses, faster hosts more often.
+            // While many fail, a host that has answered here is worth more than one not met yet.
+            if (h.last_word == 0) score *= 1 + 8 * failing;
+            // With few places, pieces out here tell no load, and all would find the same host best.
             if (few_places()) score *= std::exponential_distribution<>()(chance);
             if (best < 0 || score < least) best = n, least = score;
         }
@@ -510,6 +509,7 @@
 
     void host_failed(Host& h, Verdict verdict) {
         ++h.failures;
+        failing += (1 - failing) / 16;
         h.slowness += (static_cast<double>(tracks[0].goal) - h.slowness) / 4;
         // With few places the next piece there may be a minute off: one failure is a row.
         if (h.failures < (few_places() ? 1 : verdict == Verdict::connect_failed ? 2 : 3) && !h.trial) return;
@@ -527,6 +527,7 @@
         const double goal = static_cast<double>(tracks[0].goal);
         if (h.trial) gateway.log("host " + std::to_string(h.id) + " back");
         h.trial = false;
+        failing -= failing / 16;
         h.failures = 0, h.shut_for = 0;
         h.last_word = now;
         h.slowness += (static_cast<double>(took) - h.slowness) / (few_places() ? 3 : 8);
@@ -603,8 +604,7 @@
             places_all += h.places;
             warm += warmth(h) >= 1;
         }
-        const double pace = delivered_lately / passed / std::max(1, warm);
-        if (warm > 0) flow += (pace - flow) * std::min(1.0, passed / static_cast<double>(fall));
+        if (warm > 0) flow += (delivered_lately / passed / warm - flow) * std::min(1.0, passed / fall);
         delivered_lately = 0;
         beat_at = now;
         std::vector<std::uint32_t> late;
