--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -441,7 +441,7 @@
             if (grouped && track.scope == "cell" && h.cell != s.cell) continue;
             const double warm = warmth(h);
             if (h.out + 1 > std::max(1.0, h.places * warm * part) || !budget_left(h, warm)) continue;
-            double score = std::max(h.slowness, typical / 4) * (h.out + 1) / warm;
+            double score = std::max(h.slowness, typical / 4) * (h.out + 1) / (few_places() ? 1 : warm);
             if (h.zone != zone) score *= 1.1;
             // Guards against hosts that turn away what one plan sends, though others still get in.
             const bool full = now < h.full_until && h.full_for == customers[s.customer].plan;
