--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -502,7 +502,6 @@
         return track.repeats == "fingerprinted" && now + 4 * step < s.first_ran + track.remembered;
     }
 
-    // The usual time between two pieces of ours at one host, within bounds.
     Time between_pieces() const {
         return std::clamp(whole(1 / std::max(flow, 1e-9)), tracks[0].goal, 16 * tracks[0].goal);
     }
@@ -610,9 +609,10 @@
         std::vector<std::uint32_t> late;
         for (auto& [id, s] : submissions) {
             if (s.stage == Stage::waiting && now + needed(s) > s.goal_at) late.push_back(id);
-            // Guards against hosts that take work and answer nothing: no word since this piece went there. A
-            // long piece is as long again elsewhere, so only its first execution is called off.
-            if (s.stage == Stage::out && !s.stream && !s.given_up && s.executions == 1 &&
+            // Guards against hosts that take work and answer nothing: no word since this piece went there
+            // (with few places none is due). A long piece is as long elsewhere, so only its first is called
+            // off.
+            if (s.stage == Stage::out && !few_places() && !s.stream && !s.given_up && s.executions == 1 &&
                 most_executions > 1 && may_cancel && tracks[s.track].repeats == "retriable" &&
                 hosts[s.host].last_word < s.sent &&
                 now - s.sent > std::max(tracks[s.track].goal * 2 / 5, whole(typical + 4 * swing))) {
