--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -206,8 +206,7 @@
         c.level_at = c.share_at = now;
     }
 
-    // Our part of the burst, or one unit where that is more; it starts full only while half the reach is
-    // free.
+    // Our part of the burst, or one unit where that is more.
     double whole_share(const Customer& c) const { return std::max(plans[c.plan].burst / c.gateways, 1.0); }
     bool tiny_share(const Customer& c) const { return plans[c.plan].burst < c.gateways; }
 
@@ -234,8 +233,7 @@
             return turn_down(id, s, 0);
         if (p.rate <= 0) return take_in(id, s);
         // Guards the counter against customers far over: one found over is not asked for again before a
-        // window has passed, longer at a crowded counter, or its store has refilled; a tiny share decides
-        // meanwhile.
+        // window, longer at a crowded counter, or before its store has refilled; a tiny share decides then.
         if (now < c.over_until && tiny_share(c)) return decide_by_share(id, s);
         if (now < c.over_until && c.level < 0.9 * s.units) return beyond(id, s, s.units);
         // Guards a crowded counter: shares decide a part, and a customer's next call adds for them too.
@@ -249,14 +247,14 @@
         arm(std::min(count_limit, std::max(whole(8 * count_took), count_limit / 2)), count_late, id);
     }
 
-    double passed(const Plan& p) const { return static_cast<double>(now % p.window) / p.window; }
+    double window_passed(const Plan& p) const { return static_cast<double>(now % p.window) / p.window; }
 
     // The design's check: what was counted in this window and the part of the one before that still overlaps.
     void decide_by_count(std::uint32_t id, Submission& s) {
         Customer& c = customers[s.customer];
         const Plan& p = plans[c.plan];
         bring_up(c);
-        const double estimate = c.before.total * (1 - passed(p)) + s.reading;
+        const double estimate = c.before.total * (1 - window_passed(p)) + s.reading;
         // Departure: over by the window, but the quota's store, replayed from the totals, holds the units.
         if (estimate <= p.burst || c.level >= 0) {
             c.over_until = 0;
@@ -340,7 +338,7 @@
         if (verdict != Verdict::ok) return decide_by_share(made.submission, s);
         // The previous window's total is read once, and only where it can matter.
         const Plan& p = plans[c.plan];
-        if (!c.previous_known && s.reading > p.burst * passed(p) &&
+        if (!c.previous_known && s.reading > p.burst * window_passed(p) &&
             s.reading + c.before.total > p.burst / 2) {
             if (c.readers.empty()) call(Asked::previous, made.submission, made.customer, c.window - 1, 0);
             c.readers.push_back(made.submission);
@@ -527,7 +525,8 @@
         if (h.trial) gateway.log("host " + std::to_string(h.id) + " back");
         h.trial = false;
         failing -= failing / 16;
-        h.failures = 0, h.shut_for = 0;
+        h.failures = 0;
+        h.shut_for = 0;
         h.last_word = now;
         h.slowness += (static_cast<double>(took) - h.slowness) / (few_places() ? 3 : 8);
         swing += (std::abs(static_cast<double>(took) - typical) - swing) / 64;
@@ -676,7 +675,8 @@
     h.list_round = s.list_round;
     if (up_since > h.up_since) {  // started again: nothing learnt of its last life counts
         h.up_since = up_since;
-        h.failures = 0, h.budget_at = now;
+        h.failures = 0;
+        h.budget_at = now;
         h.budget = std::uniform_real_distribution<>()(s.chance);
     }
     h.listed = standing == Standing::ready;
