--- a/simhost/main.cpp
+++ b/simhost/main.cpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "dewweir/choice.h"
+#include "terms.h"
 
 using namespace dewweir;
 
@@ -114,73 +115,6 @@
     std::unique_ptr<Choice> choice;
 };
 
-// The wire's words for what is read at start, and ours.
-std::string our_words(const std::string& wire_words, char between) {
-    static const std::map<std::string, std::string> words = {
-        {"profiles", "tracks"},
-        {"goalTime", "latency_goal"},
-        {"hardLimit", "time_limit"},
-        {"idempotency", "repeats"},
-        {"retryable", "retriable"},
-        {"dedup", "fingerprinted"},
-        {"fragile", "binding"},
-        {"keyScope", "scope"},
-        {"dedupWindow", "remembered"},
-        {"lateValue", "late_value"},
-        {"worth", "benefit"},
-        {"contracts", "plans"},
-        {"mostAtOnce", "burst"},
-        {"hardBurst", "ceiling_burst"},
-        {"neverOverRate", "ceiling_rate"},
-        {"worthFactor", "benefit"},
-        {"extraWorth", "extra_benefit"},
-        {"overrunCost", "overrun_cost"},
-        {"contract", "rules"},
-        {"coldFrom", "cold_from"},
-        {"warmAfter", "warm_after"},
-        {"fallMultiple", "fall_multiple"},
-        {"askWithin", "ask_within"},
-        {"answerSlack", "answer_slack"},
-        {"specifics", "service"},
-        {"countLimit", "count_limit"},
-        {"postPaid", "settled_later"},
-        {"fleetSize", "gateways"},
-        {"az", "zone"},
-        {"maxAttempts", "executions"},
-        {"maxRetryAfter", "longest_advice"},
-        {"worstClass", "worst_track"},
-        {"worstTenant", "worst_plan"},
-        {"crossZone", "cross_zone"},
-        {"lateFail", "late_write_off"},
-        {"retryAfter", "advice"},
-        {"secondCopies", "second_copies"},
-        {"ceilingSlack", "ceiling_slack"},
-        {"countFee", "count_fee"},
-    };
-    std::string ours;
-    for (std::size_t from = 0; from <= wire_words.size();) {
-        const std::size_t to = std::min(wire_words.find(between, from), wire_words.size());
-        const std::string word = wire_words.substr(from, to - from);
-        const auto known = words.find(word);
-        ours += (from ? std::string(1, between) : "") + (known == words.end() ? word : known->second);
-        from = to + 1;
-    }
-    return ours;
-}
-
-Terms terms_of(const std::string& info) {
-    Terms terms;
-    for (std::size_t from = 0; from < info.size();) {
-        const std::size_t to = std::min(info.find('\n', from), info.size());
-        const std::string line = info.substr(from, to - from);
-        const std::size_t equals = line.find('=');
-        if (equals != std::string::npos)
-            terms[our_words(line.substr(0, equals), '.')] = our_words(line.substr(equals + 1), ',');
-        from = to + 1;
-    }
-    return terms;
-}
-
 Verdict verdict_of(std::uint8_t code) {
     switch (code) {
         case 0: return Verdict::ok;
@@ -221,7 +155,7 @@
         fresh.wire = std::make_unique<Wire>(reply, i);
         try {
             fresh.choice =
-                std::make_unique<Choice>(*fresh.wire, terms_of(r.text(16)), r.get<std::uint64_t>(8), now);
+                std::make_unique<Choice>(*fresh.wire, terms_of_lines(r.text(16)), r.get<std::uint64_t>(8), now);
         } catch (const std::invalid_argument& missing) { fresh.wire->die(missing.what()); }
         return;
     }
--- /dev/null
+++ b/src/net/clients.cpp
@@ -0,0 +1,293 @@
+#include "clients.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace dewweir::net {
+namespace {
+
+constexpr Time tenths_a_second = 10000;
+// New connections are told to come for 0.4 s after SIGTERM; a margin on top.
+constexpr Time accept_after_stop = 6000;
+constexpr Time slow_message = 10 * tenths_a_second;  // for one message, from its first byte to its last
+
+const char* reason(int status) {
+    switch (status) {
+        case 200: return "200 OK";
+        case 400: return "400 Bad Request";
+        case 405: return "405 Method Not Allowed";
+        case 408: return "408 Request Timeout";
+        case 411: return "411 Length Required";
+        case 413: return "413 Content Too Large";
+        case 431: return "431 Request Header Fields Too Large";
+        case 502: return "502 Bad Gateway";
+        default: return "503 Service Unavailable";
+    }
+}
+
+template <class T> bool read_number(std::string_view text, T& to, int base) {
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), to, base);
+    return fault == std::errc() && end == text.data() + text.size() && !text.empty();
+}
+bool read_number(std::string_view text, double& to) {
+    const auto [end, fault] =
+        std::from_chars(text.data(), text.data() + text.size(), to, std::chars_format::fixed);
+    return fault == std::errc() && end == text.data() + text.size() && std::isfinite(to);
+}
+
+int place_of(const std::vector<std::string>& names, std::string_view name) {
+    const auto at = std::find(names.begin(), names.end(), name);
+    return at == names.end() ? -1 : static_cast<int>(at - names.begin());
+}
+
+// units=2,spread=3,first=1
+bool read_metering(std::string_view text, double& units, double& spread) {
+    bool has_units = false, has_spread = false;
+    while (!text.empty()) {
+        const std::string_view part = text.substr(0, text.find(','));
+        text.remove_prefix(std::min(part.size() + 1, text.size()));
+        const std::size_t equals = std::min(part.find('='), part.size());
+        std::string_view name = part.substr(0, equals),
+                         value = part.substr(std::min(equals + 1, part.size()));
+        while (!name.empty() && name.front() == ' ') name.remove_prefix(1);
+        if (name == "units") has_units = read_number(value, units);
+        if (name == "spread") has_spread = read_number(value, spread);
+    }
+    return has_units && has_spread;
+}
+
+}  // namespace
+
+Clients::Clients(asio::io_context& io, Deadlines& deadlines, Connections& connections, Log& log,
+                 const Configuration& told, Intake& intake)
+    : io_(io),
+      deadlines_(deadlines),
+      connections_(connections),
+      log_(log),
+      told_(told),
+      intake_(intake),
+      acceptor_(io),
+      // Of the descriptors a part is kept for hosts, counter and discovery.
+      most_(told.sockets * 6 / 10) {
+    acceptor_.open(tcp::v4());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(told.listen);
+    acceptor_.listen(asio::socket_base::max_listen_connections);
+    acceptor_.non_blocking(true);
+    accept();
+}
+
+void Clients::accept() {
+    acceptor_.async_accept([this](const std::error_code& fault, tcp::socket socket) {
+        if (fault == asio::error::operation_aborted || !acceptor_.is_open()) return;
+        deadlines_.turn();
+        if (!fault) {
+            welcome(std::move(socket));
+            return accept();
+        }
+        // Out of descriptors, or the client has left: idle ones go, and a moment later it is tried again.
+        log_.line(Level::warning, "clients: cannot accept: " + fault.message());
+        make_room();
+        deadlines_.after(200, [this] {
+            if (acceptor_.is_open()) accept();
+        });
+    });
+}
+
+void Clients::welcome(tcp::socket socket) {
+    if (clients_.size() >= most_) make_room();
+    const Handle mark = clients_.add();
+    if (!mark) return;
+    Client& client = *clients_.find(mark);
+    client.idle_since = deadlines_.now();
+    // Over our part of the descriptors and none idle: it is served, and let go after that.
+    client.last = clients_.size() > most_;
+    client.connection = connections_.adopt(std::move(socket), *this, mark);
+    if (!client.connection) clients_.remove(mark);
+}
+
+// The client idle for longest goes, if nothing has come from it.
+void Clients::make_room() {
+    Handle oldest = 0;
+    Time since = 0;
+    clients_.each([&](Handle mark, Client& client) {
+        if (client.busy || client.reader.begun() || (oldest && client.idle_since >= since)) return;
+        if (connections_.unsent(client.connection) || connections_.has_unread(client.connection)) return;
+        oldest = mark;
+        since = client.idle_since;
+    });
+    if (oldest) let_go(oldest, *clients_.find(oldest));
+}
+
+void Clients::let_go(Handle mark, Client& client) {
+    deadlines_.drop(client.slow);
+    connections_.finish(client.connection);
+    clients_.remove(mark);
+    end_if_done();
+}
+
+void Clients::received(Handle connection, std::uint32_t mark) {
+    Client* client = clients_.find(mark);
+    // One submission at a time; what comes early waits in the ring.
+    if (!client || client->busy || connections_.unsent(connection)) return;
+    const HttpReader::State state = client->reader.read(connections_.in(connection));
+    if (state == HttpReader::State::more) {
+        if (client->reader.begun() && client->slow == Deadlines::Key{})
+            client->slow = deadlines_.after(slow_message, [this, mark] {
+                Client* const late = clients_.find(mark);
+                if (!late) return;
+                late->last = true;
+                plain(*late, 408, "the message did not end in time\n");
+                let_go(mark, *late);
+            });
+        return;
+    }
+    deadlines_.drop(client->slow);
+    if (state == HttpReader::State::bad) {
+        client->last = true;
+        plain(*client, client->reader.fault(), "this is no message of HTTP/1.1 within our limits\n");
+        return let_go(mark, *client);
+    }
+    whole_message(mark, *client);
+}
+
+void Clients::whole_message(Handle mark, Client& client) {
+    HttpReader& reader = client.reader;
+    client.last |= !reader.keep_alive() || stopping_;
+    Asked asked{};
+    std::string wrong;
+    int status = 400;
+    if (reader.target() == "/health/ready" && reader.method() == HTTP_GET) {
+        status = stopping_ ? 503 : 200;
+        wrong = stopping_ ? "stopping\n" : "ready\n";
+    } else if (reader.method() != HTTP_GET && reader.method() != HTTP_POST) {
+        status = 405;
+        wrong = "GET or POST\n";
+    } else if (reader.chunked()) {
+        status = 411;
+        wrong = "a body must come with its length\n";
+    } else {
+        wrong = what_is_wrong(reader, asked);
+    }
+    if (!wrong.empty()) {
+        plain(client, status, wrong);
+        reader.next();
+        if (client.last) return let_go(mark, client);
+        client.idle_since = deadlines_.now();
+        if (!connections_.in(client.connection).empty()) connections_.again(client.connection);
+        return;
+    }
+    reader.next();
+    client.busy = true;
+    // The answer may come within this call; the client's record may be gone after it.
+    const Handle submission = intake_.submitted(mark, std::move(asked));
+    Client* const still = clients_.find(mark);
+    if (!submission && still) answer(mark, 503, {}, "no room for another submission\n");
+    else if (still && still->busy) still->submission = submission;
+}
+
+std::string Clients::what_is_wrong(HttpReader& reader, Asked& asked) const {
+    const auto text = [&](const char* name) {
+        const std::string_view* const found = reader.field(name);
+        return found ? *found : std::string_view();
+    };
+    const bool get = reader.method() == HTTP_GET;
+    if (get && !reader.body().empty()) return "GET has no body\n";
+    if (text("X-Request-Id").empty()) return "X-Request-Id: missing\n";
+    asked.track = place_of(told_.tracks, text("X-Class"));
+    if (asked.track < 0) return "X-Class: missing or unknown\n";
+    asked.plan = place_of(told_.plans, text("X-Contract"));
+    if (asked.plan < 0) return "X-Contract: missing or unknown\n";
+    const std::string_view customer = text("X-Client-Id");
+    if (customer.size() != 16 || !read_number(customer, asked.customer, 16) || asked.customer >> 33)
+        return "X-Client-Id: must be 16 hex digits, below 2^33\n";
+    double patience = 0, spread = 0;
+    if (!read_number(text("X-Deadline"), patience) || !(patience > 0 && patience <= 3600))
+        return "X-Deadline: must be seconds, up to 3600\n";
+    asked.patience = static_cast<Time>(patience * tenths_a_second);
+    if (!read_metering(text("X-Metering"), asked.units, spread) || !(asked.units > 0 && asked.units <= 1e6) ||
+        !(spread >= 1 && spread <= 1e6))
+        return "X-Metering: must give units and spread\n";
+    asked.gateways = static_cast<int>(spread);
+    asked.head.reserve(512);
+    asked.head.append(get ? "GET " : "POST ").append(reader.target()).append(" HTTP/1.1\r\n");
+    reader.pass_on(asked.head, {"X-Deadline"});
+    if (!get)
+        asked.head.append("Content-Length: ").append(std::to_string(reader.body().size())).append("\r\n");
+    asked.body = std::move(reader.body());
+    return {};
+}
+
+void Clients::plain(Client& client, int status, std::string_view why) {
+    if (status >= 400 && status < 500) log_.line(Level::debug, "clients: " + std::string(why));
+    write(client, status, "Content-Type: text/plain\r\n", why);
+}
+
+void Clients::write(Client& client, int status, std::string_view fields, std::string_view body) {
+    std::string head;
+    head.reserve(128 + fields.size());
+    head.append("HTTP/1.1 ").append(reason(status)).append("\r\n").append(fields);
+    head.append("Content-Length: ").append(std::to_string(body.size()));
+    head.append(client.last ? "\r\nConnection: close\r\n\r\n" : "\r\n\r\n");
+    connections_.send(client.connection, {head, body});
+}
+
+void Clients::answer(Handle mark, int status, std::string_view fields, std::string_view body) {
+    Client* const client = clients_.find(mark);
+    if (!client) return;
+    client->last |= stopping_;
+    write(*client, status, fields, body);
+    client->busy = false;
+    client->submission = 0;
+    client->idle_since = deadlines_.now();
+    if (client->last) return let_go(mark, *client);
+    if (!connections_.in(client->connection).empty()) connections_.again(client->connection);
+}
+
+void Clients::ended(Handle, std::uint32_t mark) {
+    Client* const client = clients_.find(mark);
+    if (!client) return;
+    const Handle submission = client->submission;
+    deadlines_.drop(client->slow);
+    clients_.remove(mark);
+    if (submission) intake_.client_gone(submission);
+    end_if_done();
+}
+
+void Clients::stop(std::function<void()> done) {
+    if (stopping_) return;
+    stopping_ = true;
+    done_ = std::move(done);
+    log_.line(Level::info, "stopping: not ready any more; what was taken is answered");
+    deadlines_.after(accept_after_stop, [this] {
+        // What the system has accepted for us counts as taken: it is fetched before the door closes.
+        for (std::error_code fault; !fault;) {
+            tcp::socket socket = acceptor_.accept(fault);
+            if (!fault) welcome(std::move(socket));
+        }
+        std::error_code ignored;
+        acceptor_.close(ignored);
+        accepting_ = false;
+        close_idle();
+    });
+}
+
+// Clients may still use a connection that they have; those that do are let go with their answer.
+void Clients::close_idle() {
+    std::vector<Handle> idle;
+    clients_.each([&](Handle mark, Client& client) {
+        if (!client.busy && !client.reader.begun() && !connections_.unsent(client.connection) &&
+            !connections_.has_unread(client.connection))
+            idle.push_back(mark);
+    });
+    for (const Handle mark : idle) let_go(mark, *clients_.find(mark));
+    end_if_done();
+    if (clients_.size()) deadlines_.after(500, [this] { close_idle(); });
+}
+
+void Clients::end_if_done() {
+    if (stopping_ && !accepting_ && clients_.size() == 0 && done_) std::exchange(done_, nullptr)();
+}
+
+}  // namespace dewweir::net
--- /dev/null
+++ b/src/net/clients.h
@@ -0,0 +1,78 @@
+// The clients' side: owns the listening socket and what is known of each client's connection. It reads and
+// checks submissions, hands them on, and writes their one answer. It must never answer by its own choice, but
+// for what is no submission at all; nor end a connection that has something unread or unanswered.
+#pragma once
+
+#include <asio/signal_set.hpp>
+#include <functional>
+
+#include "configuration.h"
+#include "connections.h"
+#include "http.h"
+
+namespace dewweir::net {
+
+struct Asked {  // a submission as a client put it
+    int track, plan;
+    std::uint64_t customer;
+    double units;
+    int gateways;
+    Time patience;
+    std::string head, body;  // as it goes to a host: the first line, and the fields that pass through
+};
+
+class Intake {
+  public:
+    virtual ~Intake() = default;
+    virtual Handle submitted(Handle client, Asked&& asked) = 0;  // 0: no room for it
+    virtual void client_gone(Handle submission) = 0;
+};
+
+class Clients : public User {
+  public:
+    Clients(asio::io_context& io, Deadlines& deadlines, Connections& connections, Log& log,
+            const Configuration& told, Intake& intake);
+
+    // The one answer to what this client has open.
+    void answer(Handle client, int status, std::string_view fields, std::string_view body);
+    // A planned end: no longer ready; `done` comes when the last client has its answer and has been let go.
+    void stop(std::function<void()> done);
+
+    void received(Handle, std::uint32_t mark) override;
+    void ended(Handle, std::uint32_t mark) override;
+    void drained(Handle handle, std::uint32_t mark) override { received(handle, mark); }
+
+  private:
+    struct Client {
+        HttpReader reader{HTTP_REQUEST};
+        Handle connection = 0, submission = 0;
+        bool busy = false, last = false;  // `last`: its answer ends the connection
+        Time idle_since = 0;
+        Deadlines::Key slow{};
+    };
+
+    void accept();
+    void welcome(tcp::socket socket);
+    void make_room();
+    void whole_message(Handle mark, Client& client);
+    std::string what_is_wrong(HttpReader& reader, Asked& asked) const;
+    void plain(Client& client, int status, std::string_view why);
+    void write(Client& client, int status, std::string_view fields, std::string_view body);
+    void let_go(Handle mark, Client& client);
+    void close_idle();
+    void end_if_done();
+
+    asio::io_context& io_;
+    Deadlines& deadlines_;
+    Connections& connections_;
+    Log& log_;
+    const Configuration& told_;
+    Intake& intake_;
+    tcp::acceptor acceptor_;
+    Slots<Client> clients_;
+    std::size_t most_;
+    bool stopping_ = false, accepting_ = true;
+    std::function<void()> done_;
+};
+
+}  // namespace dewweir::net
--- /dev/null
+++ b/src/net/configuration.cpp
@@ -0,0 +1,194 @@
+#include "configuration.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <fstream>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "terms.h"
+
+namespace dewweir::net {
+namespace {
+
+using asio::ip::tcp;
+using nlohmann::json;
+
+json parsed(std::string_view text, const char* what) {
+    json read = json::parse(text, nullptr, false);
+    if (!read.is_object()) throw Fault(std::string(what) + ": no JSON object");
+    return read;
+}
+
+const json& member(const json& from, const std::string& key) {
+    const auto at = from.find(key);
+    if (at == from.end()) throw Fault(key + ": missing");
+    return *at;
+}
+
+std::string text_of(const json& from, const std::string& key) {
+    const json& found = member(from, key);
+    if (!found.is_string() || found.get_ref<const std::string&>().empty())
+        throw Fault(key + ": must be a text");
+    return found.get<std::string>();
+}
+
+double number_of(const json& from, const std::string& key, double least, double most) {
+    const json& found = member(from, key);
+    const double number = found.is_number() ? found.get<double>() : std::nan("");
+    if (!(number >= least && number <= most)) {
+        std::ostringstream says;
+        says << key << ": must be a number from " << least << " to " << most;
+        throw Fault(says.str());
+    }
+    return number;
+}
+
+tcp::endpoint address_of(const json& from, const std::string& key) {
+    const std::string text = text_of(from, key);
+    const std::size_t colon = text.rfind(':');
+    std::error_code fault;
+    const auto host = asio::ip::make_address_v4(text.substr(0, std::min(colon, text.size())), fault);
+    char* end = nullptr;
+    const unsigned long port = colon < text.size() ? std::strtoul(&text[colon + 1], &end, 10) : 0;
+    if (fault || !end || *end || port < 1 || port > 65535)
+        throw Fault(key + ": must be an IPv4 address and port, is `" + text + "`");
+    return {host, static_cast<unsigned short>(port)};
+}
+
+// The settings, path by path; a list of plain values is one value, a list of objects is counted.
+void flatten(Terms& terms, const json& at, const std::string& path) {
+    const auto below = [&](const std::string& name) { return path.empty() ? name : path + "." + name; };
+    if (at.is_object()) {
+        for (const auto& [name, value] : at.items()) flatten(terms, value, below(name));
+    } else if (at.is_array() &&
+               std::any_of(at.begin(), at.end(), [](const json& x) { return x.is_object(); })) {
+        put_term(terms, below("count"), std::to_string(at.size()));
+        for (std::size_t n = 0; n < at.size(); ++n) flatten(terms, at[n], below(std::to_string(n)));
+    } else if (at.is_array()) {
+        std::string joined;
+        for (const json& one : at)
+            joined += (joined.empty() ? "" : ",") + (one.is_string() ? one.get<std::string>() : one.dump());
+        put_term(terms, path, joined);
+    } else if (!at.is_null()) {
+        put_term(terms, path, at.is_string() ? at.get<std::string>() : at.dump());
+    }
+}
+
+const std::string* term(const Terms& terms, const std::string& name) {
+    const auto found = terms.find(name);
+    return found == terms.end() ? nullptr : &found->second;
+}
+
+Time time_of(const Terms& terms, const std::string& name, Time otherwise) {
+    const std::string* const text = term(terms, name);
+    if (!text) return otherwise;
+    char* end = nullptr;
+    const double ms = std::strtod(text->c_str(), &end);
+    if (text->empty() || *end || !(ms >= 0 && ms < 1e9))
+        throw Fault("settings: " + name + ": must be a time");
+    return std::llround(ms * 10);
+}
+
+std::vector<std::string> names_of(const Terms& terms, const std::string& list) {
+    std::vector<std::string> names;
+    const std::string* count = term(terms, list + ".count");
+    for (int n = 0; count && n < std::atoi(count->c_str()); ++n) {
+        const std::string* const name = term(terms, list + "." + std::to_string(n) + ".name");
+        if (!name) throw Fault("settings: " + list + "." + std::to_string(n) + ".name: missing");
+        names.push_back(*name);
+    }
+    return names;
+}
+
+Listing listing_of(const json& from, const std::vector<std::string>& zones) {
+    Listing listing;
+    listing.revision = static_cast<std::uint64_t>(number_of(from, "revision", 0, 9e15));
+    const json& complete = member(from, "complete");
+    if (!complete.is_boolean()) throw Fault("complete: must be true or false");
+    listing.whole = complete.get<bool>();
+    const json& members = member(from, "members");
+    if (!members.is_array()) throw Fault("members: must be a list");
+    for (const json& one : members) {
+        if (!one.is_object()) throw Fault("members: must hold objects");
+        Entry entry;
+        entry.id = text_of(one, "id");
+        const std::string phase = text_of(one, "phase");
+        if (phase == "in_service") entry.standing = Standing::ready;
+        else if (phase == "terminating") entry.standing = Standing::draining;
+        else if (phase == "terminated") entry.standing = Standing::gone;
+        else throw Fault("phase: unknown, `" + phase + "`");
+        // What is gone needs no address.
+        if (entry.standing != Standing::gone || one.contains("host_port"))
+            entry.address = address_of(one, "host_port");
+        const std::string zone = one.contains("locality") ? text_of(one, "locality") : "";
+        entry.zone = static_cast<int>(std::find(zones.begin(), zones.end(), zone) - zones.begin());
+        entry.cell = one.contains("cell") ? static_cast<int>(number_of(one, "cell", 0, 65535)) : 0;
+        const double up = one.contains("up_since_ms") ? number_of(one, "up_since_ms", 0, 1e14) : 0;
+        entry.up_since = std::llround(up * 10);
+        listing.entries.push_back(std::move(entry));
+    }
+    return listing;
+}
+
+Configuration configuration_of(const json& from) {
+    Configuration c;
+    c.name = text_of(from, "name");
+    c.listen = address_of(from, "listen");
+    c.discovery = address_of(from, "discovery");
+    const std::string seed = text_of(from, "seed");
+    char* end = nullptr;
+    c.seed = std::strtoull(seed.c_str(), &end, 16);
+    if (*end || seed.size() > 16) throw Fault("seed: must be up to 16 hex digits");
+    if (from.contains("limits") && member(from, "limits").contains("sockets"))
+        c.sockets = static_cast<std::size_t>(number_of(member(from, "limits"), "sockets", 32, 1e6));
+    const json& told = member(from, "settings");
+    if (!told.is_object()) throw Fault("settings: must be an object");
+    flatten(c.terms, told, "");
+    const std::string* const counted = term(c.terms, "service.counter");
+    if (counted && *counted == "true") c.counter = address_of(from, "counter");
+    c.tracks = names_of(c.terms, "tracks");
+    c.plans = names_of(c.terms, "plans");
+    if (const std::string* const zones = term(c.terms, "zones")) {
+        std::istringstream each(*zones);
+        for (std::string zone; std::getline(each, zone, ',');) c.zones.push_back(zone);
+    }
+    c.connect_within = time_of(c.terms, "limits.connect_within", 2500);
+    c.idle_close = time_of(c.terms, "limits.idle_close", 100000);
+    c.count_limit = time_of(c.terms, "service.count_limit", 500);
+    const std::string* const way = term(c.terms, "discovery");
+    c.ask = way && *way == "ask";
+    if (from.contains("known")) c.known = listing_of(member(from, "known"), c.zones);
+    return c;
+}
+
+}  // namespace
+
+Configuration parse_configuration(const std::string& text) {
+    return configuration_of(parsed(text, "configuration"));
+}
+
+Listing parse_listing(std::string_view text, const std::vector<std::string>& zones) {
+    return listing_of(parsed(text, "list"), zones);
+}
+
+Configuration read_configuration() {
+    const char* const path = std::getenv("EDGE_CONFIG");
+    if (!path || !*path) throw Fault("EDGE_CONFIG: missing from the environment");
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    if (!file) throw Fault(std::string("EDGE_CONFIG: cannot read ") + path);
+    Configuration c = parse_configuration(text.str());
+    if (const char* const level = std::getenv("DEWWEIR_LOG")) {
+        const std::string names[] = {"error", "warning", "info", "debug"};
+        const auto at = std::find(std::begin(names), std::end(names), level);
+        if (at == std::end(names)) throw Fault("DEWWEIR_LOG: must be error, warning, info or debug");
+        c.log_level = static_cast<Level>(at - std::begin(names));
+    }
+    return c;
+}
+
+}  // namespace dewweir::net
--- /dev/null
+++ b/src/net/configuration.h
@@ -0,0 +1,57 @@
+// What a gateway is told at start, and the lists of hosts in discovery's form: the one place where JSON is
+// read and checked and where defaults are. It must never act on what it reads.
+#pragma once
+
+#include <asio/ip/tcp.hpp>
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "dewweir/choice.h"
+#include "log.h"
+
+namespace dewweir::net {
+
+struct Entry {
+    std::string id;
+    asio::ip::tcp::endpoint address;
+    Standing standing;
+    int zone, cell;
+    Time up_since;  // 0: long ago
+};
+
+struct Listing {
+    std::uint64_t revision = 0;
+    bool whole = false;
+    std::vector<Entry> entries;
+};
+
+// Its message names the faulty key.
+struct Fault : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct Configuration {
+    std::string name;
+    asio::ip::tcp::endpoint listen, discovery;
+    std::optional<asio::ip::tcp::endpoint> counter;
+    std::uint64_t seed = 0;
+    std::size_t sockets = 1024;
+    Terms terms;
+    Listing known;
+    std::vector<std::string> tracks, plans, zones;  // by name; their places are their numbers
+    Time connect_within = 0, idle_close = 0, count_limit = 0;
+    bool ask = false;  // the list is sent only after it was asked for
+    Level log_level = Level::info;
+};
+
+// From the environment and the file it names.
+Configuration read_configuration();
+Configuration parse_configuration(const std::string& text);
+// Throws Fault on anything that is no listing.
+Listing parse_listing(std::string_view text, const std::vector<std::string>& zones);
+
+}  // namespace dewweir::net
--- /dev/null
+++ b/src/net/connections.cpp
@@ -0,0 +1,179 @@
+#include "connections.h"
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/post.hpp>
+
+namespace dewweir::net {
+namespace {
+
+constexpr std::size_t least_read = 1024, most_held = 16384;  // of what has come and waits in the ring
+constexpr Time linger = 20000;                               // two seconds for a peer to close
+
+}  // namespace
+
+Handle Connections::adopt(tcp::socket socket, User& user, std::uint32_t mark) {
+    std::error_code fault;
+    socket.non_blocking(true, fault);
+    socket.set_option(tcp::no_delay(true), fault);
+    const Handle handle = connections_.add(std::move(socket), &user, mark);
+    if (!handle) return 0;
+    connections_.find(handle)->up = true;
+    read(handle);
+    return handle;
+}
+
+Handle Connections::open(const tcp::endpoint& to, User& user, std::uint32_t mark, Time within) {
+    const Handle handle = connections_.add(tcp::socket(io_), &user, mark);
+    if (!handle) return 0;
+    Connection& c = *connections_.find(handle);
+    std::error_code fault;
+    c.socket.open(tcp::v4(), fault);
+    if (fault) {
+        asio::post(io_, [this, handle] { connected(handle, false); });
+        return handle;
+    }
+    c.socket.non_blocking(true, fault);
+    c.socket.set_option(tcp::no_delay(true), fault);
+    c.socket.async_connect(to, [this, handle](const std::error_code& ended) { connected(handle, !ended); });
+    c.deadline = deadlines_.after(within, [this, handle] { connected(handle, false); });
+    return handle;
+}
+
+void Connections::connected(Handle handle, bool up) {
+    Connection* c = connections_.find(handle);
+    if (!c || c->up) return;
+    deadlines_.turn();
+    deadlines_.drop(c->deadline);
+    User* const user = c->user;
+    const std::uint32_t mark = c->mark;
+    if (!up) {
+        close(handle);
+        return user->opened(handle, mark, false);
+    }
+    c->up = true;
+    user->opened(handle, mark, true);
+    c = connections_.find(handle);
+    if (!c) return;
+    read(handle);
+    if (!c->out.empty() && !c->writing) write(handle);
+}
+
+bool Connections::has_unread(Handle handle) {
+    Connection& c = *connections_.find(handle);
+    std::error_code fault;
+    return !c.in.empty() || c.socket.available(fault) > 0;
+}
+
+void Connections::read(Handle handle) {
+    Connection* const c = connections_.find(handle);
+    if (!c || !c->up || c->reading || c->in.size() >= most_held) return;
+    c->in.trim(least_read);
+    c->in.make_room(least_read);
+    const auto space = c->in.space();
+    const std::array<asio::mutable_buffer, 2> to = {asio::buffer(space[0].at, space[0].size),
+                                                    asio::buffer(space[1].at, space[1].size)};
+    c->reading = true;
+    c->socket.async_read_some(
+        to, [this, handle](const std::error_code& fault, std::size_t n) { after_read(handle, fault, n); });
+}
+
+void Connections::after_read(Handle handle, const std::error_code& fault, std::size_t n) {
+    Connection* const c = connections_.find(handle);
+    if (!c) return;
+    deadlines_.turn();
+    c->reading = false;
+    if (fault) return ended(handle);
+    c->in.commit(n);
+    if (c->finishing) c->in.consume(c->in.size());
+    else c->user->received(handle, c->mark);
+    read(handle);
+}
+
+void Connections::again(Handle handle) {
+    asio::post(io_, [this, handle] {
+        Connection* const c = connections_.find(handle);
+        if (!c || c->finishing) return;
+        deadlines_.turn();
+        c->user->received(handle, c->mark);
+        read(handle);
+    });
+}
+
+void Connections::send(Handle handle, std::initializer_list<std::string_view> parts) {
+    Connection& c = *connections_.find(handle);
+    std::size_t all = 0;
+    for (const std::string_view part : parts) all += part.size();
+    c.out.make_room(all);
+    for (const std::string_view part : parts)
+        if (!part.empty()) c.out.append(part);
+    if (c.up && !c.writing) write(handle);
+}
+
+void Connections::write(Handle handle) {
+    Connection& c = *connections_.find(handle);
+    while (!c.out.empty()) {
+        const auto filled = c.out.filled();
+        const std::array<asio::const_buffer, 2> from = {asio::buffer(filled[0]), asio::buffer(filled[1])};
+        std::error_code fault;
+        const std::size_t n = c.socket.write_some(from, fault);
+        if (fault == asio::error::would_block || fault == asio::error::try_again) {
+            c.writing = true;
+            c.socket.async_wait(tcp::socket::wait_write, [this, handle](const std::error_code& ended_by) {
+                Connection* const waiting = connections_.find(handle);
+                if (!waiting || ended_by) return;
+                deadlines_.turn();
+                waiting->writing = false;
+                write(handle);
+                Connection* const left = connections_.find(handle);
+                if (left && left->out.empty() && !left->finishing) left->user->drained(handle, left->mark);
+            });
+            return;
+        }
+        if (fault) return later_ended(handle);
+        c.out.consume(n);
+    }
+    c.out.trim(4096);
+    // Told in the next turn: the send may come from within a call of the user's.
+    if (c.finishing) asio::post(io_, [this, handle] { all_sent(handle); });
+}
+
+void Connections::later_ended(Handle handle) {
+    connections_.find(handle)->writing = true;  // nothing more is written
+    asio::post(io_, [this, handle] { ended(handle); });
+}
+
+void Connections::ended(Handle handle) {
+    Connection* const c = connections_.find(handle);
+    if (!c) return;
+    deadlines_.turn();
+    if (!c->finishing) c->user->ended(handle, c->mark);
+    close(handle);
+}
+
+void Connections::close(Handle handle) {
+    Connection* const c = connections_.find(handle);
+    if (!c) return;
+    deadlines_.drop(c->deadline);
+    std::error_code ignored;
+    c->socket.close(ignored);
+    connections_.remove(handle);
+}
+
+void Connections::finish(Handle handle) {
+    Connection& c = *connections_.find(handle);
+    c.finishing = true;
+    c.in.consume(c.in.size());
+    deadlines_.drop(c.deadline);
+    c.deadline = deadlines_.after(linger, [this, handle] { close(handle); });
+    if (c.out.empty()) asio::post(io_, [this, handle] { all_sent(handle); });
+    read(handle);
+}
+
+void Connections::all_sent(Handle handle) {
+    Connection* const c = connections_.find(handle);
+    std::error_code ignored;
+    if (c && c->finishing && c->out.empty()) c->socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+}  // namespace dewweir::net
--- /dev/null
+++ b/src/net/connections.h
@@ -0,0 +1,79 @@
+// All sockets but the listening one: owns every connection in one table, with one ring a direction, and is
+// the one place where a connection is given back. It must never know what the bytes mean, and never calls a
+// user from within a call of that user's: what is known at once is told in the loop's next turn.
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <initializer_list>
+#include <string_view>
+
+#include "deadlines.h"
+#include "ring.h"
+#include "slots.h"
+
+namespace dewweir::net {
+
+using asio::ip::tcp;
+
+// Whoever has a connection. `mark` is a number of its own, given back with each call.
+class User {
+  public:
+    virtual ~User() = default;
+    virtual void opened(Handle, std::uint32_t /*mark*/, bool /*up*/) {}
+    virtual void received(Handle, std::uint32_t mark) = 0;
+    // The peer has closed or broken it; it is given back right after.
+    virtual void ended(Handle, std::uint32_t mark) = 0;
+    virtual void drained(Handle, std::uint32_t /*mark*/) {}
+};
+
+class Connections {
+  public:
+    Connections(asio::io_context& io, Deadlines& deadlines) : io_(io), deadlines_(deadlines) {}
+
+    // 0 when the table is full: the socket is closed then.
+    Handle adopt(tcp::socket socket, User& user, std::uint32_t mark);
+    // `opened` is told in every case, unless it is closed before.
+    Handle open(const tcp::endpoint& to, User& user, std::uint32_t mark, Time within);
+
+    Ring& in(Handle handle) { return connections_.find(handle)->in; }
+    void mark(Handle handle, std::uint32_t mark) { connections_.find(handle)->mark = mark; }
+    // Bytes not yet handed to the system.
+    std::size_t unsent(Handle handle) { return connections_.find(handle)->out.size(); }
+    // True when bytes have come that nobody has looked at.
+    bool has_unread(Handle handle);
+    void send(Handle handle, std::initializer_list<std::string_view> parts);
+    // Goes on reading after a full ring has been emptied.
+    void resume(Handle handle) { read(handle); }
+    // Tells `received` once more in the next turn, for bytes that were left in the ring.
+    void again(Handle handle);
+    void close(Handle handle);
+    // Sends what is left, then ends its sending and waits a little for the peer to close: closing over unread
+    // bytes would take the last answer away from it. The user hears no more of it.
+    void finish(Handle handle);
+    std::size_t size() const { return connections_.size(); }
+
+  private:
+    struct Connection {
+        tcp::socket socket;
+        User* user;
+        std::uint32_t mark;
+        bool up = false, reading = false, writing = false, finishing = false;
+        Ring in{}, out{};
+        Deadlines::Key deadline{};
+    };
+
+    void connected(Handle handle, bool up);
+    void read(Handle handle);
+    void after_read(Handle handle, const std::error_code& fault, std::size_t n);
+    void write(Handle handle);
+    void later_ended(Handle handle);
+    void ended(Handle handle);
+    void all_sent(Handle handle);
+
+    asio::io_context& io_;
+    Deadlines& deadlines_;
+    Slots<Connection> connections_;
+};
+
+}  // namespace dewweir::net
--- /dev/null
+++ b/src/net/discovery.cpp
@@ -0,0 +1,82 @@
+#include "discovery.h"
+
+#include <algorithm>
+
+namespace dewweir::net {
+namespace {
+
+// An empty line is due every 2 s, and what there is to tell counts as told 6 s later.
+constexpr Time most_silence = 45000, least_pause = 500, most_pause = 10000;
+constexpr std::size_t most_line = 8 << 20;
+
+}  // namespace
+
+Discovery::Discovery(Deadlines& deadlines, Connections& connections, Log& log, const Configuration& told,
+                     ListNews& news)
+    : deadlines_(deadlines),
+      connections_(connections),
+      log_(log),
+      told_(told),
+      news_(news),
+      revision_(told.known.revision) {}
+
+void Discovery::follow() {
+    if (connection_) return;
+    reader_ = std::make_unique<HttpReader>(HTTP_RESPONSE, most_line);
+    connection_ = connections_.open(told_.discovery, *this, 0, most_silence / 3);
+    if (!connection_) lost("no connection left");
+}
+
+void Discovery::opened(Handle connection, std::uint32_t, bool up) {
+    if (!up) return lost("no connection");
+    const std::string from = std::to_string(revision_);
+    connections_.send(connection, {"GET /registry/instances?stream=1&index=", from,
+                                   " HTTP/1.1\r\nHost: discovery\r\nAccept: application/json\r\n\r\n"});
+    heard();
+}
+
+void Discovery::heard() {
+    deadlines_.drop(silence_);
+    silence_ = deadlines_.after(most_silence, [this] { lost("silent"); });
+}
+
+void Discovery::received(Handle connection, std::uint32_t) {
+    heard();
+    // Longer than a ring: the reader keeps the body, the ring empties with each read.
+    const HttpReader::State state = reader_->read(connections_.in(connection));
+    if (reader_->head_read() && reader_->status() != 200)
+        return lost("answers " + std::to_string(reader_->status()));
+    std::string& body = reader_->body();
+    std::size_t from = 0;
+    for (std::size_t end; (end = body.find('\n', from)) != body.npos; from = end + 1) {
+        const std::string_view line = std::string_view(body).substr(from, end - from);
+        if (line.find_first_not_of(" \r\t") == line.npos) continue;
+        try {
+            const Listing listing = parse_listing(line, told_.zones);
+            pause_ = 0;
+            if (listing.revision < revision_) continue;
+            revision_ = listing.revision;
+            news_.list_told(listing);
+        } catch (const std::exception& fault) {
+            return lost(std::string("an unreadable line: ") + fault.what());
+        }
+    }
+    body.erase(0, from);
+    if (state != HttpReader::State::more) lost("the watch has ended");
+}
+
+void Discovery::ended(Handle connection, std::uint32_t) {
+    if (connection == connection_) lost("connection ended");
+}
+
+void Discovery::lost(const std::string& why) {
+    log_.line(Level::warning, "discovery: " + why);
+    deadlines_.drop(silence_);
+    if (connection_) connections_.close(connection_);
+    connection_ = 0;
+    pause_ = std::clamp(2 * pause_, least_pause, most_pause);
+    if (told_.ask) news_.list_failed();
+    else deadlines_.after(pause_, [this] { follow(); });
+}
+
+}  // namespace dewweir::net
--- /dev/null
+++ b/src/net/discovery.h
@@ -0,0 +1,47 @@
+// The watch on discovery: owns its connection and the revision reached. It must never wait behind anything
+// else, and never takes a list older than the one it has.
+#pragma once
+
+#include <memory>
+
+#include "configuration.h"
+#include "connections.h"
+#include "http.h"
+
+namespace dewweir::net {
+
+class ListNews {
+  public:
+    virtual ~ListNews() = default;
+    virtual void list_told(const Listing& listing) = 0;
+    virtual void list_failed() = 0;
+};
+
+class Discovery : public User {
+  public:
+    Discovery(Deadlines& deadlines, Connections& connections, Log& log, const Configuration& told,
+              ListNews& news);
+
+    void follow();  // nothing where the watch is up already
+
+    void opened(Handle, std::uint32_t, bool up) override;
+    void received(Handle, std::uint32_t) override;
+    void ended(Handle, std::uint32_t) override;
+
+  private:
+    void lost(const std::string& why);
+    void heard();
+
+    Deadlines& deadlines_;
+    Connections& connections_;
+    Log& log_;
+    const Configuration& told_;
+    ListNews& news_;
+    Handle connection_ = 0;
+    std::unique_ptr<HttpReader> reader_;
+    std::uint64_t revision_;
+    Time pause_ = 0;
+    Deadlines::Key silence_{};
+};
+
+}  // namespace dewweir::net
--- /dev/null
+++ b/src/net/hosts.cpp
@@ -0,0 +1,215 @@
+#include "hosts.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <charconv>
+
+namespace dewweir::net {
+
+Hosts::Hosts(asio::io_context& io, Deadlines& deadlines, Connections& connections, Log& log,
+             const Configuration& told, Outcomes& outcomes)
+    : io_(io),
+      deadlines_(deadlines),
+      connections_(connections),
+      log_(log),
+      told_(told),
+      outcomes_(outcomes),
+      // What the clients' part of the descriptors leaves, less counter, discovery and the program's own.
+      most_(told.sockets * 4 / 10 - 16 + (told.sockets < 48 ? 8 : 0)) {}
+
+std::uint32_t Hosts::listed(const Entry& entry) {
+    const auto [at, fresh] = numbers_.try_emplace(entry.id, static_cast<std::uint32_t>(hosts_.size()));
+    if (fresh) {
+        hosts_.emplace_back().id = entry.id;
+        log_.line(Level::info, "host " + std::to_string(at->second) + " is " + entry.id);
+    }
+    Host& host = hosts_[at->second];
+    const bool was_ready = host.standing == Standing::ready;
+    host.standing = entry.standing;
+    if (entry.standing != Standing::gone && host.address != entry.address) {
+        host.address = entry.address;
+        release_idle(host);
+    }
+    if (host.standing != Standing::ready && was_ready) not_ready(at->second);
+    return at->second;
+}
+
+void Hosts::keep_only(const std::vector<Entry>& entries) {
+    std::vector<bool> named(hosts_.size());
+    for (const Entry& entry : entries) named[numbers_.at(entry.id)] = true;
+    for (std::uint32_t n = 0; n < hosts_.size(); ++n) {
+        if (named[n] || hosts_[n].standing == Standing::gone) continue;
+        hosts_[n].standing = Standing::gone;
+        not_ready(n);
+    }
+}
+
+void Hosts::release_idle(Host& host) {
+    for (const Handle way : std::vector<Handle>(host.idle)) give_back(way, *ways_.find(way));
+}
+
+// Nothing more is written there: idle connections go back, and what waits for its connection is not sent.
+void Hosts::not_ready(std::uint32_t host) {
+    release_idle(hosts_[host]);
+    std::vector<Handle> waiting;
+    ways_.each([&](Handle mark, Way& way) {
+        if (way.host == host && !way.up) waiting.push_back(mark);
+    });
+    for (const Handle mark : waiting) {
+        const Way& way = *ways_.find(mark);
+        later_over(way.submission, host, Verdict::not_sent, deadlines_.now() - way.sent);
+        give_back(mark, *ways_.find(mark));
+    }
+}
+
+Handle Hosts::open_way(std::uint32_t host) {
+    if (ways_.size() >= most_) drop_oldest_idle();
+    if (ways_.size() >= most_) return 0;
+    const Handle mark = ways_.add(host);
+    if (!mark) return 0;
+    Way& way = *ways_.find(mark);
+    way.connection = connections_.open(hosts_[host].address, *this, mark, told_.connect_within);
+    if (way.connection) return mark;
+    ways_.remove(mark);
+    return 0;
+}
+
+// Of all hosts, the connection that has stood idle for longest.
+void Hosts::drop_oldest_idle() {
+    Handle oldest = 0;
+    Deadlines::Key first{};
+    for (const Host& host : hosts_) {
+        if (host.idle.empty()) continue;
+        const Way& way = *ways_.find(host.idle.front());
+        if (!oldest || way.deadline < first) oldest = host.idle.front(), first = way.deadline;
+    }
+    if (oldest) give_back(oldest, *ways_.find(oldest));
+}
+
+Handle Hosts::execute(Handle submission, std::uint32_t host, std::string_view head, std::string_view body,
+                      Time give_up_after) {
+    Handle mark = 0;
+    if (host < hosts_.size() && hosts_[host].standing == Standing::ready) {
+        if (!hosts_[host].idle.empty()) take_from_idle(mark = hosts_[host].idle.back());
+        else mark = open_way(host);
+    }
+    if (!mark) {
+        const bool listed = host < hosts_.size() && hosts_[host].standing == Standing::ready;
+        if (listed) log_.line(Level::warning, "hosts: no connection left for an execution");
+        later_over(submission, host, listed ? Verdict::connect_failed : Verdict::not_sent, 0);
+        return 0;
+    }
+    Way& way = *ways_.find(mark);
+    way.submission = submission;
+    way.sent = deadlines_.now();
+    way.deadline = deadlines_.after(give_up_after, [this, mark] {
+        Way* const late = ways_.find(mark);
+        if (late) over(mark, *late, Verdict::timeout);
+    });
+    char limit[48];
+    // Seconds with four decimals: whole tenths of a millisecond.
+    const auto end = std::to_chars(limit, limit + sizeof limit, static_cast<double>(give_up_after) / 10000,
+                                   std::chars_format::fixed, 4);
+    const std::string_view seconds(limit, static_cast<std::size_t>(end.ptr - limit));
+    if (way.up) {
+        connections_.send(way.connection, {head, "X-Deadline: ", seconds, "\r\n\r\n", body});
+    } else {
+        way.waiting.reserve(head.size() + body.size() + 48);
+        way.waiting.append(head).append("X-Deadline: ").append(seconds).append("\r\n\r\n").append(body);
+    }
+    return mark;
+}
+
+void Hosts::call_off(Handle execution) {
+    Way* const way = ways_.find(execution);
+    if (!way || !way->submission) return;
+    later_over(way->submission, way->host, Verdict::called_off, deadlines_.now() - way->sent);
+    give_back(execution, *way);
+}
+
+void Hosts::opened(Handle, std::uint32_t mark, bool up) {
+    Way* const way = ways_.find(mark);
+    if (!way) return;
+    if (!up) {
+        way->connection = 0;
+        return over(mark, *way, Verdict::connect_failed);
+    }
+    way->up = true;
+    connections_.send(way->connection, {way->waiting});
+    way->waiting = {};
+}
+
+void Hosts::received(Handle connection, std::uint32_t mark) {
+    Way* const way = ways_.find(mark);
+    if (!way) return;
+    if (!way->submission) return give_back(mark, *way);  // it speaks unasked
+    HttpReader& reader = way->reader;
+    HttpReader::State state = reader.read(connections_.in(connection));
+    while (state == HttpReader::State::whole && reader.status() < 200) {  // an interim answer
+        reader.next();
+        state = reader.read(connections_.in(connection));
+    }
+    if (state == HttpReader::State::more) return;
+    // Bytes after the answer, or an answer before all was sent, leave the connection unfit for more.
+    if (state == HttpReader::State::bad) return over(mark, *way, Verdict::broken);
+    const std::string_view* const not_run = reader.field("X-Not-Run");
+    const bool full = (reader.status() == 503 || reader.status() == 504) && not_run && *not_run == "1";
+    over(mark, *way, reader.status() == 200 ? Verdict::ok : full ? Verdict::full : Verdict::error, &reader);
+}
+
+void Hosts::ended(Handle connection, std::uint32_t mark) {
+    Way* const way = ways_.find(mark);
+    if (!way) return;
+    if (!way->submission) return give_back(mark, *way);
+    // Before its last byte was written the host cannot have begun it.
+    over(mark, *way, connections_.unsent(connection) ? Verdict::connect_failed : Verdict::broken);
+}
+
+// Ends what is out on a way; the way is kept if the answer came whole and the connection is fit for more.
+void Hosts::over(Handle mark, Way& way, Verdict verdict, HttpReader* answer) {
+    const Handle submission = std::exchange(way.submission, 0);
+    const std::uint32_t host = way.host;
+    const Time took = deadlines_.now() - way.sent;
+    deadlines_.drop(way.deadline);
+    if (!answer) {
+        give_back(mark, way);
+        return outcomes_.execution_over(submission, host, verdict, took, nullptr);
+    }
+    const bool fit = answer->keep_alive() && connections_.in(way.connection).empty() &&
+                     connections_.unsent(way.connection) == 0 && hosts_[host].standing == Standing::ready;
+    // Told while the way is nobody's, so that its answer stays in place; idle or gone only after that.
+    outcomes_.execution_over(submission, host, verdict, took, verdict == Verdict::ok ? answer : nullptr);
+    answer->next();
+    if (fit && hosts_[host].standing == Standing::ready) rest(mark, way);
+    else give_back(mark, way);
+}
+
+void Hosts::rest(Handle mark, Way& way) {
+    hosts_[way.host].idle.push_back(mark);
+    // Well before the host's own time, so that nothing is written to a connection that it is closing.
+    way.deadline = deadlines_.after(told_.idle_close * 3 / 4, [this, mark] {
+        Way* const old = ways_.find(mark);
+        if (old && !old->submission) give_back(mark, *old);
+    });
+}
+
+void Hosts::take_from_idle(Handle mark) {
+    Way& way = *ways_.find(mark);
+    std::erase(hosts_[way.host].idle, mark);
+    deadlines_.drop(way.deadline);
+}
+
+void Hosts::give_back(Handle mark, Way& way) {
+    take_from_idle(mark);
+    connections_.close(way.connection);
+    ways_.remove(mark);
+}
+
+void Hosts::later_over(Handle submission, std::uint32_t host, Verdict verdict, Time took) {
+    asio::post(io_, [this, submission, host, verdict, took] {
+        deadlines_.turn();
+        outcomes_.execution_over(submission, host, verdict, took, nullptr);
+    });
+}
+
+}  // namespace dewweir::net
--- /dev/null
+++ b/src/net/hosts.h
@@ -0,0 +1,84 @@
+// The hosts' side: owns what is known of each host's address, its connections, and the executions that are
+// out on them. Each execution asked for ends with exactly one call of `execution_over`, never from within the
+// asking. It must never send anything twice, nor pick a host.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "configuration.h"
+#include "connections.h"
+#include "http.h"
+
+namespace dewweir::net {
+
+class Outcomes {
+  public:
+    virtual ~Outcomes() = default;
+    // `answer` comes with Verdict::ok only.
+    virtual void execution_over(Handle submission, std::uint32_t host, Verdict verdict, Time took,
+                                HttpReader* answer) = 0;
+};
+
+class Hosts : public User {
+  public:
+    Hosts(asio::io_context& io, Deadlines& deadlines, Connections& connections, Log& log,
+          const Configuration& told, Outcomes& outcomes);
+
+    // The host's number, kept for as long as the program runs.
+    std::uint32_t listed(const Entry& entry);
+    // A whole list names those that stay: the others are taken as gone.
+    void keep_only(const std::vector<Entry>& entries);
+
+    // Gives what `call_off` takes; 0 when nothing can be sent (its end is told all the same).
+    Handle execute(Handle submission, std::uint32_t host, std::string_view head, std::string_view body,
+                   Time give_up_after);
+    void call_off(Handle execution);
+
+    void opened(Handle, std::uint32_t mark, bool up) override;
+    void received(Handle, std::uint32_t mark) override;
+    void ended(Handle, std::uint32_t mark) override;
+
+  private:
+    struct Host {
+        std::string id;
+        tcp::endpoint address;
+        Standing standing = Standing::gone;
+        std::vector<Handle> idle;  // ways, the one used last at the end
+    };
+    struct Way {  // one connection to a host, and the execution that is out on it
+        std::uint32_t host;
+        HttpReader reader{HTTP_RESPONSE};
+        Handle connection = 0, submission = 0;
+        bool up = false;
+        Time sent = 0;
+        std::string waiting;  // what is to be written once it is up
+        Deadlines::Key deadline{};
+
+        explicit Way(std::uint32_t to) : host(to) {}
+    };
+
+    Handle open_way(std::uint32_t host);
+    void take_from_idle(Handle way);
+    void rest(Handle mark, Way& way);
+    void give_back(Handle mark, Way& way);
+    void drop_oldest_idle();
+    void release_idle(Host& host);
+    void not_ready(std::uint32_t host);
+    void over(Handle mark, Way& way, Verdict verdict, HttpReader* answer = nullptr);
+    void later_over(Handle submission, std::uint32_t host, Verdict verdict, Time took);
+
+    asio::io_context& io_;
+    Deadlines& deadlines_;
+    Connections& connections_;
+    Log& log_;
+    const Configuration& told_;
+    Outcomes& outcomes_;
+    std::vector<Host> hosts_;
+    std::unordered_map<std::string, std::uint32_t> numbers_;
+    Slots<Way> ways_;
+    std::size_t most_;
+};
+
+}  // namespace dewweir::net
--- /dev/null
+++ b/src/net/http.cpp
@@ -0,0 +1,114 @@
+#include "http.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <climits>
+
+namespace dewweir::net {
+namespace {
+
+// Fields between two neighbours, which end here; the length is written anew.
+constexpr std::string_view ours[] = {"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+                                     "TE",         "Trailer",    "Upgrade",          "Content-Length",
+                                     "Expect"};
+
+}  // namespace
+
+bool same_word(std::string_view a, std::string_view b) {
+    return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
+const http_parser_settings HttpReader::calls = [] {
+    http_parser_settings c;
+    http_parser_settings_init(&c);
+    c.on_message_begin = [](http_parser* p) {
+        of(p).begun_ = true;
+        return 0;
+    };
+    c.on_url = [](http_parser* p, const char* at, std::size_t n) { return of(p).grow(of(p).target_, at, n); };
+    c.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
+        HttpReader& r = of(p);
+        if (r.index_.empty() || r.in_value_) r.index_.push_back({r.fields_.size(), 0, 0, 0});
+        r.in_value_ = false;
+        r.index_.back().name_size += n;
+        return r.grow(r.fields_, at, n);
+    };
+    c.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
+        HttpReader& r = of(p);
+        if (r.index_.empty()) return 0;
+        if (!r.in_value_) r.index_.back().value = r.fields_.size();
+        r.in_value_ = true;
+        r.index_.back().value_size += n;
+        return r.grow(r.fields_, at, n);
+    };
+    c.on_headers_complete = [](http_parser* p) {
+        HttpReader& r = of(p);
+        r.head_read_ = true;
+        const bool sized = (p->flags & F_CONTENTLENGTH) && p->content_length != ULLONG_MAX;
+        return sized && p->content_length > r.body_limit_ ? r.stop(413) : 0;
+    };
+    c.on_body = [](http_parser* p, const char* at, std::size_t n) {
+        HttpReader& r = of(p);
+        if (r.body_.size() + n > r.body_limit_) return r.stop(413);
+        r.body_.append(at, n);
+        return 0;
+    };
+    c.on_message_complete = [](http_parser* p) {
+        of(p).whole_ = true;
+        of(p).keep_alive_ = http_should_keep_alive(p);
+        http_parser_pause(p, 1);
+        return 0;
+    };
+    return c;
+}();
+
+HttpReader::HttpReader(http_parser_type kind, std::size_t body_limit) : body_limit_(body_limit) {
+    http_parser_init(&parser_, kind);
+    parser_.data = this;
+}
+
+int HttpReader::grow(std::string& what, const char* at, std::size_t n) {
+    if (target_.size() + fields_.size() + n > most_head) return stop(431);
+    what.append(at, n);
+    return 0;
+}
+
+HttpReader::State HttpReader::read(Ring& ring) {
+    while (!whole_ && !fault_ && !ring.empty()) {
+        const std::string_view part = ring.filled()[0];
+        const std::size_t n = http_parser_execute(&parser_, &calls, part.data(), part.size());
+        ring.consume(std::min(n, part.size()));
+        const http_errno error = HTTP_PARSER_ERRNO(&parser_);
+        if (error == HPE_PAUSED) http_parser_pause(&parser_, 0);
+        else if (error != HPE_OK && !fault_) fault_ = error == HPE_HEADER_OVERFLOW ? 431 : 400;
+        if (parser_.upgrade && !fault_) fault_ = 400;
+    }
+    return fault_ ? State::bad : whole_ ? State::whole : State::more;
+}
+
+void HttpReader::next() {
+    begun_ = head_read_ = whole_ = in_value_ = false;
+    target_.clear();
+    fields_.clear();
+    index_.clear();
+    if (body_.capacity() > 8192) body_ = {};
+    body_.clear();
+}
+
+const std::string_view* HttpReader::field(std::string_view wanted) {
+    for (const Field& f : index_)
+        if (same_word(name(f), wanted)) return found_ = value(f), &found_;
+    return nullptr;
+}
+
+void HttpReader::pass_on(std::string& to, std::initializer_list<std::string_view> but) const {
+    for (const Field& f : index_) {
+        const auto is = [&](std::string_view other) { return same_word(name(f), other); };
+        if (std::any_of(std::begin(ours), std::end(ours), is) || std::any_of(but.begin(), but.end(), is))
+            continue;
+        to.append(name(f)).append(": ").append(value(f)).append("\r\n");
+    }
+}
+
+}  // namespace dewweir::net
--- /dev/null
+++ b/src/net/node.cpp
@@ -0,0 +1,135 @@
+#include "node.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <cstdio>
+
+namespace dewweir::net {
+
+Node::Node(asio::io_context& io, Log& log, const Configuration& told)
+    : io_(io),
+      log_(log),
+      deadlines_(io),
+      connections_(io, deadlines_),
+      hosts_(io, deadlines_, connections_, log, told, *this),
+      counter_(deadlines_, connections_, log, told, *this),
+      discovery_(deadlines_, connections_, log, told, *this),
+      choice_(*this, told.terms, told.seed, deadlines_.now()),
+      clients_(io, deadlines_, connections_, log, told, *this) {
+    if (!told.known.entries.empty()) list_told(told.known);
+    if (!told.ask) discovery_.follow();
+}
+
+// ---- what the module has done ----
+
+void Node::execute(std::uint32_t id, std::uint32_t host, Time give_up_after) {
+    Submission* const s = submissions_.find(id);
+    if (!s || !s->client || s->out) {
+        asio::post(io_, [this, id, host] {
+            deadlines_.turn();
+            choice_.execution_ended(deadlines_.now(), id, 0, host, Verdict::not_sent, 0, true, 0);
+        });
+        return;
+    }
+    ++s->executions;
+    s->out = true;
+    s->execution = hosts_.execute(id, host, s->head, s->body, give_up_after);
+}
+
+void Node::bounce(std::uint32_t id, Time come_back_in) {
+    char advice[48] = "";
+    if (come_back_in > 0)
+        std::snprintf(advice, sizeof advice, "Retry-After: %.4f\r\n",
+                      static_cast<double>(come_back_in) / 10000);
+    answer(id, 503, advice, "bounced: trying again is harmless\n");
+}
+
+void Node::write_off(std::uint32_t id) { answer(id, 502, {}, "written off\n"); }
+
+void Node::cancel(std::uint32_t id, int execution) {
+    Submission* const s = submissions_.find(id);
+    if (!s || !s->out || execution != s->executions - 1) return;
+    hosts_.call_off(s->execution);
+}
+
+void Node::count(std::uint64_t name, double amount, Time keep_for) { counter_.count(name, amount, keep_for); }
+
+void Node::arm(Time from_now, std::uint64_t token) {
+    deadlines_.after(from_now, [this, token] { choice_.timer(deadlines_.now(), token); });
+}
+
+void Node::follow_list() {
+    // Asked for by the Choice, maybe while it is being told that the last try failed.
+    asio::post(io_, [this] {
+        deadlines_.turn();
+        discovery_.follow();
+    });
+}
+
+void Node::log(const std::string& line) { log_.line(Level::info, line); }
+
+void Node::answer(Handle id, int status, std::string_view fields, std::string_view body) {
+    Submission* const s = submissions_.find(id);
+    if (!s || !s->client) return;
+    clients_.answer(std::exchange(s->client, 0), status, fields, body);
+    forget_if_over(id);
+}
+
+// The Choice may name a submission for as long as an execution is out; a later mention finds nothing.
+void Node::forget_if_over(Handle id) {
+    const Submission* const s = submissions_.find(id);
+    if (s && !s->client && !s->out) submissions_.remove(id);
+}
+
+// ---- what has happened ----
+
+Handle Node::submitted(Handle client, Asked&& asked) {
+    const Handle id = submissions_.add(client, std::move(asked.head), std::move(asked.body));
+    if (!id) return 0;
+    choice_.submitted(deadlines_.now(), id, asked.track, asked.plan, asked.customer, asked.units,
+                      asked.gateways, asked.patience);
+    return id;
+}
+
+void Node::client_gone(Handle id) {
+    Submission* const s = submissions_.find(id);
+    if (!s || !s->client) return;
+    s->client = 0;
+    choice_.client_gone(deadlines_.now(), id);
+    forget_if_over(id);
+}
+
+void Node::execution_over(Handle id, std::uint32_t host, Verdict verdict, Time took, HttpReader* answered) {
+    Submission* const s = submissions_.find(id);
+    if (!s) return;
+    s->out = false;
+    s->execution = 0;
+    const int execution = s->executions - 1;
+    if (verdict == Verdict::ok && s->client) {
+        std::string fields;
+        answered->pass_on(fields, {"X-Load"});
+        clients_.answer(std::exchange(s->client, 0), 200, fields, answered->body());
+    }
+    const bool settled = s->client == 0;
+    choice_.execution_ended(deadlines_.now(), id, execution, host, verdict, took, settled, 0);
+    forget_if_over(id);
+}
+
+void Node::counted(std::uint64_t name, Verdict verdict, double total, Time took) {
+    choice_.counted(deadlines_.now(), name, verdict, total, took);
+}
+
+void Node::list_told(const Listing& listing) {
+    const Time now = deadlines_.now();
+    choice_.list_begins(now, listing.whole);
+    for (const Entry& entry : listing.entries) {
+        const std::uint32_t host = hosts_.listed(entry);
+        choice_.host_listed(now, host, entry.standing, entry.up_since, entry.zone, entry.cell);
+    }
+    if (listing.whole) hosts_.keep_only(listing.entries);
+    choice_.list_ends(now);
+}
+
+void Node::list_failed() { choice_.list_failed(deadlines_.now()); }
+
+}  // namespace dewweir::net
--- /dev/null
+++ b/src/net/node.h
@@ -0,0 +1,65 @@
+// One gateway: owns the submissions and the Choice that decides on them, and ties clients, hosts, counter and
+// discovery to it. It carries out and reports; it must never decide, nor call the Choice from within a call
+// of the Choice's.
+#pragma once
+
+#include <string>
+
+#include "clients.h"
+#include "configuration.h"
+#include "connections.h"
+#include "counter.h"
+#include "dewweir/choice.h"
+#include "discovery.h"
+#include "hosts.h"
+
+namespace dewweir::net {
+
+class Node : Gateway, Intake, Outcomes, Counts, ListNews {
+  public:
+    // Throws when the address cannot be listened on, or a term is missing.
+    Node(asio::io_context& io, Log& log, const Configuration& told);
+    void stop(std::function<void()> done) { clients_.stop(std::move(done)); }
+
+  private:
+    struct Submission {
+        Handle client;  // 0 once it is answered, or its client has left
+        std::string head, body;
+        int executions = 0;
+        bool out = false;
+        Handle execution = 0;  // what calls it off, while it is out
+    };
+
+    void execute(std::uint32_t submission, std::uint32_t host, Time give_up_after) override;
+    void bounce(std::uint32_t submission, Time come_back_in) override;
+    void write_off(std::uint32_t submission) override;
+    void cancel(std::uint32_t submission, int execution) override;
+    void count(std::uint64_t name, double amount, Time keep_for) override;
+    void arm(Time from_now, std::uint64_t token) override;
+    void follow_list() override;
+    void log(const std::string& line) override;
+
+    Handle submitted(Handle client, Asked&& asked) override;
+    void client_gone(Handle submission) override;
+    void execution_over(Handle submission, std::uint32_t host, Verdict verdict, Time took,
+                        HttpReader* answer) override;
+    void counted(std::uint64_t name, Verdict verdict, double total, Time took) override;
+    void list_told(const Listing& listing) override;
+    void list_failed() override;
+
+    void answer(Handle submission, int status, std::string_view fields, std::string_view body);
+    void forget_if_over(Handle submission);
+
+    asio::io_context& io_;
+    Log& log_;
+    Deadlines deadlines_;
+    Connections connections_;
+    Slots<Submission> submissions_;
+    Hosts hosts_;
+    Counter counter_;
+    Discovery discovery_;
+    Choice choice_;
+    Clients clients_;
+};
+
+}  // namespace dewweir::net
--- /dev/null
+++ b/src/terms.h
@@ -0,0 +1,18 @@
+// Turns the names of the settings object, as operators and simulator write them, into our words. Both
+// programs read their terms through it. It must never judge a value: the module reads what it needs, where it
+// needs it.
+#pragma once
+
+#include <string>
+
+#include "dewweir/choice.h"
+
+namespace dewweir {
+
+// Puts one setting, named by its path ("profiles.0.goalTime"), under our name for it
+// ("tracks.0.latency_goal").
+void put_term(Terms& terms, const std::string& path, const std::string& value);
+// The same for lines of path=value.
+Terms terms_of_lines(const std::string& lines);
+
+}  // namespace dewweir
