Alarms that lost their use are taken back, and the loop's own wait replaces the timer descriptor

Two thirds of the wake-ups were timers: the limit and the counter's alarm of submissions long answered, each setting the timer descriptor twice; and an answer of 1 to 2 KB needed two reads of a 1 KiB ring, with a poll between. To make room in the module, the end by time and by a leaving client are one method.

--- a/include/dewweir/choice.h
+++ b/include/dewweir/choice.h
@@ -24,6 +24,7 @@
     virtual void cancel(std::uint32_t submission, int execution) = 0;
     virtual void count(std::uint64_t name, double amount, Time keep_for) = 0;
     virtual void arm(Time from_now, std::uint64_t token) = 0;
+    virtual void disarm(std::uint64_t token) = 0;  // may do nothing: a late alarm is heard without effect
     virtual void follow_list() = 0;
     virtual void log(const std::string& line) = 0;
 };
--- a/simhost/main.cpp
+++ b/simhost/main.cpp
@@ -98,6 +98,7 @@
     void arm(Time from_now, std::uint64_t token) override {
         reply_.action(260, 18).put(i_).put(ms(from_now)).put(token);
     }
+    void disarm(std::uint64_t) override {}  // the wire has no such action
     void follow_list() override { reply_.action(266, 3).put(i_).put<std::uint8_t>(1); }
     void log(const std::string& line) override {
         const std::string text = line.substr(0, 60000);
@@ -154,8 +155,8 @@
         fresh.choice.reset();
         fresh.wire = std::make_unique<Wire>(reply, i);
         try {
-            fresh.choice =
-                std::make_unique<Choice>(*fresh.wire, terms_of_lines(r.text(16)), r.get<std::uint64_t>(8), now);
+            fresh.choice = std::make_unique<Choice>(*fresh.wire, terms_of_lines(r.text(16)),
+                                                    r.get<std::uint64_t>(8), now);
         } catch (const std::invalid_argument& missing) { fresh.wire->die(missing.what()); }
         return;
     }
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -170,6 +170,8 @@
     State& at(Time moment) { return now = moment, *this; }
     double since(Time moment) const { return static_cast<double>(now - moment); }
     void arm(Time from_now, Alarm alarm, std::uint64_t id = 0) { gateway.arm(from_now, id << 3 | alarm); }
+    // Where alarms can be taken back, one that has lost its use wakes nobody; it does nothing elsewhere.
+    void disarm(Alarm alarm, std::uint64_t id) { gateway.disarm(id << 3 | alarm); }
     // The submission with this id, unless it has had its final answer.
     Submission* open_one(std::uint32_t id) {
         const auto found = submissions.find(id);
@@ -251,6 +253,7 @@
 
     // The design's check: what was counted in this window and the part of the one before that still overlaps.
     void decide_by_count(std::uint32_t id, Submission& s) {
+        disarm(count_late, id);
         Customer& c = customers[s.customer];
         const Plan& p = plans[c.plan];
         bring_up(c);
@@ -268,6 +271,7 @@
     }
 
     void decide_by_share(std::uint32_t id, Submission& s) {
+        disarm(count_late, id);
         Customer& c = customers[s.customer];
         bring_up(c);
         // A share smaller than the submission lets it in by chance, so that all shares together let in the
@@ -366,9 +370,8 @@
 
     void previous_told(Customer& c, const Call& made, Verdict verdict) {
         c.previous_known |= verdict == Verdict::ok && made.window + 1 == c.window;
-        for (const std::uint32_t id : std::exchange(c.readers, {})) {
+        for (const std::uint32_t id : std::exchange(c.readers, {}))
             if (Submission* const s = open_one(id); s && s->stage == Stage::counting) decide_by_count(id, *s);
-        }
     }
 
     // ---- the line and the hosts ----
@@ -473,6 +476,7 @@
     // ---- ends ----
 
     void close(std::uint32_t id, Submission& s) {
+        disarm(limit, id);
         if (s.stage == Stage::waiting) {
             --customers[s.customer].open;
             std::erase(line, id);
@@ -571,6 +575,7 @@
         if (verdict == Verdict::ok && billed > 0 && s.on_counter && billed != s.units)
             call(Asked::back, 0, s.customer, s.window, billed - s.units);
         if (s.stage != Stage::out || settled) {
+            disarm(limit, id);
             --customers[s.customer].open;
             submissions.erase(found);
             return place();
@@ -625,19 +630,13 @@
         arm(beat_every, beat);
     }
 
-    void on_limit(std::uint32_t id) {
-        Submission* const s = open_one(id);
-        if (!s || s->stream) return;
-        call_off(id, *s);
-        if (s->executions == 0) return turn_down(id, *s, 0);
-        gateway.write_off(id);
-        close(id, *s);
-    }
-
-    void client_gone(std::uint32_t id) {
+    // Its time is up, or its client has gone, who is owed no answer.
+    void end_early(std::uint32_t id, bool gone) {
         Submission* const s = open_one(id);
-        if (!s) return;
+        if (!s || (s->stream && !gone)) return;
         call_off(id, *s);
+        if (!gone && s->executions == 0) return turn_down(id, *s, 0);
+        if (!gone) gateway.write_off(id);
         if (s->executions == 0) give_back(*s);
         close(id, *s);
     }
@@ -728,7 +727,7 @@
     if (Submission* const s = state_->at(now).open_one(id)) s->stream = true;
 }
 
-void Choice::client_gone(Time now, std::uint32_t id) { state_->at(now).client_gone(id); }
+void Choice::client_gone(Time now, std::uint32_t id) { state_->at(now).end_early(id, true); }
 
 void Choice::counted(Time now, std::uint64_t name, Verdict verdict, double total, Time took) {
     state_->at(now).counted(name, verdict, total, took);
@@ -739,7 +738,7 @@
     const auto id = static_cast<std::uint32_t>(token >> 3);
     switch (token & 7) {
         case beat: return s.on_beat();
-        case limit: return s.on_limit(id);
+        case limit: return s.end_early(id, false);
         case follow: return s.gateway.follow_list();
         case place_free: return s.free_place(s.hosts[id]), s.place();
         case count_late: return s.on_count_late(id);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -35,7 +35,7 @@
             if (!fault) node->stop([&] { io.stop(); });
         });
         log.line(Level::info, "gateway " + told.name + " ready");
-        io.run();
+        node->run();
         log.line(Level::info, "gateway " + told.name + " ended");
     } catch (const std::exception& fault) {
         std::cerr << "dewweir: " << fault.what() << '\n';
--- a/src/net/configuration.cpp
+++ b/src/net/configuration.cpp
@@ -69,8 +69,10 @@
         for (std::size_t n = 0; n < at.size(); ++n) flatten(terms, at[n], below(std::to_string(n)));
     } else if (at.is_array()) {
         std::string joined;
-        for (const json& one : at)
-            joined += (joined.empty() ? "" : ",") + (one.is_string() ? one.get<std::string>() : one.dump());
+        for (const json& one : at) {
+            if (!joined.empty()) joined += ',';
+            joined += one.is_string() ? one.get<std::string>() : one.dump();
+        }
         put_term(terms, path, joined);
     } else if (!at.is_null()) {
         put_term(terms, path, at.is_string() ? at.get<std::string>() : at.dump());
--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -7,7 +7,7 @@
 namespace dewweir::net {
 namespace {
 
-constexpr std::size_t least_read = 1024, most_held = 16384;  // of what has come and waits in the ring
+constexpr std::size_t least_read = 4096, most_held = 16384;  // of what has come and waits in the ring
 constexpr Time linger = 20000;                               // two seconds for a peer to close
 
 }  // namespace
--- a/src/net/deadlines.cpp
+++ b/src/net/deadlines.cpp
@@ -6,12 +6,11 @@
 
 using Tenths = std::chrono::duration<Time, std::ratio<1, 10000>>;
 
-Deadlines::Deadlines(asio::io_context& io)
+Deadlines::Deadlines()
     : start_(std::chrono::steady_clock::now()),
       start_time_(
           std::chrono::duration_cast<Tenths>(std::chrono::system_clock::now().time_since_epoch()).count()),
-      now_(start_time_),
-      timer_(io) {}
+      now_(start_time_) {}
 
 Time Deadlines::read() const {
     return start_time_ +
@@ -21,7 +20,6 @@
 Deadlines::Key Deadlines::after(Time from_now, std::function<void()> what) {
     const Key key{now_ + std::max<Time>(0, from_now), ++last_};
     deadlines_.emplace(key, std::move(what));
-    arm();
     return key;
 }
 
@@ -30,20 +28,13 @@
     key = {};
 }
 
-void Deadlines::arm() {
-    if (deadlines_.empty()) return;
-    const Time next = deadlines_.begin()->first.first;
-    if (armed_for_ && armed_for_ <= next) return;
-    armed_for_ = next;
-    timer_.expires_at(start_ + Tenths(next - start_time_));
-    timer_.async_wait([this](const std::error_code& fault) {
-        if (!fault) passed();
-    });
+std::chrono::steady_clock::time_point Deadlines::next() const {
+    const Time at = deadlines_.empty() ? now_ + 36000000 : deadlines_.begin()->first.first;
+    return start_ + Tenths(at - start_time_);
 }
 
-void Deadlines::passed() {
+void Deadlines::run_passed() {
     turn();
-    armed_for_ = 0;
     // What is set in here for at once waits for the next turn, so that no deadline can hold the loop.
     const std::uint64_t set_before = last_;
     for (auto at = deadlines_.begin(); at != deadlines_.end() && at->first.first <= now_;) {
@@ -56,7 +47,6 @@
         what();
         at = deadlines_.begin();
     }
-    arm();
 }
 
 }  // namespace dewweir::net
--- a/src/net/deadlines.h
+++ b/src/net/deadlines.h
@@ -2,8 +2,6 @@
 // let time go back, nor call what a dropped deadline held.
 #pragma once
 
-#include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -18,7 +16,7 @@
   public:
     using Key = std::pair<Time, std::uint64_t>;  // {0, 0} is none
 
-    explicit Deadlines(asio::io_context& io);
+    Deadlines();
 
     // Tenths of a millisecond since 1970, read once a turn: the wall clock at the start, the steady one
     // since.
@@ -29,15 +27,16 @@
     // Takes a deadline out, whether or not it has passed, and forgets its key.
     void drop(Key& key);
 
+    // Calls what has come due.
+    void run_passed();
+    // When the next one is due; an hour off where there is none.
+    std::chrono::steady_clock::time_point next() const;
+
   private:
     Time read() const;
-    void arm();
-    void passed();
 
     std::chrono::steady_clock::time_point start_;
     Time start_time_, now_;
-    asio::steady_timer timer_;
-    Time armed_for_ = 0;  // 0: not armed
     std::uint64_t last_ = 0;
     std::map<Key, std::function<void()>> deadlines_;
 };
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -9,7 +9,6 @@
 Node::Node(asio::io_context& io, Log& log, const Configuration& told)
     : io_(io),
       log_(log),
-      deadlines_(io),
       connections_(io, deadlines_),
       hosts_(io, deadlines_, connections_, log, told, *this),
       counter_(deadlines_, connections_, log, told, *this),
@@ -20,6 +19,16 @@
     if (!told.ask) discovery_.follow();
 }
 
+void Node::run() {
+    while (!io_.stopped()) {
+        deadlines_.run_passed();
+        // Due at once or not: sockets have their turn between any two rounds of deadlines.
+        const auto next = deadlines_.next();
+        if (next > std::chrono::steady_clock::now()) io_.run_one_until(next);
+        else io_.poll_one();
+    }
+}
+
 // ---- what the module has done ----
 
 void Node::execute(std::uint32_t id, std::uint32_t host, Time give_up_after) {
@@ -55,7 +64,19 @@
 void Node::count(std::uint64_t name, double amount, Time keep_for) { counter_.count(name, amount, keep_for); }
 
 void Node::arm(Time from_now, std::uint64_t token) {
-    deadlines_.after(from_now, [this, token] { choice_.timer(deadlines_.now(), token); });
+    const Deadlines::Key key = deadlines_.after(from_now, [this, token] {
+        alarms_.erase(token);
+        choice_.timer(deadlines_.now(), token);
+    });
+    // One that is set twice stays set twice; the later one can be taken back.
+    alarms_[token] = key;
+}
+
+void Node::disarm(std::uint64_t token) {
+    const auto found = alarms_.find(token);
+    if (found == alarms_.end()) return;
+    deadlines_.drop(found->second);
+    alarms_.erase(found);
 }
 
 void Node::follow_list() {
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <string>
+#include <unordered_map>
 
 #include "clients.h"
 #include "configuration.h"
@@ -19,6 +20,7 @@
   public:
     // Throws when the address cannot be listened on, or a term is missing.
     Node(asio::io_context& io, Log& log, const Configuration& told);
+    void run();  // until the loop is stopped
     void stop(std::function<void()> done) { clients_.stop(std::move(done)); }
 
   private:
@@ -36,6 +38,7 @@
     void cancel(std::uint32_t submission, int execution) override;
     void count(std::uint64_t name, double amount, Time keep_for) override;
     void arm(Time from_now, std::uint64_t token) override;
+    void disarm(std::uint64_t token) override;
     void follow_list() override;
     void log(const std::string& line) override;
 
@@ -55,6 +58,7 @@
     Deadlines deadlines_;
     Connections connections_;
     Slots<Submission> submissions_;
+    std::unordered_map<std::uint64_t, Deadlines::Key> alarms_;  // by token, while they stand
     Hosts hosts_;
     Counter counter_;
     Discovery discovery_;
--- a/tests/run.cpp
+++ b/tests/run.cpp
@@ -48,6 +48,9 @@
         seen.push_back(text.str());
     }
     void arm(Time from_now, std::uint64_t token) override { timers.emplace(now + from_now, token); }
+    void disarm(std::uint64_t token) override {
+        std::erase_if(timers, [&](const auto& timer) { return timer.second == token; });
+    }
     void follow_list() override { seen.push_back("follow"); }
     void log(const std::string&) override {}
 };
@@ -211,6 +214,12 @@
             return;
         }
         if (word == "forget") return stage.seen.clear();
+        if (word == "alarms") {  // how many stand
+            std::size_t n;
+            line >> n;
+            CHECK(stage.timers.size() == n);
+            return;
+        }
         if (word == "follow_failed") return choice->list_failed(stage.now);
         std::uint32_t id;
         line >> id;
