--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -61,8 +61,7 @@
 
 Clients::Clients(asio::io_context& io, Deadlines& deadlines, Connections& connections, Log& log,
                  const Configuration& told, Intake& intake)
-    : io_(io),
-      deadlines_(deadlines),
+    : deadlines_(deadlines),
       connections_(connections),
       log_(log),
       told_(told),
@@ -79,6 +78,13 @@
 }
 
 void Clients::accept() {
+    // At the end of our part of the descriptors idle ones go; while none is idle, more wait with the system,
+    // and whoever gets an answer is let go.
+    crowded_ = clients_.size() + connections_.finishing() >= most_;
+    if (crowded_) {
+        make_room();
+        return accept_later();
+    }
     acceptor_.async_accept([this](const std::error_code& fault, tcp::socket socket) {
         if (fault == asio::error::operation_aborted || !acceptor_.is_open()) return;
         deadlines_.turn();
@@ -86,23 +92,23 @@
             welcome(std::move(socket));
             return accept();
         }
-        // Out of descriptors, or the client has left: idle ones go, and a moment later it is tried again.
         log_.line(Level::warning, "clients: cannot accept: " + fault.message());
         make_room();
-        deadlines_.after(200, [this] {
-            if (acceptor_.is_open()) accept();
-        });
+        accept_later();
+    });
+}
+
+void Clients::accept_later() {
+    deadlines_.after(50, [this] {
+        if (acceptor_.is_open()) accept();
     });
 }
 
 void Clients::welcome(tcp::socket socket) {
-    if (clients_.size() >= most_) make_room();
     const Handle mark = clients_.add();
     if (!mark) return;
     Client& client = *clients_.find(mark);
     client.idle_since = deadlines_.now();
-    // Over our part of the descriptors and none idle: it is served, and let go after that.
-    client.last = clients_.size() > most_;
     client.connection = connections_.adopt(std::move(socket), *this, mark);
     if (!client.connection) clients_.remove(mark);
 }
@@ -124,7 +130,6 @@
     deadlines_.drop(client.slow);
     connections_.finish(client.connection);
     clients_.remove(mark);
-    end_if_done();
 }
 
 void Clients::received(Handle connection, std::uint32_t mark) {
@@ -236,13 +241,23 @@
 void Clients::answer(Handle mark, int status, std::string_view fields, std::string_view body) {
     Client* const client = clients_.find(mark);
     if (!client) return;
-    client->last |= stopping_;
+    client->last |= stopping_ || crowded_;
     write(*client, status, fields, body);
     client->busy = false;
     client->submission = 0;
     client->idle_since = deadlines_.now();
     if (client->last) return let_go(mark, *client);
-    if (!connections_.in(client->connection).empty()) connections_.again(client->connection);
+    if (connections_.unsent(client->connection))
+        client->slow = deadlines_.after(slow_message, [this, mark] {
+            Client* const late = clients_.find(mark);
+            if (late) let_go(mark, *late);
+        });
+    else if (!connections_.in(client->connection).empty()) connections_.again(client->connection);
+}
+
+void Clients::drained(Handle handle, std::uint32_t mark) {
+    if (Client* const client = clients_.find(mark)) deadlines_.drop(client->slow);
+    received(handle, mark);
 }
 
 void Clients::ended(Handle, std::uint32_t mark) {
@@ -252,7 +267,6 @@
     deadlines_.drop(client->slow);
     clients_.remove(mark);
     if (submission) intake_.client_gone(submission);
-    end_if_done();
 }
 
 void Clients::stop(std::function<void()> done) {
@@ -268,7 +282,6 @@
         }
         std::error_code ignored;
         acceptor_.close(ignored);
-        accepting_ = false;
         close_idle();
     });
 }
@@ -282,12 +295,8 @@
             idle.push_back(mark);
     });
     for (const Handle mark : idle) let_go(mark, *clients_.find(mark));
-    end_if_done();
-    if (clients_.size()) deadlines_.after(500, [this] { close_idle(); });
-}
-
-void Clients::end_if_done() {
-    if (stopping_ && !accepting_ && clients_.size() == 0 && done_) std::exchange(done_, nullptr)();
+    if (clients_.size() || connections_.finishing()) deadlines_.after(200, [this] { close_idle(); });
+    else done_();
 }
 
 }  // namespace dewweir::net
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -40,7 +40,7 @@
 
     void received(Handle, std::uint32_t mark) override;
     void ended(Handle, std::uint32_t mark) override;
-    void drained(Handle handle, std::uint32_t mark) override { received(handle, mark); }
+    void drained(Handle handle, std::uint32_t mark) override;
 
   private:
     struct Client {
@@ -48,10 +48,11 @@
         Handle connection = 0, submission = 0;
         bool busy = false, last = false;  // `last`: its answer ends the connection
         Time idle_since = 0;
-        Deadlines::Key slow{};
+        Deadlines::Key slow{};  // to send its message whole, or to read its answer
     };
 
     void accept();
+    void accept_later();
     void welcome(tcp::socket socket);
     void make_room();
     void whole_message(Handle mark, Client& client);
@@ -60,9 +61,7 @@
     void write(Client& client, int status, std::string_view fields, std::string_view body);
     void let_go(Handle mark, Client& client);
     void close_idle();
-    void end_if_done();
 
-    asio::io_context& io_;
     Deadlines& deadlines_;
     Connections& connections_;
     Log& log_;
@@ -71,7 +70,7 @@
     tcp::acceptor acceptor_;
     Slots<Client> clients_;
     std::size_t most_;
-    bool stopping_ = false, accepting_ = true;
+    bool stopping_ = false, crowded_ = false;
     std::function<void()> done_;
 };
 
--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -155,6 +155,7 @@
     Connection* const c = connections_.find(handle);
     if (!c) return;
     deadlines_.drop(c->deadline);
+    finishing_ -= c->finishing;
     std::error_code ignored;
     c->socket.close(ignored);
     connections_.remove(handle);
@@ -163,6 +164,7 @@
 void Connections::finish(Handle handle) {
     Connection& c = *connections_.find(handle);
     c.finishing = true;
+    ++finishing_;
     c.in.consume(c.in.size());
     deadlines_.drop(c.deadline);
     c.deadline = deadlines_.after(linger, [this, handle] { close(handle); });
--- a/src/net/connections.h
+++ b/src/net/connections.h
@@ -51,7 +51,7 @@
     // Sends what is left, then ends its sending and waits a little for the peer to close: closing over unread
     // bytes would take the last answer away from it. The user hears no more of it.
     void finish(Handle handle);
-    std::size_t size() const { return connections_.size(); }
+    std::size_t finishing() const { return finishing_; }
 
   private:
     struct Connection {
@@ -74,6 +74,7 @@
     asio::io_context& io_;
     Deadlines& deadlines_;
     Slots<Connection> connections_;
+    std::size_t finishing_ = 0;
 };
 
 }  // namespace dewweir::net
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -31,9 +31,7 @@
     if (!up) return lost("no connection");
     up_ = true;
     last_word_ = deadlines_.now();
-    for (Call& call : calls_)
-        if (!call.told) connections_.send(connection_, {std::exchange(call.line, {})});
-    std::erase_if(calls_, [this](const Call& call) { return call.told && ++first_; });
+    for (Call& call : calls_) connections_.send(connection_, {std::exchange(call.line, {})});
 }
 
 // What was written may have been added; what was not never will be.
@@ -54,9 +52,8 @@
     // A line that has not left whole was never a call.
     std::size_t unsent = connections_.unsent(connection);
     for (auto call = calls_.rbegin(); call != calls_.rend() && unsent; ++call) {
-        call->line = "unsent";
-        unsent -= std::min<std::size_t>(unsent, most_line);
-        if (unsent == 0) break;
+        call->line = "not sent";
+        unsent -= std::min(unsent, call->size);
     }
     lost("connection ended");
 }
@@ -74,7 +71,8 @@
 
 void Counter::put(std::string line, std::uint64_t name, bool ping) {
     const std::uint64_t number = first_ + calls_.size();
-    calls_.push_back({name, std::move(line), deadlines_.now(), ping, false, {}});
+    const std::size_t size = line.size();
+    calls_.push_back({name, std::move(line), size, deadlines_.now(), ping, false, {}});
     Call& call = calls_.back();
     // While the connection is lost, the end comes in the next turn.
     const Time limit = connection_ ? told_.count_limit : 0;
@@ -84,11 +82,14 @@
 
 void Counter::late(std::uint64_t number) {
     if (number < first_ || number - first_ >= calls_.size()) return;
-    Call& call = calls_[number - first_];
-    const bool written = call.line.empty();
-    tell(call, written ? Verdict::timeout : Verdict::connect_failed);
     // What was written waits for its answer, so that the order holds.
-    if (!written && number - first_ + 1 == calls_.size()) calls_.pop_back();
+    if (calls_[number - first_].line.empty()) return tell(calls_[number - first_], Verdict::timeout);
+    // What was not is the first in line: nothing is written while there is no connection, and all have one
+    // limit.
+    Call call = std::move(calls_.front());
+    calls_.pop_front();
+    ++first_;
+    tell(call, Verdict::connect_failed);
 }
 
 // Keeps an idle connection from being closed, and gives up one that has gone silent.
--- a/src/net/counter.h
+++ b/src/net/counter.h
@@ -32,6 +32,7 @@
     struct Call {
         std::uint64_t name;
         std::string line;  // empty once it is written
+        std::size_t size;  // of the line
         Time made;
         bool ping, told;
         Deadlines::Key deadline;
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -15,7 +15,7 @@
       told_(told),
       outcomes_(outcomes),
       // What the clients' part of the descriptors leaves, less counter, discovery and the program's own.
-      most_(told.sockets * 4 / 10 - 16 + (told.sockets < 48 ? 8 : 0)) {}
+      most_(std::max<std::size_t>(told.sockets * 4 / 10, 20) - 16) {}
 
 std::uint32_t Hosts::listed(const Entry& entry) {
     const auto [at, fresh] = numbers_.try_emplace(entry.id, static_cast<std::uint32_t>(hosts_.size()));
@@ -26,8 +26,11 @@
     Host& host = hosts_[at->second];
     const bool was_ready = host.standing == Standing::ready;
     host.standing = entry.standing;
-    if (entry.standing != Standing::gone && host.address != entry.address) {
+    // At another address, or started again: what stands idle leads nowhere.
+    if (entry.standing != Standing::gone &&
+        (host.address != entry.address || host.up_since != entry.up_since)) {
         host.address = entry.address;
+        host.up_since = entry.up_since;
         release_idle(host);
     }
     if (host.standing != Standing::ready && was_ready) not_ready(at->second);
@@ -94,9 +97,10 @@
         else mark = open_way(host);
     }
     if (!mark) {
-        const bool listed = host < hosts_.size() && hosts_[host].standing == Standing::ready;
-        if (listed) log_.line(Level::warning, "hosts: no connection left for an execution");
-        later_over(submission, host, listed ? Verdict::connect_failed : Verdict::not_sent, 0);
+        // Drained a moment ago, or all our connections are out: no fault of the host's.
+        log_.line(Level::warning, "hosts: no connection for an execution on " +
+                                      (host < hosts_.size() ? hosts_[host].id : std::to_string(host)));
+        later_over(submission, host, Verdict::not_sent, 0);
         return 0;
     }
     Way& way = *ways_.find(mark);
--- a/src/net/hosts.h
+++ b/src/net/hosts.h
@@ -45,6 +45,7 @@
         std::string id;
         tcp::endpoint address;
         Standing standing = Standing::gone;
+        Time up_since = 0;
         std::vector<Handle> idle;  // ways, the one used last at the end
     };
     struct Way {  // one connection to a host, and the execution that is out on it
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -45,6 +45,7 @@
     c.on_headers_complete = [](http_parser* p) {
         HttpReader& r = of(p);
         r.head_read_ = true;
+        p->upgrade = 0;  // offers of other protocols are not taken up
         const bool sized = (p->flags & F_CONTENTLENGTH) && p->content_length != ULLONG_MAX;
         return sized && p->content_length > r.body_limit_ ? r.stop(413) : 0;
     };
@@ -82,7 +83,6 @@
         const http_errno error = HTTP_PARSER_ERRNO(&parser_);
         if (error == HPE_PAUSED) http_parser_pause(&parser_, 0);
         else if (error != HPE_OK && !fault_) fault_ = error == HPE_HEADER_OVERFLOW ? 431 : 400;
-        if (parser_.upgrade && !fault_) fault_ = 400;
     }
     return fault_ ? State::bad : whole_ ? State::whole : State::more;
 }
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -8,6 +8,7 @@
     if (!shows(level)) return;
     static const char* const names[] = {"error ", "warning ", "info ", "debug "};
     std::string full = names[static_cast<int>(level)] + text;
+    if (full.size() > 1000) full.resize(1000);
     for (char& c : full)
         if (static_cast<unsigned char>(c) < ' ') c = ' ';  // a peer's bytes must not make lines of their own
     if (full == last_) {
