Socket tests, and the three faults they found: ring under a read, way in use, crowded clients

Found by them: - A client's early next request was garbled: Ring::consume put an emptied ring back to its front while a read was under way into the space behind (Connections::again). Now only trim, before a read begins, moves it. Seen as a 408 after 10 s. - A further execution at the same host opened a new connection: Hosts::over told the end before the connection was at rest. - At the end of the descriptors every idle client was let go with a 2 s farewell, so none was free: idle ones close at once. A listening address that is taken is named by its key, listen.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -71,8 +71,10 @@
       most_(told.sockets * 6 / 10) {
     acceptor_.open(tcp::v4());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    acceptor_.bind(told.listen);
-    acceptor_.listen(asio::socket_base::max_listen_connections);
+    std::error_code fault;
+    acceptor_.bind(told.listen, fault);
+    if (!fault) acceptor_.listen(asio::socket_base::max_listen_connections, fault);
+    if (fault) throw std::runtime_error("listen: " + fault.message());
     acceptor_.non_blocking(true);
     accept();
 }
@@ -123,7 +125,15 @@
         oldest = mark;
         since = client.idle_since;
     });
-    if (oldest) let_go(oldest, *clients_.find(oldest));
+    if (oldest) close_idle(oldest);
+}
+
+// Nothing has come and nothing is to go: there is no answer to wait for.
+void Clients::close_idle(Handle mark) {
+    Client& client = *clients_.find(mark);
+    deadlines_.drop(client.slow);
+    connections_.close(client.connection);
+    clients_.remove(mark);
 }
 
 void Clients::let_go(Handle mark, Client& client) {
@@ -282,20 +292,20 @@
         }
         std::error_code ignored;
         acceptor_.close(ignored);
-        close_idle();
+        close_all_idle();
     });
 }
 
 // Clients may still use a connection that they have; those that do are let go with their answer.
-void Clients::close_idle() {
+void Clients::close_all_idle() {
     std::vector<Handle> idle;
     clients_.each([&](Handle mark, Client& client) {
         if (!client.busy && !client.reader.begun() && !connections_.unsent(client.connection) &&
             !connections_.has_unread(client.connection))
             idle.push_back(mark);
     });
-    for (const Handle mark : idle) let_go(mark, *clients_.find(mark));
-    if (clients_.size() || connections_.finishing()) deadlines_.after(200, [this] { close_idle(); });
+    for (const Handle mark : idle) close_idle(mark);
+    if (clients_.size() || connections_.finishing()) deadlines_.after(200, [this] { close_all_idle(); });
     else done_();
 }
 
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -60,7 +60,8 @@
     void plain(Client& client, int status, std::string_view why);
     void write(Client& client, int status, std::string_view fields, std::string_view body);
     void let_go(Handle mark, Client& client);
-    void close_idle();
+    void close_idle(Handle mark);
+    void close_all_idle();
 
     Deadlines& deadlines_;
     Connections& connections_;
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -158,7 +158,13 @@
     if (state == HttpReader::State::bad) return over(mark, *way, Verdict::broken);
     const std::string_view* const not_run = reader.field("X-Not-Run");
     const bool full = (reader.status() == 503 || reader.status() == 504) && not_run && *not_run == "1";
-    over(mark, *way, reader.status() == 200 ? Verdict::ok : full ? Verdict::full : Verdict::error, &reader);
+    const Verdict verdict = reader.status() == 200 ? Verdict::ok : full ? Verdict::full : Verdict::error;
+    Answer answer;
+    if (verdict == Verdict::ok) {
+        reader.pass_on(answer.fields, {"X-Load"});
+        answer.body = std::move(reader.body());
+    }
+    over(mark, *way, verdict, answer);
 }
 
 void Hosts::ended(Handle connection, std::uint32_t mark) {
@@ -169,23 +175,20 @@
     over(mark, *way, connections_.unsent(connection) ? Verdict::connect_failed : Verdict::broken);
 }
 
-// Ends what is out on a way; the way is kept if the answer came whole and the connection is fit for more.
-void Hosts::over(Handle mark, Way& way, Verdict verdict, HttpReader* answer) {
+// Ends what is out on a way. The way is kept if its answer came whole and the connection is fit for more; it
+// is so before the end is told, since the next execution is often asked for in that moment, and there.
+void Hosts::over(Handle mark, Way& way, Verdict verdict, const Answer& answer) {
     const Handle submission = std::exchange(way.submission, 0);
     const std::uint32_t host = way.host;
     const Time took = deadlines_.now() - way.sent;
     deadlines_.drop(way.deadline);
-    if (!answer) {
-        give_back(mark, way);
-        return outcomes_.execution_over(submission, host, verdict, took, nullptr);
-    }
-    const bool fit = answer->keep_alive() && connections_.in(way.connection).empty() &&
-                     connections_.unsent(way.connection) == 0 && hosts_[host].standing == Standing::ready;
-    // Told while the way is nobody's, so that its answer stays in place; idle or gone only after that.
-    outcomes_.execution_over(submission, host, verdict, took, verdict == Verdict::ok ? answer : nullptr);
-    answer->next();
-    if (fit && hosts_[host].standing == Standing::ready) rest(mark, way);
+    const bool fit = way.reader.whole() && way.reader.keep_alive() &&
+                     connections_.in(way.connection).empty() && connections_.unsent(way.connection) == 0 &&
+                     hosts_[host].standing == Standing::ready;
+    way.reader.next();
+    if (fit) rest(mark, way);
     else give_back(mark, way);
+    outcomes_.execution_over(submission, host, verdict, took, answer);
 }
 
 void Hosts::rest(Handle mark, Way& way) {
@@ -212,7 +215,7 @@
 void Hosts::later_over(Handle submission, std::uint32_t host, Verdict verdict, Time took) {
     asio::post(io_, [this, submission, host, verdict, took] {
         deadlines_.turn();
-        outcomes_.execution_over(submission, host, verdict, took, nullptr);
+        outcomes_.execution_over(submission, host, verdict, took, {});
     });
 }
 
--- a/src/net/hosts.h
+++ b/src/net/hosts.h
@@ -13,12 +13,15 @@
 
 namespace dewweir::net {
 
+struct Answer {  // what a host has delivered: the fields that pass through, and the body
+    std::string fields, body;
+};
+
 class Outcomes {
   public:
     virtual ~Outcomes() = default;
-    // `answer` comes with Verdict::ok only.
     virtual void execution_over(Handle submission, std::uint32_t host, Verdict verdict, Time took,
-                                HttpReader* answer) = 0;
+                                const Answer& answer) = 0;
 };
 
 class Hosts : public User {
@@ -67,7 +70,7 @@
     void drop_oldest_idle();
     void release_idle(Host& host);
     void not_ready(std::uint32_t host);
-    void over(Handle mark, Way& way, Verdict verdict, HttpReader* answer = nullptr);
+    void over(Handle mark, Way& way, Verdict verdict, const Answer& answer = {});
     void later_over(Handle submission, std::uint32_t host, Verdict verdict, Time took);
 
     asio::io_context& io_;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -30,6 +30,7 @@
     // True from the first byte of a message until `next`.
     bool begun() const { return begun_; }
     bool head_read() const { return head_read_; }
+    bool whole() const { return whole_; }
     // What a bad message is answered with.
     int fault() const { return fault_; }
     unsigned status() const { return parser_.status_code; }
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -120,17 +120,15 @@
     forget_if_over(id);
 }
 
-void Node::execution_over(Handle id, std::uint32_t host, Verdict verdict, Time took, HttpReader* answered) {
+void Node::execution_over(Handle id, std::uint32_t host, Verdict verdict, Time took,
+                          const Answer& delivered) {
     Submission* const s = submissions_.find(id);
     if (!s) return;
     s->out = false;
     s->execution = 0;
     const int execution = s->executions - 1;
-    if (verdict == Verdict::ok && s->client) {
-        std::string fields;
-        answered->pass_on(fields, {"X-Load"});
-        clients_.answer(std::exchange(s->client, 0), 200, fields, answered->body());
-    }
+    if (verdict == Verdict::ok && s->client)
+        clients_.answer(std::exchange(s->client, 0), 200, delivered.fields, delivered.body);
     const bool settled = s->client == 0;
     choice_.execution_ended(deadlines_.now(), id, execution, host, verdict, took, settled, 0);
     forget_if_over(id);
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -45,7 +45,7 @@
     Handle submitted(Handle client, Asked&& asked) override;
     void client_gone(Handle submission) override;
     void execution_over(Handle submission, std::uint32_t host, Verdict verdict, Time took,
-                        HttpReader* answer) override;
+                        const Answer& answer) override;
     void counted(std::uint64_t name, Verdict verdict, double total, Time took) override;
     void list_told(const Listing& listing) override;
     void list_failed() override;
--- a/src/net/ring.h
+++ b/src/net/ring.h
@@ -21,9 +21,10 @@
         const std::size_t first = std::min(size_, capacity_ - head_);
         return {{{bytes_.get() + head_, first}, {bytes_.get(), size_ - first}}};
     }
+    // Moves nothing: a read may be under way into the space behind.
     void consume(std::size_t n) {
         size_ -= n;
-        head_ = size_ ? (head_ + n) & (capacity_ - 1) : 0;
+        if (n) head_ = (head_ + n) & (capacity_ - 1);
     }
 
     struct Space {
@@ -59,11 +60,13 @@
         capacity_ = capacity;
         head_ = 0;
     }
-    // Gives back what an empty ring holds beyond `keep`.
+    // An empty ring begins anew at its front, and gives back what it holds beyond `keep`.
     void trim(std::size_t keep) {
-        if (size_ || capacity_ <= keep) return;
+        if (size_) return;
+        head_ = 0;
+        if (capacity_ <= keep) return;
         bytes_.reset();
-        capacity_ = head_ = 0;
+        capacity_ = 0;
     }
 
   private:
--- /dev/null
+++ b/tests/sockets.cpp
@@ -0,0 +1,492 @@
+// Starts the real program and speaks to it over loopback, as clients, hosts, counter and discovery would.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "stand_ins.h"
+
+namespace {
+
+std::string replaced(std::string text, const std::string& what, const std::string& by) {
+    const std::size_t at = text.find(what);
+    REQUIRE(at != text.npos);
+    return text.replace(at, what.size(), by);
+}
+
+std::string entry(const std::string& id, const Door& host, const std::string& phase = "in_service") {
+    return R"({"id":")" + id + R"(","host_port":")" + host.address() +
+           R"(","locality":"a","flavor":"m","cell":1,"phase":")" + phase + R"(","size":1.0,"up_since_ms":0})";
+}
+
+std::string list(int revision, bool whole, const std::string& entries) {
+    return R"({"revision":)" + std::to_string(revision) + R"(,"complete":)" + (whole ? "true" : "false") +
+           R"(,"members":[)" + entries + "]}";
+}
+
+// A gateway among stand-ins: hosts `a` and `b` known, discovery that lets it connect and says nothing.
+struct World {
+    Door place{false}, discovery, counter, a, b;
+    std::string settings =
+        R"({"step":2.0,"az":0,"fleetSize":1,"discovery":"push","dcs":["a"],
+"limits":{"maxAttempts":3,"cancel":true,"retryAfter":true,"maxRetryAfter":2000.0,"dialTimeout":250.0,"idleClose":15000.0},
+"specifics":{"counter":false,"countLimit":200.0,"largest":1},
+"contract":{"fall":3000.0,"fallMultiple":2.5,"coldFrom":0.2,"warmAfter":15000.0,"askWithin":10000.0,"stopSendingWithin":1000.0},
+"profiles":[{"name":"read","goalTime":1000.0,"hardLimit":4000.0,"idempotency":"retryable","keyScope":"all","dedupWindow":5000.0},
+{"name":"book","goalTime":1000.0,"hardLimit":4000.0,"idempotency":"fragile","keyScope":"all","dedupWindow":5000.0}],
+"contracts":[{"name":"worth","rate":1.0,"mostAtOnce":1000.0,"extraWorth":0.0,"overrunCost":0.5},
+{"name":"small","rate":0.5,"mostAtOnce":1.0,"extraWorth":0.0,"overrunCost":0.5}]})";
+    std::string known = list(4, true, entry("a", a));
+    int sockets = 256;
+    std::unique_ptr<Gateway> gateway;
+
+    std::string configuration() const {
+        return R"({"name":"n1","listen":")" + place.address() + R"(","discovery":")" + discovery.address() +
+               R"(","counter":")" + counter.address() +
+               R"(","seed":"8c1f30d27a5be964","limits":{"sockets":)" + std::to_string(sockets) +
+               R"(},"known":)" + known + R"(,"settings":)" + settings + "}";
+    }
+    void start() {
+        gateway = std::make_unique<Gateway>(configuration());
+        // Nothing listens there before it is up: tried again until it is.
+        for (int waited = 0;; waited += 5) {
+            const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            sockaddr_in at = Line::address(place.port);
+            const bool up = connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) == 0;
+            Line line(fd);
+            if (up) {
+                line.send("GET /health/ready HTTP/1.1\r\n\r\n");
+                CHECK(line.message().find("HTTP/1.1 200 ") == 0);
+                return;
+            }
+            REQUIRE_MESSAGE(waited < patience_ms, "it does not come up: " << gateway->log());
+            poll(nullptr, 0, 5);
+        }
+    }
+    void with_counter() { settings = replaced(settings, R"("counter":false)", R"("counter":true)"); }
+    Line client() { return Line::to(place.port); }
+};
+
+std::string get(const std::string& id = "1", const std::string& plan = "worth",
+                const std::string& deadline = "4.0") {
+    return "GET /api?x=1 HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: " + id +
+           "\r\nX-Class: read\r\nX-Contract: " + plan +
+           "\r\nX-Client-Id: 00000000b4d65521\r\nX-Deadline: " + deadline +
+           "\r\nX-Metering: units=1,spread=1,first=0\r\n\r\n";
+}
+std::string post(const std::string& body) {
+    return replaced(replaced(get(), "GET", "POST"), "\r\n\r\n",
+                    "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+std::string book() { return replaced(post("{}"), "X-Class: read", "X-Class: book"); }
+std::string says(const std::string& status, const std::string& body = "", const std::string& fields = "") {
+    return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+int status(const std::string& answer) { return std::atoi(answer.substr(9, 3).c_str()); }
+
+}  // namespace
+
+TEST_CASE("a submission goes through whole, on connections that are used again") {
+    World world;
+    world.start();
+    Line client = world.client();
+    client.send(get("first"));
+    Line host = world.a.accept();
+    const std::string asked = host.message();
+    CHECK(asked.find("GET /api?x=1 HTTP/1.1\r\n") == 0);
+    CHECK(asked.find("X-Request-Id: first\r\n") != asked.npos);
+    CHECK(asked.find("X-Deadline: ") != asked.npos);
+    host.send(says("200 OK", "done", "Content-Type: text/x-own\r\nX-Load: TEXT queue=2\r\n"));
+    const std::string answer = client.message();
+    CHECK(status(answer) == 200);
+    CHECK(answer.find("Content-Type: text/x-own\r\n") != answer.npos);
+    CHECK(answer.substr(answer.size() - 8) == "\r\n\r\ndone");
+    const std::string body(65536, 'x');  // the most that a body may hold, both ways
+    client.send(post(body));
+    CHECK(host.message().find("\r\n\r\n" + body) != std::string::npos);
+    host.send(says("200 OK", body));
+    CHECK(client.message().find("\r\n\r\n" + body) != std::string::npos);
+    // What comes early, in pieces, waits for its turn.
+    const std::string two = get("third") + get("fourth");
+    client.send(two.substr(0, 250));
+    CHECK(host.message().find("third") != std::string::npos);
+    client.send(two.substr(250));
+    CHECK(host.silent(20));
+    host.send(says("200 OK", "3"));
+    CHECK(host.message().find("fourth") != std::string::npos);
+    host.send(says("200 OK", "4"));
+    CHECK(client.message().back() == '3');
+    CHECK(client.message().back() == '4');
+}
+
+TEST_CASE("what comes back from a host: error, turned away, reset, no connection") {
+    World world;
+    SUBCASE("an error may have run: a retriable one runs again, and is delivered") {
+        world.start();
+        Line client = world.client();
+        client.send(get());
+        Line host = world.a.accept();
+        host.message();
+        host.send(says("500 Internal Server Error"));
+        host.message();
+        host.send(says("200 OK", "yes"));
+        CHECK(status(client.message()) == 200);
+    }
+    SUBCASE("a binding one is written off after an error") {
+        world.start();
+        Line client = world.client();
+        client.send(book());
+        Line host = world.a.accept();
+        host.message();
+        host.send(says("503 Service Unavailable"));  // without X-Not-Run it may have run
+        CHECK(status(client.message()) == 502);
+        CHECK(host.silent(20));
+    }
+    SUBCASE("a binding one that never ran goes out again") {
+        world.start();
+        Line client = world.client();
+        client.send(book());
+        Line host = world.a.accept();
+        host.message();
+        host.send(says("503 Service Unavailable", "", "X-Not-Run: 1\r\n"));
+        host.message();
+        host.send(says("200 OK", "booked"));
+        CHECK(status(client.message()) == 200);
+    }
+    SUBCASE("a connection that breaks after the last byte: a binding one is written off") {
+        world.start();
+        Line client = world.client();
+        client.send(book());
+        Line host = world.a.accept();
+        host.message();
+        SUBCASE("reset") { host.reset(); }
+        SUBCASE("ended") { host.close(); }
+        SUBCASE("in mid-answer") {
+            host.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf");
+            host.close();
+        }
+        CHECK(status(client.message()) == 502);
+    }
+    SUBCASE("no connection: even a binding one may be bounced, with advice") {
+        Door closed(false);
+        world.known = list(4, true, entry("a", closed));
+        world.start();
+        Line client = world.client();
+        client.send(book());
+        CHECK(status(client.message()) == 503);
+    }
+    SUBCASE("nothing: an answer comes before the client's limit, and the host's connection is closed") {
+        world.start();
+        Line client = world.client();
+        client.send(replaced(book(), "X-Deadline: 4.0", "X-Deadline: 0.2"));
+        Line host = world.a.accept();
+        host.message();
+        CHECK(status(client.message()) == 502);
+        CHECK(host.ended());
+    }
+}
+
+TEST_CASE("a kept connection that its host has closed is not used") {
+    World world;
+    world.start();
+    Line client = world.client();
+    client.send(book());
+    {
+        Line host = world.a.accept();
+        host.message();
+        host.send(says("200 OK", "1"));
+        CHECK(status(client.message()) == 200);
+    }
+    // Its end is seen by the gateway before anything that a new connection brings later.
+    CHECK(status([&] {
+              Line other = world.client();
+              other.send("GET /health/ready HTTP/1.1\r\n\r\n");
+              return other.message();
+          }()) == 200);
+    client.send(book());
+    Line host = world.a.accept();
+    host.message();
+    host.send(says("200 OK", "2"));
+    CHECK(status(client.message()) == 200);
+}
+
+TEST_CASE("a client that leaves: its execution is called off and nothing more is sent") {
+    World world;
+    world.start();
+    Line client = world.client();
+    client.send(get());
+    Line host = world.a.accept();
+    host.message();
+    client.close();
+    CHECK(host.ended());
+    CHECK(!world.a.knocked(50));
+}
+
+TEST_CASE("bounces carry advice in seconds") {
+    World world;
+    world.start();
+    Line client = world.client();
+    client.send(get("1", "small"));
+    Line host = world.a.accept();
+    host.message();
+    host.send(says("200 OK"));
+    client.message();
+    client.send(get("2", "small"));
+    const std::string answer = client.message();
+    CHECK(status(answer) == 503);
+    const std::size_t at = answer.find("Retry-After: ");
+    REQUIRE(at != answer.npos);
+    CHECK(std::atof(&answer[at + 13]) > 0.1);
+    CHECK(std::atof(&answer[at + 13]) <= 2);
+}
+
+TEST_CASE("bad requests get a plain 4xx and reach no host") {
+    World world;
+    world.start();
+    const auto refused = [&](const std::string& request) {
+        Line client = world.client();
+        client.send(request);
+        const std::string answer = client.message();
+        CHECK_MESSAGE(status(answer) / 100 == 4, request << " got " << answer);
+        return status(answer);
+    };
+    for (const char* field :
+         {"X-Request-Id", "X-Class", "X-Contract", "X-Client-Id", "X-Deadline", "X-Metering"})
+        refused(replaced(get(), std::string(field) + ": ", "X-Other: "));
+    refused(replaced(get(), "X-Class: read", "X-Class: write"));
+    refused(replaced(get(), "X-Contract: worth", "X-Contract: benefit"));
+    refused(replaced(get(), "00000000b4d65521", "0000000200000000"));  // 2^33
+    refused(replaced(get(), "00000000b4d65521", "b4d65521"));
+    for (const char* limit : {"soon", "-1", "0", "nan", "1e9", "4s"}) refused(get("1", "worth", limit));
+    refused(replaced(get(), "units=1", "units=-1"));
+    refused(replaced(get(), "spread=1", "spread=0"));
+    refused(replaced(get(), "\r\n\r\n", "\r\nContent-Length: 2\r\n\r\n{}"));
+    CHECK(refused(replaced(get(), "GET", "DELETE")) == 405);
+    CHECK(refused(replaced(post(""), "Content-Length: 0", "Transfer-Encoding: chunked") + "0\r\n\r\n") ==
+          411);
+    CHECK(refused(replaced(post(""), "Content-Length: 0", "Content-Length: 65537")) == 413);
+    refused(replaced(post(""), "Content-Length: 0", "Content-Length: many"));
+    refused(replaced(post(""), "Content-Length: 0", "Content-Length: 2\r\nContent-Length: 3"));
+    CHECK(refused(replaced(get(), "Host: app.svc", "Host: " + std::string(20000, 'a'))) == 431);
+    refused("this is no HTTP\r\n\r\n");
+    CHECK(!world.a.knocked(20));
+    // A request that is only wrong leaves its connection in use.
+    Line client = world.client();
+    client.send(replaced(get(), "X-Class: read", "X-Class: write") + get("good"));
+    CHECK(status(client.message()) == 400);
+    Line host = world.a.accept();
+    host.message();
+    host.send(says("200 OK"));
+    CHECK(status(client.message()) == 200);
+}
+
+TEST_CASE(
+    "the counter: asked in lines, answered in order; late, busy, broken and absent ones let shares decide") {
+    World world;
+    world.with_counter();
+    world.start();
+    Line counter = world.counter.accept();
+    Line client = world.client(), host = [&] {
+        client.send(get());
+        const std::string call = counter.until("\r\n");
+        CHECK(call.find("incr ") == 0);
+        CHECK(call.find(" 1 60000\r\n") != call.npos);
+        CHECK(!world.a.knocked(20));  // nothing is sent before the count is known
+        SUBCASE("ok") { counter.send("ok 1\r\n"); }
+        SUBCASE("in pieces") {
+            counter.send("o");
+            counter.send("k 1\r");
+            counter.send("\n");
+        }
+        SUBCASE("busy") { counter.send("busy\r\n"); }
+        SUBCASE("error") { counter.send("error\r\n"); }
+        SUBCASE("unreadable") { counter.send("ok many\r\n"); }
+        SUBCASE("broken") { counter.reset(); }
+        SUBCASE("late") {}  // no word within count_limit
+        return world.a.accept();
+    }();
+    host.message();
+    host.send(says("200 OK"));
+    CHECK(status(client.message()) == 200);
+}
+
+TEST_CASE("answers of the counter go to their calls by order, a late one too") {
+    World world;
+    world.with_counter();
+    world.start();
+    Line counter = world.counter.accept();
+    // The second customer's call goes out before the first one's is late; the answers come when both are.
+    Line first = world.client(), second = world.client();
+    first.send(get("1", "small"));
+    const std::string call = counter.until("\r\n");
+    second.send(replaced(get("2", "small"), "00000000b4d65521", "0000000000000007"));
+    CHECK(counter.until("\r\n").substr(0, 10) != call.substr(0, 10));
+    SUBCASE("in time: the first is over its quota, the second is not") {
+        counter.send("ok 900\r\nok 1\r\n");
+        CHECK(status(first.message()) == 503);
+        Line host = world.a.accept();
+        CHECK(host.message().find("X-Request-Id: 2\r\n") != std::string::npos);
+        host.send(says("200 OK"));
+        CHECK(status(second.message()) == 200);
+    }
+    SUBCASE("late: shares let both in, and the next call gets its own answer") {
+        for (int n = 0; n < 2; ++n) {
+            Line host = world.a.accept();
+            host.message();
+            host.send(says("200 OK"));
+            host.close();
+        }
+        CHECK(status(first.message()) == 200);
+        CHECK(status(second.message()) == 200);
+        counter.send("ok 900\r\nok 900\r\n");
+        // Most calls are still made; those that are not are decided by their share.
+        for (int n = 3;; ++n) {
+            REQUIRE(n < 30);
+            Line other = world.client();
+            other.send(replaced(get(std::to_string(n)), "00000000b4d65521",
+                                "00000000000000" + std::to_string(n + 10)));
+            const bool called = !counter.silent(30);
+            if (called) {
+                counter.until("\r\n");
+                CHECK(!world.a.knocked(20));
+                counter.send("ok 1\r\n");
+            }
+            Line host = world.a.accept();
+            host.message();
+            host.send(says("200 OK"));
+            CHECK(status(other.message()) == 200);
+            if (called) break;
+            host.close();
+        }
+    }
+}
+
+TEST_CASE("a counter that is gone is found again when it is back") {
+    World world;
+    Door absent(false);
+    world.settings = replaced(world.settings, R"("counter":false)", R"("counter":true)");
+    world.gateway =
+        std::make_unique<Gateway>(replaced(world.configuration(), world.counter.address(), absent.address()));
+    CHECK(absent.port > 0);
+    absent.open();
+    Line counter = absent.accept();
+    counter.reset();
+    Line again = absent.accept();
+    CHECK(again.silent(20));
+}
+
+TEST_CASE("the watch: changes, a broken line, a reconnect from the revision reached") {
+    World world;
+    world.start();
+    Line watch = world.discovery.accept();
+    CHECK(watch.until("\r\n").find("GET /registry/instances?stream=1&index=4 ") == 0);
+    watch.until("\r\n\r\n");
+    const auto chunk = [](const std::string& text) {
+        std::ostringstream out;
+        out << std::hex << text.size() << "\r\n" << text << "\r\n";
+        return out.str();
+    };
+    watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("\n"));
+    // b comes and a drains, in a line that comes in pieces.
+    const std::string news =
+        list(5, false, entry("a", world.a, "terminating") + "," + entry("b", world.b)) + "\n";
+    watch.send(chunk(news.substr(0, 30)));
+    watch.send(chunk(news.substr(30)));
+    watch.send(chunk(list(3, true, entry("a", world.a)) + "\n"));  // older: ignored
+    watch.send(chunk("{no list\n"));                               // ends this watch alone
+    CHECK(watch.ended());
+    Line client = world.client();
+    client.send(get());
+    Line host = world.b.accept();
+    host.message();
+    host.send(says("200 OK"));
+    CHECK(status(client.message()) == 200);
+    CHECK(!world.a.knocked(20));
+    Line anew = world.discovery.accept();
+    CHECK(anew.until("\r\n").find("index=5 ") != std::string::npos);
+    // A whole list without b: its kept connection is given back.
+    anew.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+              chunk(list(6, true, entry("a", world.a)) + "\n"));
+    CHECK(host.ended());
+}
+
+TEST_CASE("SIGTERM: not ready, what is open is answered and let go, and it ends clean") {
+    World world;
+    world.start();
+    Line client = world.client(), idle = world.client();
+    client.send(book());  // never called off, however long it takes
+    Line host = world.a.accept();
+    host.message();
+    world.gateway->signal(SIGTERM);
+    CHECK(idle.ended());  // the door has closed by now
+    host.send(says("200 OK", "in time"));
+    const std::string answer = client.message();
+    CHECK(status(answer) == 200);
+    CHECK(answer.find("Connection: close\r\n") != answer.npos);
+    CHECK(client.ended());
+    client.close();
+    idle.close();
+    CHECK(world.gateway->ends() == 0);
+}
+
+TEST_CASE("SIGTERM: new connections are still served for a while, but not called ready") {
+    World world;
+    world.start();
+    world.gateway->signal(SIGTERM);
+    for (int tried = 0;; ++tried) {  // until the signal has come through
+        Line asks = world.client();
+        asks.send("GET /health/ready HTTP/1.1\r\n\r\n");
+        if (status(asks.message()) == 503) break;
+        REQUIRE(tried < 1000);
+    }
+    Line client = world.client();
+    client.send(get());
+    Line host = world.a.accept();
+    host.message();
+    host.send(says("200 OK"));
+    CHECK(status(client.message()) == 200);
+}
+
+TEST_CASE("more clients than descriptors: idle ones go first, nothing that was taken is dropped") {
+    World world;
+    world.sockets = 40;  // of which clients have 24
+    world.start();
+    rlimit few{40, 40};
+    REQUIRE(prlimit(world.gateway->pid(), RLIMIT_NOFILE, &few, nullptr) == 0);
+    std::vector<Line> idle;
+    for (int n = 0; n < 24; ++n) idle.push_back(world.client());
+    Line client = world.client();
+    client.send(get());
+    Line host = world.a.accept();
+    host.message();
+    std::vector<Line> crowd;
+    for (int n = 0; n < 60; ++n) crowd.push_back(world.client());
+    host.send(says("200 OK"));
+    CHECK(status(client.message()) == 200);
+    crowd.clear();
+    Line late = world.client();
+    late.send(get());
+    host.message();
+    host.send(says("200 OK"));
+    CHECK(status(late.message()) == 200);
+}
+
+TEST_CASE("a bad configuration: the message names the key, and the exit code says so") {
+    World world;
+    const auto fault = [&](const std::string& from, const std::string& to, const std::string& key) {
+        Gateway gateway(replaced(world.configuration(), from, to));
+        CHECK(gateway.ends() == 2);
+        CHECK_MESSAGE(gateway.log().find("configuration: " + key) != std::string::npos, gateway.log());
+    };
+    fault(R"("name":"n1")", R"("name":7)", "name: ");
+    fault(R"("listen":)", R"("lisent":)", "listen: ");
+    fault(R"("discovery":"127.0.0.1:)", R"("discovery":"localhost:)", "discovery: ");
+    fault(R"("seed":"8c)", R"("seed":"zz)", "seed: ");
+    fault(R"("sockets":256)", R"("sockets":-1)", "sockets: ");
+    fault(R"("settings":{)", R"("sittings":{)", "settings: ");
+    fault(R"("phase":"in_service")", R"("phase":"asleep")", "phase: ");
+    fault(R"("dialTimeout":250.0)", R"("dialTimeout":"soon")", "settings: limits.connect_within: ");
+    fault(R"("fall":3000.0,)", "", "settings: term missing: rules.fall");
+    fault(R"("name":"n1")", R"("name":"n1)", "configuration: no JSON");
+    Gateway nowhere(
+        replaced(world.configuration(), world.place.address(), "127.0.0.1:" + std::to_string(world.a.port)));
+    CHECK(nowhere.ends() == 1);
+    CHECK(nowhere.log().find("listen") != std::string::npos);
+}
