--- a/src/net/configuration.cpp
+++ b/src/net/configuration.cpp
@@ -157,6 +157,7 @@
         std::istringstream each(*zones);
         for (std::string zone; std::getline(each, zone, ',');) c.zones.push_back(zone);
     }
+    c.step = time_of(c.terms, "step", 0);
     c.connect_within = time_of(c.terms, "limits.connect_within", 2500);
     c.idle_close = time_of(c.terms, "limits.idle_close", 100000);
     c.count_limit = time_of(c.terms, "service.count_limit", 500);
--- a/src/net/configuration.h
+++ b/src/net/configuration.h
@@ -43,7 +43,7 @@
     Terms terms;
     Listing known;
     std::vector<std::string> tracks, plans, zones;  // by name; their places are their numbers
-    Time connect_within = 0, idle_close = 0, count_limit = 0;
+    Time step = 0, connect_within = 0, idle_close = 0, count_limit = 0;
     bool ask = false;  // the list is sent only after it was asked for
     Level log_level = Level::info;
 };
--- a/src/net/deadlines.cpp
+++ b/src/net/deadlines.cpp
@@ -6,8 +6,9 @@
 
 using Tenths = std::chrono::duration<Time, std::ratio<1, 10000>>;
 
-Deadlines::Deadlines()
+Deadlines::Deadlines(Time slack)
     : start_(std::chrono::steady_clock::now()),
+      slack_(slack),
       start_time_(
           std::chrono::duration_cast<Tenths>(std::chrono::system_clock::now().time_since_epoch()).count()),
       now_(start_time_) {}
@@ -29,7 +30,7 @@
 }
 
 std::chrono::steady_clock::time_point Deadlines::next() const {
-    const Time at = deadlines_.empty() ? now_ + 36000000 : deadlines_.begin()->first.first;
+    const Time at = deadlines_.empty() ? now_ + 36000000 : deadlines_.begin()->first.first + slack_;
     return start_ + Tenths(at - start_time_);
 }
 
--- a/src/net/deadlines.h
+++ b/src/net/deadlines.h
@@ -16,7 +16,8 @@
   public:
     using Key = std::pair<Time, std::uint64_t>;  // {0, 0} is none
 
-    Deadlines();
+    // `slack`: how late the loop may be woken for them, so that many fall due with something else.
+    explicit Deadlines(Time slack);
 
     // Tenths of a millisecond since 1970, read once a turn: the wall clock at the start, the steady one
     // since.
@@ -29,14 +30,14 @@
 
     // Calls what has come due.
     void run_passed();
-    // When the next one is due; an hour off where there is none.
+    // When the loop must be woken for the next one; an hour off where there is none.
     std::chrono::steady_clock::time_point next() const;
 
   private:
     Time read() const;
 
     std::chrono::steady_clock::time_point start_;
-    Time start_time_, now_;
+    Time slack_, start_time_, now_;
     std::uint64_t last_ = 0;
     std::map<Key, std::function<void()>> deadlines_;
 };
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -9,6 +9,8 @@
 Node::Node(asio::io_context& io, Log& log, const Configuration& told)
     : io_(io),
       log_(log),
+      // Alarms are as exact as in the simulator, which looks at them once a step.
+      deadlines_(std::min<Time>(told.step, 50)),
       connections_(io, deadlines_),
       hosts_(io, deadlines_, connections_, log, told, *this),
       counter_(deadlines_, connections_, log, told, *this),
