Records of bounced submissions are no longer left behind

Seen: sampled on sockets, 4% of a gateway's CPU was Choice::State::on_beat stepping through submissions; a probe that logged their number showed 81 records after 20 s with 5 open, growing by four a second and never shrinking: memory without bound, and a walk of all of them 50 times a second. Cause: close() took a window of 0 or more, with on_counter unset, to mean that a call may yet add, but give_back clears on_counter after the answer, so every bounce of a counted submission stayed; so did one bounced after its call was told as timed out. Now the record says itself whether its call is out. After: as many records as are open. Ruled out: the records of executions (all erased at their end).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -64,7 +64,8 @@
     int executions = 0, host = -1, last_host = -1, zone = -1, cell = -1;
     std::int64_t window = -1;
     double reading = 0;
-    bool on_counter = false, on_share = false, may_have_run = false, stream = false, given_up = false;
+    bool call_out = false, on_counter = false, on_share = false;
+    bool may_have_run = false, stream = false, given_up = false;
     Time sent = 0, first_ran = 0;
 };
 
@@ -150,10 +151,8 @@
         for (int n = 0; n < number("plans.count", 0); ++n) {
             const std::string at_ = "plans." + std::to_string(n) + ".";
             const auto of = [&](const char* what) { return number(at_ + what, 0); };
-            Plan p{of("rate") / 10000, of("burst"), of("extra_benefit"), of("overrun_cost")};
-            p.ceiling_rate = of("ceiling_rate") / 10000;
-            p.ceiling_burst = of("ceiling_burst");
-            p.parallel = of("parallel");
+            Plan p{of("rate") / 10000,         of("burst"),         of("extra_benefit"), of("overrun_cost"),
+                   of("ceiling_rate") / 10000, of("ceiling_burst"), of("parallel")};
             p.window = p.rate > 0 ? std::max<Time>(step, whole(p.burst / p.rate)) : 0;
             plans.push_back(p);
         }
@@ -244,6 +243,7 @@
             return decide_by_share(id, s);
         if (count_failures >= 3) probing = true;
         s.window = c.window;
+        s.call_out = true;
         call(Asked::add, id, s.customer, c.window, s.units + c.owed);
         c.owed = 0;
         arm(std::min(count_limit, std::max(whole(8 * count_took), count_limit / 2)), count_late, id);
@@ -264,8 +264,7 @@
             return take_in(id, s);
         }
         // At a crowded counter, what is not given back pays for what the tiny shares let in.
-        if (tiny_share(c) && counted_part < 0.5) s.on_counter = false;
-        else give_back(s);
+        give_back(s, !tiny_share(c) || counted_part >= 0.5);
         c.over_until = now + whole(static_cast<double>(p.window) / counted_part);
         beyond(id, s, 0);  // its own units leave the store only with the next answer
     }
@@ -286,10 +285,11 @@
         take_in(id, s);
     }
 
-    void give_back(Submission& s) {
+    void give_back(Submission& s, bool tell = true) {
         Customer& c = customers[s.customer];
         // On the counter, the answer puts the totals right.
-        if (s.on_counter && s.window + 1 >= c.window) call(Asked::back, 0, s.customer, s.window, -s.units);
+        if (tell && s.on_counter && s.window + 1 >= c.window)
+            call(Asked::back, 0, s.customer, s.window, -s.units);
         if (s.on_share) {
             c.share += s.units;
             c.level += s.units;
@@ -329,6 +329,7 @@
         if (made.asked == Asked::previous) return previous_told(c, made, verdict);
         if (made.asked == Asked::back || waiting == submissions.end()) return;
         Submission& s = waiting->second;
+        s.call_out = false;
         if (verdict == Verdict::ok) {
             s.on_counter = true, s.on_share = false;
             s.reading = c.current.total;
@@ -359,8 +360,7 @@
         tally.own += made.amount;
         if (total < tally.own - 0.01) {
             const double should = std::max(tally.total + made.amount, tally.own);
-            tally.lost += should - total;
-            total = should;
+            tally.lost += should - std::exchange(total, should);
         }
         c.level -= total - tally.total;
         tally.total = total;
@@ -481,9 +481,9 @@
             --customers[s.customer].open;
             std::erase(line, id);
         }
-        // An execution that is out, or a call that may yet add, needs the record until its end is told.
-        const bool called = s.stage == Stage::counting && s.window >= 0 && !s.on_counter;
-        if (s.stage != Stage::out && !called) submissions.erase(id);
+        // An execution that is out, or a call that may yet add, needs the record until its end is told, and
+        // no longer: records left behind would be walked by every beat.
+        if (s.stage != Stage::out && !(s.stage == Stage::counting && s.call_out)) submissions.erase(id);
         else s.stage = Stage::over;
     }
 
--- a/tests/run.cpp
+++ b/tests/run.cpp
@@ -2,6 +2,7 @@
 // must be seen. `wait` lets time pass and timers fire; the counter answers by itself as told by `counter`.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
+#include <malloc.h>
 #include <sys/wait.h>
 
 #include <algorithm>
@@ -73,6 +74,7 @@
     Terms terms;
     std::unique_ptr<Choice> choice;
     std::string counter = "answers";
+    std::map<std::string, double> memory;
 
     Play() {
         std::istringstream words(usual_terms);
@@ -214,6 +216,15 @@
             return;
         }
         if (word == "forget") return stage.seen.clear();
+        if (word == "memory") {  // memory ID: remembers what is in use; memory ID KB: is not that much more
+            double most;
+            line >> word;
+            const auto in_use = static_cast<double>(mallinfo2().uordblks) / 1024;
+            if (line >> most)
+                CHECK_MESSAGE(in_use - memory[word] < most, in_use << " KB, was " << memory[word]);
+            else memory[word] = in_use;
+            return;
+        }
         if (word == "alarms") {  // how many stand
             std::size_t n;
             line >> n;
