Parts share one struct of what they work with; a counter's total that is no number is unreadable

Read through the change against the project: four constructors and member lists were the same, now one struct Part; two methods of Connections had no caller. "ok nan" from the counter was taken as a total and would have poisoned that customer's store; it now counts as an unreadable answer (a socket test fails without it).

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -59,20 +59,16 @@
 
 }  // namespace
 
-Clients::Clients(asio::io_context& io, Deadlines& deadlines, Connections& connections, Log& log,
-                 const Configuration& told, Intake& intake)
-    : deadlines_(deadlines),
-      connections_(connections),
-      log_(log),
-      told_(told),
+Clients::Clients(const Part& part, Intake& intake)
+    : Part(part),
       intake_(intake),
-      acceptor_(io),
+      acceptor_(io_),
       // Of the descriptors a part is kept for hosts, counter and discovery.
-      most_(told.sockets * 6 / 10) {
+      most_(told_.sockets * 6 / 10) {
     acceptor_.open(tcp::v4());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     std::error_code fault;
-    acceptor_.bind(told.listen, fault);
+    acceptor_.bind(told_.listen, fault);
     if (!fault) acceptor_.listen(asio::socket_base::max_listen_connections, fault);
     if (fault) throw std::runtime_error("listen: " + fault.message());
     acceptor_.non_blocking(true);
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -3,12 +3,10 @@
 // for what is no submission at all; nor end a connection that has something unread or unanswered.
 #pragma once
 
-#include <asio/signal_set.hpp>
 #include <functional>
 
-#include "configuration.h"
-#include "connections.h"
 #include "http.h"
+#include "part.h"
 
 namespace dewweir::net {
 
@@ -28,10 +26,9 @@
     virtual void client_gone(Handle submission) = 0;
 };
 
-class Clients : public User {
+class Clients : public User, Part {
   public:
-    Clients(asio::io_context& io, Deadlines& deadlines, Connections& connections, Log& log,
-            const Configuration& told, Intake& intake);
+    Clients(const Part& part, Intake& intake);
 
     // The one answer to what this client has open.
     void answer(Handle client, int status, std::string_view fields, std::string_view body);
@@ -63,10 +60,6 @@
     void close_idle(Handle mark);
     void close_all_idle();
 
-    Deadlines& deadlines_;
-    Connections& connections_;
-    Log& log_;
-    const Configuration& told_;
     Intake& intake_;
     tcp::acceptor acceptor_;
     Slots<Client> clients_;
--- a/src/net/connections.h
+++ b/src/net/connections.h
@@ -37,14 +37,11 @@
     Handle open(const tcp::endpoint& to, User& user, std::uint32_t mark, Time within);
 
     Ring& in(Handle handle) { return connections_.find(handle)->in; }
-    void mark(Handle handle, std::uint32_t mark) { connections_.find(handle)->mark = mark; }
     // Bytes not yet handed to the system.
     std::size_t unsent(Handle handle) { return connections_.find(handle)->out.size(); }
     // True when bytes have come that nobody has looked at.
     bool has_unread(Handle handle);
     void send(Handle handle, std::initializer_list<std::string_view> parts);
-    // Goes on reading after a full ring has been emptied.
-    void resume(Handle handle) { read(handle); }
     // Tells `received` once more in the next turn, for bytes that were left in the ring.
     void again(Handle handle);
     void close(Handle handle);
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstdlib>
+#include <cmath>
 
 namespace dewweir::net {
 namespace {
@@ -13,10 +13,8 @@
 
 }  // namespace
 
-Counter::Counter(Deadlines& deadlines, Connections& connections, Log& log, const Configuration& told,
-                 Counts& counts)
-    : deadlines_(deadlines), connections_(connections), log_(log), told_(told), counts_(counts) {
-    if (!told.counter) return;
+Counter::Counter(const Part& part, Counts& counts) : Part(part), counts_(counts) {
+    if (!told_.counter) return;
     open();
     watch();
 }
@@ -138,7 +136,7 @@
     const bool ok = line.substr(0, 3) == "ok ";
     if (ok) {
         const auto [end, fault] = std::from_chars(line.data() + 3, line.data() + line.size(), total);
-        if (fault != std::errc() || end != line.data() + line.size()) {
+        if (fault != std::errc() || end != line.data() + line.size() || !std::isfinite(total)) {
             tell(call, Verdict::timeout);
             return lost("an unreadable answer");
         }
--- a/src/net/counter.h
+++ b/src/net/counter.h
@@ -6,8 +6,7 @@
 #include <deque>
 #include <string>
 
-#include "configuration.h"
-#include "connections.h"
+#include "part.h"
 
 namespace dewweir::net {
 
@@ -17,10 +16,9 @@
     virtual void counted(std::uint64_t name, Verdict verdict, double total, Time took) = 0;
 };
 
-class Counter : public User {
+class Counter : public User, Part {
   public:
-    Counter(Deadlines& deadlines, Connections& connections, Log& log, const Configuration& told,
-            Counts& counts);
+    Counter(const Part& part, Counts& counts);
 
     void count(std::uint64_t name, double amount, Time keep_for);
 
@@ -46,10 +44,6 @@
     void tell(Call& call, Verdict verdict, double total = 0);
     void answered(std::string_view line);
 
-    Deadlines& deadlines_;
-    Connections& connections_;
-    Log& log_;
-    const Configuration& told_;
     Counts& counts_;
     Handle connection_ = 0;
     bool up_ = false;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -11,14 +11,8 @@
 
 }  // namespace
 
-Discovery::Discovery(Deadlines& deadlines, Connections& connections, Log& log, const Configuration& told,
-                     ListNews& news)
-    : deadlines_(deadlines),
-      connections_(connections),
-      log_(log),
-      told_(told),
-      news_(news),
-      revision_(told.known.revision) {}
+Discovery::Discovery(const Part& part, ListNews& news)
+    : Part(part), news_(news), revision_(told_.known.revision) {}
 
 void Discovery::follow() {
     if (connection_) return;
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -4,9 +4,8 @@
 
 #include <memory>
 
-#include "configuration.h"
-#include "connections.h"
 #include "http.h"
+#include "part.h"
 
 namespace dewweir::net {
 
@@ -17,10 +16,9 @@
     virtual void list_failed() = 0;
 };
 
-class Discovery : public User {
+class Discovery : public User, Part {
   public:
-    Discovery(Deadlines& deadlines, Connections& connections, Log& log, const Configuration& told,
-              ListNews& news);
+    Discovery(const Part& part, ListNews& news);
 
     void follow();  // nothing where the watch is up already
 
@@ -32,10 +30,6 @@
     void lost(const std::string& why);
     void heard();
 
-    Deadlines& deadlines_;
-    Connections& connections_;
-    Log& log_;
-    const Configuration& told_;
     ListNews& news_;
     Handle connection_ = 0;
     std::unique_ptr<HttpReader> reader_;
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -6,16 +6,11 @@
 
 namespace dewweir::net {
 
-Hosts::Hosts(asio::io_context& io, Deadlines& deadlines, Connections& connections, Log& log,
-             const Configuration& told, Outcomes& outcomes)
-    : io_(io),
-      deadlines_(deadlines),
-      connections_(connections),
-      log_(log),
-      told_(told),
+Hosts::Hosts(const Part& part, Outcomes& outcomes)
+    : Part(part),
       outcomes_(outcomes),
       // What the clients' part of the descriptors leaves, less counter, discovery and the program's own.
-      most_(std::max<std::size_t>(told.sockets * 4 / 10, 20) - 16) {}
+      most_(std::max<std::size_t>(told_.sockets * 4 / 10, 20) - 16) {}
 
 std::uint32_t Hosts::listed(const Entry& entry) {
     const auto [at, fresh] = numbers_.try_emplace(entry.id, static_cast<std::uint32_t>(hosts_.size()));
--- a/src/net/hosts.h
+++ b/src/net/hosts.h
@@ -7,9 +7,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "configuration.h"
-#include "connections.h"
 #include "http.h"
+#include "part.h"
 
 namespace dewweir::net {
 
@@ -24,10 +23,9 @@
                                 const Answer& answer) = 0;
 };
 
-class Hosts : public User {
+class Hosts : public User, Part {
   public:
-    Hosts(asio::io_context& io, Deadlines& deadlines, Connections& connections, Log& log,
-          const Configuration& told, Outcomes& outcomes);
+    Hosts(const Part& part, Outcomes& outcomes);
 
     // The host's number, kept for as long as the program runs.
     std::uint32_t listed(const Entry& entry);
@@ -73,11 +71,6 @@
     void over(Handle mark, Way& way, Verdict verdict, const Answer& answer = {});
     void later_over(Handle submission, std::uint32_t host, Verdict verdict, Time took);
 
-    asio::io_context& io_;
-    Deadlines& deadlines_;
-    Connections& connections_;
-    Log& log_;
-    const Configuration& told_;
     Outcomes& outcomes_;
     std::vector<Host> hosts_;
     std::unordered_map<std::string, std::uint32_t> numbers_;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -12,11 +12,12 @@
       // Alarms are as exact as in the simulator, which looks at them once a step.
       deadlines_(std::min<Time>(told.step, 50)),
       connections_(io, deadlines_),
-      hosts_(io, deadlines_, connections_, log, told, *this),
-      counter_(deadlines_, connections_, log, told, *this),
-      discovery_(deadlines_, connections_, log, told, *this),
+      part_{io, deadlines_, connections_, log, told},
+      hosts_(part_, *this),
+      counter_(part_, *this),
+      discovery_(part_, *this),
       choice_(*this, told.terms, told.seed, deadlines_.now()),
-      clients_(io, deadlines_, connections_, log, told, *this) {
+      clients_(part_, *this) {
     if (!told.known.entries.empty()) list_told(told.known);
     if (!told.ask) discovery_.follow();
 }
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -57,6 +57,7 @@
     Log& log_;
     Deadlines deadlines_;
     Connections connections_;
+    Part part_;
     Slots<Submission> submissions_;
     std::unordered_map<std::uint64_t, Deadlines::Key> alarms_;  // by token, while they stand
     Hosts hosts_;
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -298,6 +298,7 @@
         SUBCASE("busy") { counter.send("busy\r\n"); }
         SUBCASE("error") { counter.send("error\r\n"); }
         SUBCASE("unreadable") { counter.send("ok many\r\n"); }
+        SUBCASE("no number") { counter.send("ok nan\r\n"); }
         SUBCASE("broken") { counter.reset(); }
         SUBCASE("late") {}  // no word within count_limit
         return world.a.accept();
