Descriptors are shared as needed, and only clients quiet for a while are let go for others

Now room is made only when a client waits at the door, and only of clients quiet for a quarter of a second; the same holds at SIGTERM.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -10,6 +10,7 @@
 constexpr Time tenths_a_second = 10000;
 // New connections are told to come for 0.4 s after SIGTERM; a margin on top.
 constexpr Time accept_after_stop = 6000;
+constexpr Time quiet = tenths_a_second / 4;
 constexpr Time slow_message = 10 * tenths_a_second;  // for one message, from its first byte to its last
 
 const char* reason(int status) {
@@ -59,12 +60,7 @@
 
 }  // namespace
 
-Clients::Clients(const Part& part, Intake& intake)
-    : Part(part),
-      intake_(intake),
-      acceptor_(io_),
-      // Of the descriptors a part is kept for hosts, counter and discovery.
-      most_(told_.sockets * 6 / 10) {
+Clients::Clients(const Part& part, Intake& intake) : Part(part), intake_(intake), acceptor_(io_) {
     acceptor_.open(tcp::v4());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     std::error_code fault;
@@ -76,22 +72,22 @@
 }
 
 void Clients::accept() {
-    // At the end of our part of the descriptors idle ones go; while none is idle, more wait with the system,
-    // and whoever gets an answer is let go.
-    crowded_ = clients_.size() + connections_.finishing() >= most_;
-    if (crowded_) {
-        make_room();
-        return accept_later();
-    }
-    acceptor_.async_accept([this](const std::error_code& fault, tcp::socket socket) {
-        if (fault == asio::error::operation_aborted || !acceptor_.is_open()) return;
+    acceptor_.async_wait(tcp::acceptor::wait_read, [this](const std::error_code& ended) {
+        if (ended || !acceptor_.is_open()) return;
         deadlines_.turn();
+        // A quarter of the descriptors stays for the other side. There one that has stood idle for longest
+        // goes for the one that waits; while none is idle, whoever gets an answer is let go.
+        crowded_ = !connections_.room(0.25);
+        if (crowded_) make_room();
+        if (!connections_.room(0.25)) return accept_later();
+        std::error_code fault;
+        tcp::socket socket = acceptor_.accept(fault);
         if (!fault) {
             welcome(std::move(socket));
             return accept();
         }
-        log_.line(Level::warning, "clients: cannot accept: " + fault.message());
-        make_room();
+        if (fault != asio::error::would_block)
+            log_.line(Level::warning, "clients: cannot accept: " + fault.message());
         accept_later();
     });
 }
@@ -111,13 +107,19 @@
     if (!client.connection) clients_.remove(mark);
 }
 
-// The client idle for longest goes, if nothing has come from it.
+// A message may be on its way to a connection just opened or just answered; one that has been quiet for a
+// while can go.
+bool Clients::idle(Client& client) {
+    return !client.busy && !client.reader.begun() && deadlines_.now() - client.idle_since >= quiet &&
+           !connections_.unsent(client.connection) && !connections_.has_unread(client.connection);
+}
+
+// The client idle for longest goes.
 void Clients::make_room() {
     Handle oldest = 0;
     Time since = 0;
     clients_.each([&](Handle mark, Client& client) {
-        if (client.busy || client.reader.begun() || (oldest && client.idle_since >= since)) return;
-        if (connections_.unsent(client.connection) || connections_.has_unread(client.connection)) return;
+        if ((oldest && client.idle_since >= since) || !idle(client)) return;
         oldest = mark;
         since = client.idle_since;
     });
@@ -294,13 +296,11 @@
 
 // Clients may still use a connection that they have; those that do are let go with their answer.
 void Clients::close_all_idle() {
-    std::vector<Handle> idle;
+    std::vector<Handle> quiet_ones;
     clients_.each([&](Handle mark, Client& client) {
-        if (!client.busy && !client.reader.begun() && !connections_.unsent(client.connection) &&
-            !connections_.has_unread(client.connection))
-            idle.push_back(mark);
+        if (idle(client)) quiet_ones.push_back(mark);
     });
-    for (const Handle mark : idle) close_idle(mark);
+    for (const Handle mark : quiet_ones) close_idle(mark);
     if (clients_.size() || connections_.finishing()) deadlines_.after(200, [this] { close_all_idle(); });
     else done_();
 }
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -44,13 +44,14 @@
         HttpReader reader{HTTP_REQUEST};
         Handle connection = 0, submission = 0;
         bool busy = false, last = false;  // `last`: its answer ends the connection
-        Time idle_since = 0;
-        Deadlines::Key slow{};  // to send its message whole, or to read its answer
+        Time idle_since = 0;              // 0: not answered yet
+        Deadlines::Key slow{};            // to send its message whole, or to read its answer
     };
 
     void accept();
     void accept_later();
     void welcome(tcp::socket socket);
+    bool idle(Client& client);
     void make_room();
     void whole_message(Handle mark, Client& client);
     std::string what_is_wrong(HttpReader& reader, Asked& asked) const;
@@ -63,7 +64,6 @@
     Intake& intake_;
     tcp::acceptor acceptor_;
     Slots<Client> clients_;
-    std::size_t most_;
     bool stopping_ = false, crowded_ = false;
     std::function<void()> done_;
 };
--- a/src/net/connections.h
+++ b/src/net/connections.h
@@ -29,7 +29,14 @@
 
 class Connections {
   public:
-    Connections(asio::io_context& io, Deadlines& deadlines) : io_(io), deadlines_(deadlines) {}
+    // `most`: what all of them together should keep to; each user asks `room` before it adds to them.
+    Connections(asio::io_context& io, Deadlines& deadlines, std::size_t most)
+        : io_(io), deadlines_(deadlines), most_(most) {}
+
+    // Whether there is room for one more when this part of all, 0 to 1, is to stay free.
+    bool room(double free) const {
+        return static_cast<double>(connections_.size()) < static_cast<double>(most_) * (1 - free);
+    }
 
     // 0 when the table is full: the socket is closed then.
     Handle adopt(tcp::socket socket, User& user, std::uint32_t mark);
@@ -70,6 +77,7 @@
 
     asio::io_context& io_;
     Deadlines& deadlines_;
+    std::size_t most_;
     Slots<Connection> connections_;
     std::size_t finishing_ = 0;
 };
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -6,11 +6,7 @@
 
 namespace dewweir::net {
 
-Hosts::Hosts(const Part& part, Outcomes& outcomes)
-    : Part(part),
-      outcomes_(outcomes),
-      // What the clients' part of the descriptors leaves, less counter, discovery and the program's own.
-      most_(std::max<std::size_t>(told_.sockets * 4 / 10, 20) - 16) {}
+Hosts::Hosts(const Part& part, Outcomes& outcomes) : Part(part), outcomes_(outcomes) {}
 
 std::uint32_t Hosts::listed(const Entry& entry) {
     const auto [at, fresh] = numbers_.try_emplace(entry.id, static_cast<std::uint32_t>(hosts_.size()));
@@ -61,8 +57,9 @@
 }
 
 Handle Hosts::open_way(std::uint32_t host) {
-    if (ways_.size() >= most_) drop_oldest_idle();
-    if (ways_.size() >= most_) return 0;
+    // A little stays for the counter and for discovery.
+    if (!connections_.room(0.1)) drop_oldest_idle();
+    if (!connections_.room(0.1)) return 0;
     const Handle mark = ways_.add(host);
     if (!mark) return 0;
     Way& way = *ways_.find(mark);
--- a/src/net/hosts.h
+++ b/src/net/hosts.h
@@ -75,7 +75,6 @@
     std::vector<Host> hosts_;
     std::unordered_map<std::string, std::uint32_t> numbers_;
     Slots<Way> ways_;
-    std::size_t most_;
 };
 
 }  // namespace dewweir::net
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -11,7 +11,8 @@
       log_(log),
       // Alarms are as exact as in the simulator, which looks at them once a step.
       deadlines_(std::min<Time>(told.step, 50)),
-      connections_(io, deadlines_),
+      // Standard streams, listening, signals, the loop's own: 14 descriptors with a margin.
+      connections_(io, deadlines_, told.sockets - 14),
       part_{io, deadlines_, connections_, log, told},
       hosts_(part_, *this),
       counter_(part_, *this),
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -262,7 +262,7 @@
     Line client = world.client();
     const auto began = std::chrono::steady_clock::now();
     client.send(book());
-    CHECK(status(client.message()) == 503);  // it never ran
+    CHECK(status(client.message()) == 503);                                            // it never ran
     CHECK(std::chrono::steady_clock::now() - began > std::chrono::milliseconds(240));  // nothing refused it
 }
 
@@ -494,7 +494,7 @@
 
 TEST_CASE("more clients than descriptors: idle ones go first, nothing that was taken is dropped") {
     World world;
-    world.sockets = 40;  // of which clients have 24
+    world.sockets = 40;  // of which 26 are for connections, and clients leave a quarter of those
     world.start();
     rlimit few{40, 40};
     REQUIRE(prlimit(world.gateway->pid(), RLIMIT_NOFILE, &few, nullptr) == 0);
