--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -516,6 +516,24 @@
     CHECK(status(late.message()) == 200);
 }
 
+TEST_CASE("a client that has just connected is not let go for the next one") {
+    World world;
+    world.sockets = 40;
+    world.start();
+    const auto began = std::chrono::steady_clock::now();
+    std::vector<Line> crowd;
+    for (int n = 0; n < 24; ++n) crowd.push_back(world.client());  // more than are taken in
+    const bool kept = crowd[0].silent(50);
+    // A machine too slow for a quarter of a second proves nothing.
+    if (std::chrono::steady_clock::now() - began > std::chrono::milliseconds(200)) return;
+    CHECK(kept);
+    crowd[0].send(get());
+    Line host = world.a.accept();
+    host.message();
+    host.send(says("200 OK"));
+    CHECK(status(crowd[0].message()) == 200);
+}
+
 TEST_CASE("a bad configuration: the message names the key, and the exit code says so") {
     World world;
     const auto fault = [&](const std::string& from, const std::string& to, const std::string& key) {
