--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,10 +1,11 @@
-// The real gateway: reads what it is told at start, runs one loop until SIGTERM and whatever is then still to
-// be answered, and ends. Exits with 2 on a bad configuration.
+// The real gateway: reads what it is told at start and again at SIGHUP, runs one loop until SIGTERM and
+// whatever is then still to be answered, and ends. Exits with 2 on a configuration that is bad at start.
 #include <unistd.h>
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <csignal>
+#include <functional>
 #include <iostream>
 
 #include "net/node.h"
@@ -12,6 +13,10 @@
 using namespace dewweir::net;
 
 int main() {
+    std::signal(SIGPIPE, SIG_IGN);
+    asio::io_context io(1);  // one thread, and no locks for others
+    // Caught from here on: one that comes before the gateway stands is heard once it does.
+    asio::signal_set ends(io, SIGTERM, SIGINT), reloads(io, SIGHUP);
     Configuration told;
     try {
         told = read_configuration();
@@ -20,9 +25,7 @@
         return 2;
     }
     try {
-        std::signal(SIGPIPE, SIG_IGN);
         Log log(std::clog, STDERR_FILENO, told.log_level);
-        asio::io_context io(1);  // one thread, and no locks for others
         std::unique_ptr<Node> node;
         try {
             node = std::make_unique<Node>(io, log, told);
@@ -30,10 +33,19 @@
             std::cerr << "dewweir: configuration: settings: " << term.what() << '\n';
             return 2;
         }
-        asio::signal_set signals(io, SIGTERM, SIGINT);
-        signals.async_wait([&](const std::error_code& fault, int) {
+        ends.async_wait([&](const std::error_code& fault, int) {
             if (!fault) node->stop([&] { io.stop(); });
         });
+        std::function<void(const std::error_code&, int)> reload = [&](const std::error_code& fault, int) {
+            if (fault) return;
+            try {
+                node->take_over(read_configuration());
+            } catch (const std::exception& wrong) {
+                log.line(Level::error, std::string("configuration: ") + wrong.what() + "; the old one stays");
+            }
+            reloads.async_wait(reload);
+        };
+        reloads.async_wait(reload);
         log.line(Level::info, "gateway " + told.name + " ready");
         node->run();
         log.line(Level::info, "gateway " + told.name + " ended");
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -15,45 +15,78 @@
 
 Counter::Counter(const Part& part, Counts& counts) : Part(part), counts_(counts) {
     if (!told_.counter) return;
+    address_ = *told_.counter;
+    links_[mark_];
     open();
     watch();
 }
 
 void Counter::open() {
-    up_ = false;
-    connection_ = connections_.open(*told_.counter, *this, 0, told_.connect_within);
-    if (!connection_) lost("no connection left");
+    Link& link = links_.at(mark_);
+    link.connection = connections_.open(address_, *this, mark_, told_.connect_within);
+    if (!link.connection) lost(mark_, "no connection left");
 }
 
-void Counter::opened(Handle, std::uint32_t, bool up) {
-    if (!up) return lost("no connection");
-    up_ = true;
-    last_word_ = deadlines_.now();
-    for (Call& call : calls_) connections_.send(connection_, {std::exchange(call.line, {})});
+void Counter::move_to(const tcp::endpoint& address) {
+    if (links_.empty() || address == address_) return;
+    address_ = address;
+    retire();
+}
+
+// A new connection at once. Calls not yet written go with it; the others keep their answers and their order
+// on the old one, until the last is told.
+void Counter::retire() {
+    deadlines_.drop(reopening_);
+    pause_ = 0;
+    Link& old = links_.at(mark_);
+    if (old.up && !old.calls.empty()) {
+        links_[++mark_];
+    } else {
+        if (old.connection) connections_.close(old.connection);
+        old.connection = 0;
+        old.up = false;
+    }
+    open();
+}
+
+void Counter::opened(Handle, std::uint32_t mark, bool up) {
+    if (!up) return lost(mark, "no connection");
+    Link& link = links_.at(mark);
+    link.up = true;
+    link.last_word = deadlines_.now();
+    for (Call& call : link.calls) connections_.send(link.connection, {std::exchange(call.line, {})});
 }
 
 // What was written may have been added; what was not never will be.
-void Counter::lost(const char* why) {
+void Counter::lost(std::uint32_t mark, const char* why) {
     log_.line(Level::warning, std::string("counter: ") + why);
-    if (connection_) connections_.close(connection_);
-    connection_ = 0;
-    up_ = false;
-    pause_ = std::clamp(2 * pause_, least_pause, most_pause);
-    first_ += calls_.size();
-    std::deque<Call> calls = std::exchange(calls_, {});
-    deadlines_.after(pause_, [this] { open(); });
+    Link& link = links_.at(mark);
+    if (link.connection) connections_.close(link.connection);
+    link.connection = 0;
+    link.up = false;
+    link.first += link.calls.size();
+    std::deque<Call> calls = std::exchange(link.calls, {});
+    if (mark != mark_) {
+        links_.erase(mark);
+    } else {
+        pause_ = std::clamp(2 * pause_, least_pause, most_pause);
+        reopening_ = deadlines_.after(pause_, [this] {
+            reopening_ = {};
+            open();
+        });
+    }
     for (Call& call : calls) tell(call, call.line.empty() ? Verdict::timeout : Verdict::connect_failed);
 }
 
-void Counter::ended(Handle connection, std::uint32_t) {
-    if (connection != connection_) return;
+void Counter::ended(Handle connection, std::uint32_t mark) {
     // A line that has not left whole was never a call.
     std::size_t unsent = connections_.unsent(connection);
-    for (auto call = calls_.rbegin(); call != calls_.rend() && unsent; ++call) {
+    std::deque<Call>& calls = links_.at(mark).calls;
+    for (auto call = calls.rbegin(); call != calls.rend() && unsent; ++call) {
         call->line = "not sent";
         unsent -= std::min(unsent, call->size);
     }
-    lost("connection ended");
+    lost(mark, "connection ended");
 }
 
 void Counter::count(std::uint64_t name, double amount, Time keep_for) {
@@ -68,36 +101,45 @@
 }
 
 void Counter::put(std::string line, std::uint64_t name, bool ping) {
-    const std::uint64_t number = first_ + calls_.size();
+    Link& link = links_.at(mark_);
+    const std::uint64_t number = link.first + link.calls.size();
     const std::size_t size = line.size();
-    calls_.push_back({name, std::move(line), size, deadlines_.now(), ping, false, {}});
-    Call& call = calls_.back();
+    link.calls.push_back({name, std::move(line), size, deadlines_.now(), ping, false, {}});
+    Call& call = link.calls.back();
     // While the connection is lost, the end comes in the next turn.
-    const Time limit = connection_ ? told_.count_limit : 0;
-    call.deadline = deadlines_.after(limit, [this, number] { late(number); });
-    if (up_) connections_.send(connection_, {std::exchange(call.line, {})});
+    const Time limit = link.connection ? told_.count_limit : 0;
+    call.deadline = deadlines_.after(limit, [this, mark = mark_, number] { late(mark, number); });
+    if (link.up) connections_.send(link.connection, {std::exchange(call.line, {})});
 }
 
-void Counter::late(std::uint64_t number) {
-    if (number < first_ || number - first_ >= calls_.size()) return;
-    // What was written waits for its answer, so that the order holds.
-    if (calls_[number - first_].line.empty()) return tell(calls_[number - first_], Verdict::timeout);
+void Counter::late(std::uint32_t mark, std::uint64_t number) {
+    Link& link = links_.at(mark);
+    if (number < link.first || number - link.first >= link.calls.size()) return;
+    // What was written waits for its answer, so that the order holds; on a connection that has been left,
+    // nothing more is asked.
+    if (Call& call = link.calls[number - link.first]; call.line.empty()) {
+        const bool last = mark != mark_ && number - link.first + 1 == link.calls.size();
+        tell(call, Verdict::timeout);
+        if (last) connections_.close(link.connection), links_.erase(mark);
+        return;
+    }
     // What was not is the first in line: nothing is written while there is no connection, and all have one
     // limit.
-    Call call = std::move(calls_.front());
-    calls_.pop_front();
-    ++first_;
+    Call call = std::move(link.calls.front());
+    link.calls.pop_front();
+    ++link.first;
     tell(call, Verdict::connect_failed);
 }
 
 // Keeps an idle connection from being closed, and gives up one that has gone silent.
 void Counter::watch() {
     deadlines_.after(idle / 10, [this] { watch(); });
-    if (!up_) return;
-    if (calls_.empty() && deadlines_.now() - last_word_ > idle) put("ping\r\n", 0, true);
+    const Link& link = links_.at(mark_);
+    if (!link.up) return;
+    if (link.calls.empty() && deadlines_.now() - link.last_word > idle) put("ping\r\n", 0, true);
     const Time silent = std::max<Time>(20 * told_.count_limit, 10000);
-    if (!calls_.empty() && deadlines_.now() - std::max(last_word_, calls_.front().made) > silent)
-        lost("silent");
+    if (!link.calls.empty() && deadlines_.now() - std::max(link.last_word, link.calls.front().made) > silent)
+        lost(mark_, "silent");
 }
 
 void Counter::tell(Call& call, Verdict verdict, double total) {
@@ -106,9 +148,12 @@
     counts_.counted(call.name, verdict, total, deadlines_.now() - call.made);
 }
 
-void Counter::received(Handle connection, std::uint32_t) {
-    Ring& in = connections_.in(connection);
-    while (connection == connection_ && !in.empty()) {
+void Counter::received(Handle connection, std::uint32_t mark) {
+    // The link may be given up, or left, within an answer.
+    for (auto link = links_.find(mark); link != links_.end() && link->second.connection == connection;
+         link = links_.find(mark)) {
+        Ring& in = connections_.in(connection);
+        if (in.empty()) return;
         std::string line;
         for (const std::string_view part : in.filled()) {
             const std::size_t end = part.find('\n');
@@ -121,31 +166,37 @@
         if (line.back() != '\n' && line.size() < most_line) return;
         in.consume(line.size());
         while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) line.pop_back();
-        answered(line);
+        answered(mark, line);
     }
 }
 
-void Counter::answered(std::string_view line) {
-    if (calls_.empty()) return lost("an answer to no call");
-    last_word_ = deadlines_.now();
+void Counter::answered(std::uint32_t mark, std::string_view line) {
+    Link& link = links_.at(mark);
+    if (link.calls.empty()) return lost(mark, "an answer to no call");
+    link.last_word = deadlines_.now();
     pause_ = 0;
-    Call call = std::move(calls_.front());
-    calls_.pop_front();
-    ++first_;
+    Call call = std::move(link.calls.front());
+    link.calls.pop_front();
+    ++link.first;
+    if (mark != mark_ && link.calls.empty()) connections_.close(link.connection), links_.erase(mark);
     double total = 0;
     const bool ok = line.substr(0, 3) == "ok ";
     if (ok) {
         const auto [end, fault] = std::from_chars(line.data() + 3, line.data() + line.size(), total);
         if (fault != std::errc() || end != line.data() + line.size() || !std::isfinite(total)) {
             tell(call, Verdict::timeout);
-            return lost("an unreadable answer");
+            if (links_.contains(mark)) lost(mark, "an unreadable answer");
+            return;
         }
     }
     if (ok) tell(call, Verdict::ok, total);
     else if (line == "busy") tell(call, Verdict::full);
     else if (line == "error") tell(call, Verdict::error);
     else if (call.ping && line == "pong") tell(call, Verdict::ok);
-    else tell(call, Verdict::timeout), lost("an unreadable answer");
+    else {
+        tell(call, Verdict::timeout);
+        if (links_.contains(mark)) lost(mark, "an unreadable answer");
+    }
 }
 
 }  // namespace dewweir::net
--- a/src/net/counter.h
+++ b/src/net/counter.h
@@ -1,9 +1,10 @@
-// The counter service: owns the one connection to it and the calls that are out on it, matched to their
-// answers by order. Each call ends with exactly one `counted`, within the limit, never from within the
-// asking. It must never send a call again, nor one whose time has passed.
+// The counter service: owns the connection to it, with any that it has moved away from, and the calls that
+// are out, matched to their answers by order. Each call ends with exactly one `counted`, within the limit,
+// never from within the asking. It must never send a call again, nor one whose time has passed.
 #pragma once
 
 #include <deque>
+#include <map>
 #include <string>
 
 #include "part.h"
@@ -21,10 +22,13 @@
     Counter(const Part& part, Counts& counts);
 
     void count(std::uint64_t name, double amount, Time keep_for);
+    // The counter is elsewhere now: calls go there at once, those out on the old connection keep their
+    // answers.
+    void move_to(const tcp::endpoint& address);
 
-    void opened(Handle, std::uint32_t, bool up) override;
-    void received(Handle, std::uint32_t) override;
-    void ended(Handle, std::uint32_t) override;
+    void opened(Handle, std::uint32_t mark, bool up) override;
+    void received(Handle, std::uint32_t mark) override;
+    void ended(Handle, std::uint32_t mark) override;
 
   private:
     struct Call {
@@ -35,21 +39,29 @@
         bool ping, told;
         Deadlines::Key deadline;
     };
+    struct Link {  // one connection, and the calls made on it
+        Handle connection = 0;
+        bool up = false;
+        Time last_word = 0;
+        std::deque<Call> calls{};
+        std::uint64_t first = 0;  // number of the call at the front
+    };
 
     void open();
-    void lost(const char* why);
+    void retire();
+    void lost(std::uint32_t mark, const char* why);
     void put(std::string line, std::uint64_t name, bool ping);
-    void late(std::uint64_t number);
+    void late(std::uint32_t mark, std::uint64_t number);
     void watch();
     void tell(Call& call, Verdict verdict, double total = 0);
-    void answered(std::string_view line);
+    void answered(std::uint32_t mark, std::string_view line);
 
     Counts& counts_;
-    Handle connection_ = 0;
-    bool up_ = false;
-    Time pause_ = 0, last_word_ = 0;
-    std::deque<Call> calls_;
-    std::uint64_t first_ = 0;  // number of the call at the front
+    tcp::endpoint address_;
+    std::map<std::uint32_t, Link> links_;  // by mark; only the last takes calls, the others wait for answers
+    std::uint32_t mark_ = 0;               // of the last
+    Time pause_ = 0;
+    Deadlines::Key reopening_{};
 };
 
 }  // namespace dewweir::net
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -12,15 +12,28 @@
 }  // namespace
 
 Discovery::Discovery(const Part& part, ListNews& news)
-    : Part(part), news_(news), revision_(told_.known.revision) {}
+    : Part(part), news_(news), address_(told_.discovery), revision_(told_.known.revision) {}
 
 void Discovery::follow() {
     if (connection_) return;
     reader_ = std::make_unique<HttpReader>(HTTP_RESPONSE, most_line);
-    connection_ = connections_.open(told_.discovery, *this, 0, most_silence / 3);
+    connection_ = connections_.open(address_, *this, 0, most_silence / 3);
     if (!connection_) lost("no connection left");
 }
 
+void Discovery::move_to(const tcp::endpoint& address) {
+    if (address == address_) return;
+    address_ = address;
+    // Revisions of two sources need not compare: all is asked for anew.
+    revision_ = 0;
+    pause_ = 0;
+    deadlines_.drop(again_);
+    deadlines_.drop(silence_);
+    if (connection_) connections_.close(connection_);
+    connection_ = 0;
+    follow();
+}
+
 void Discovery::opened(Handle connection, std::uint32_t, bool up) {
     if (!up) return lost("no connection");
     const std::string from = std::to_string(revision_);
@@ -70,7 +83,7 @@
     connection_ = 0;
     pause_ = std::clamp(2 * pause_, least_pause, most_pause);
     if (told_.ask) news_.list_failed();
-    else deadlines_.after(pause_, [this] { follow(); });
+    else again_ = deadlines_.after(pause_, [this] { follow(); });
 }
 
 }  // namespace dewweir::net
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -21,6 +21,8 @@
     Discovery(const Part& part, ListNews& news);
 
     void follow();  // nothing where the watch is up already
+    // Another address now: watched at once, and its first word is taken whatever its revision.
+    void move_to(const tcp::endpoint& address);
 
     void opened(Handle, std::uint32_t, bool up) override;
     void received(Handle, std::uint32_t) override;
@@ -31,11 +33,12 @@
     void heard();
 
     ListNews& news_;
+    tcp::endpoint address_;
     Handle connection_ = 0;
     std::unique_ptr<HttpReader> reader_;
     std::uint64_t revision_;
     Time pause_ = 0;
-    Deadlines::Key silence_{};
+    Deadlines::Key silence_{}, again_{};
 };
 
 }  // namespace dewweir::net
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -33,6 +33,20 @@
     }
 }
 
+void Node::take_over(const Configuration& fresh) {
+    deadlines_.turn();
+    const Configuration& told = part_.told_;
+    const std::pair<const char*, bool> others[] = {{"name", fresh.name != told.name},
+                                                   {"listen", fresh.listen != told.listen},
+                                                   {"limits.sockets", fresh.sockets != told.sockets},
+                                                   {"settings", fresh.terms != told.terms}};
+    for (const auto& [key, differs] : others)
+        if (differs) log_.line(Level::warning, std::string("configuration: ") + key + ": needs a restart");
+    discovery_.move_to(fresh.discovery);
+    if (fresh.counter) counter_.move_to(*fresh.counter);
+    log_.line(Level::info, "configuration: read again");
+}
+
 // ---- what the module has done ----
 
 void Node::execute(std::uint32_t id, std::uint32_t host, Time give_up_after) {
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -21,6 +21,8 @@
     // Throws when the address cannot be listened on, or a term is missing.
     Node(asio::io_context& io, Log& log, const Configuration& told);
     void run();  // until the loop is stopped
+    // A new configuration: where discovery and the counter are. What else it changes is named in the log.
+    void take_over(const Configuration& fresh);
     void stop(std::function<void()> done) { clients_.stop(std::move(done)); }
 
   private:
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -86,6 +86,18 @@
     host.send(says("200 OK", body));
     CHECK(status(client.message()) == 200);
 }
+std::string chunk(const std::string& text) {
+    std::ostringstream out;
+    out << std::hex << text.size() << "\r\n" << text << "\r\n";
+    return out.str();
+}
+bool logged(const World& world, const std::string& what) {
+    for (int waited = 0; waited < patience_ms; waited += 5) {
+        if (world.gateway->log().find(what) != std::string::npos) return true;
+        poll(nullptr, 0, 5);
+    }
+    return false;
+}
 
 }  // namespace
 
@@ -416,11 +428,6 @@
     Line watch = world.discovery.accept();
     CHECK(watch.until("\r\n").find("GET /registry/instances?stream=1&index=4 ") == 0);
     watch.until("\r\n\r\n");
-    const auto chunk = [](const std::string& text) {
-        std::ostringstream out;
-        out << std::hex << text.size() << "\r\n" << text << "\r\n";
-        return out.str();
-    };
     watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("\n"));
     // b comes and a drains, in a line that comes in pieces.
     const std::string news =
@@ -443,6 +450,63 @@
     CHECK(host.ended());
 }
 
+TEST_CASE("SIGHUP: discovery and counter are where the new file says; calls out keep their answers") {
+    World world;
+    world.with_counter();
+    world.start();
+    Line watch = world.discovery.accept(), counter = world.counter.accept();
+    Line client = world.client();
+    client.send(get("1", "small"));
+    counter.until("\r\n");
+    Door discovery, new_counter;
+    world.gateway->configure(
+        replaced(replaced(world.configuration(), world.discovery.address(), discovery.address()),
+                 world.counter.address(), new_counter.address()));
+    world.gateway->signal(SIGHUP);
+    Line next = new_counter.accept(), anew = discovery.accept();
+    CHECK(watch.until("\r\n\r\n").find("index=4 ") != std::string::npos);
+    CHECK(watch.ended());
+    // Over its quota, says the old counter; that is its last word.
+    counter.send("ok 900\r\n");
+    CHECK(status(client.message()) == 503);
+    next.until(" 0 4000\r\n");  // the window before
+    next.send("ok 0\r\n");
+    next.until(" -1 4000\r\n");  // and its unit back
+    next.send("ok 899\r\n");
+    Line other = world.client();
+    other.send(replaced(get("2"), "00000000b4d65521", "0000000000000007"));
+    CHECK(next.until("\r\n").find(" 1 60000") != std::string::npos);
+    next.send("ok 1\r\n");
+    // The new source counts from elsewhere, and has another host.
+    anew.until("\r\n\r\n");
+    anew.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+              chunk(list(2, true, entry("b", world.b)) + "\n"));
+    Line host = world.a.accept();
+    delivered(other, host);
+    CHECK(host.ended());
+    other.send(replaced(get("3"), "00000000b4d65521", "0000000000000007"));
+    next.until("\r\n");
+    next.send("ok 2\r\n");
+    Line second = world.b.accept();
+    delivered(other, second);
+}
+
+TEST_CASE("SIGHUP with a bad file, or the same one: a message, and the old one stays") {
+    World world;
+    world.with_counter();
+    world.start();
+    Line watch = world.discovery.accept(), counter = world.counter.accept();
+    world.gateway->configure(replaced(world.configuration(), R"("discovery":"127)", R"("discovery":"x)"));
+    world.gateway->signal(SIGHUP);
+    CHECK(logged(world, "error configuration: discovery: "));
+    world.gateway->configure(replaced(world.configuration(), R"("sockets":256)", R"("sockets":512)"));
+    world.gateway->signal(SIGHUP);
+    CHECK(logged(world, "configuration: limits.sockets: needs a restart"));
+    CHECK(!world.discovery.knocked(20));
+    CHECK(!world.counter.knocked(0));
+    CHECK(counter.silent(0));
+}
+
 TEST_CASE("SIGTERM: not ready, what is open is answered and let go, and it ends clean") {
     World world;
     world.start();
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -139,7 +139,7 @@
         char name[] = "/tmp/dewweir-test-XXXXXX";
         REQUIRE(mkdtemp(name));
         folder_ = name;
-        std::ofstream(folder_ + "/config.json") << configuration;
+        configure(configuration);
         pid_ = fork();
         if (pid_ == 0) {
             prctl(PR_SET_PDEATHSIG,
@@ -158,6 +158,7 @@
         unlink((folder_ + "/log").c_str());
         rmdir(folder_.c_str());
     }
+    void configure(const std::string& text) { std::ofstream(folder_ + "/config.json") << text; }
     void signal(int number) { kill(pid_, number); }
     pid_t pid() const { return pid_; }
     // Its exit code; -1 if it is still running after the wait, or was killed.
