Bad clients are let go in time; spoilt answers stay with their own call

Each shown first by a socket test that the program before fails. - A second answer right behind the first was taken for the next submission's: the read that had already fetched it was still to be told (Connections::read, hosts.cpp over). Connections now wait and then read, tell in the same turn, and hold no buffer while they wait; a way is used again only if a peek finds nothing. - Silent clients and half requests held a connection without limit or 10 s; now 2.4 s from connecting, and 2.2 s with nothing open. - The id of an open submission reached a host as a second copy: 409. Fields that must be single, X-Metering with a wrong set, fractions or names twice, and a method that the class does not have: 400. A request that names a coding ends its connection. - One spoilt answer of the counter failed every call that was out and each call of the 25 ms pause; three opened the breaker. Now a new connection at once, verdict broken, and the breaker hears nothing of it.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -323,9 +323,9 @@
         bring_up(c);
         const auto waiting = submissions.find(made.submission);
         const bool awaited = waiting != submissions.end() && waiting->second.stage == Stage::counting;
-        if (verdict == Verdict::ok) count_answered(took);
-        else if (awaited || probing || made.asked == Asked::previous) count_failed();
-        if (verdict == Verdict::ok) total_told(c, made, told);
+        if (verdict == Verdict::ok) count_answered(took), total_told(c, made, told);
+        else if (probing || (verdict != Verdict::broken && (awaited || made.asked == Asked::previous)))
+            count_failed();  // an answer that cannot be read is no sign of a slow counter
         if (made.asked == Asked::previous) return previous_told(c, made, verdict);
         if (made.asked == Asked::back || waiting == submissions.end()) return;
         Submission& s = waiting->second;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -11,13 +11,16 @@
 // New connections are told to come for 0.4 s after SIGTERM; a margin on top.
 constexpr Time accept_after_stop = 6000;
 constexpr Time quiet = tenths_a_second / 4;
-constexpr Time slow_message = 10 * tenths_a_second;  // for one message, from its first byte to its last
+// A connection with nothing open may go after 2 s; whoever sends no whole message is owed an end within 3 s.
+constexpr Time most_idle = 22 * tenths_a_second / 10, slow_message = 24 * tenths_a_second / 10;
+constexpr Time slow_reader = 10 * tenths_a_second;  // for one answer
 
 const char* reason(int status) {
     switch (status) {
         case 200: return "200 OK";
         case 400: return "400 Bad Request";
         case 405: return "405 Method Not Allowed";
+        case 409: return "409 Conflict";
         case 408: return "408 Request Timeout";
         case 411: return "411 Length Required";
         case 413: return "413 Content Too Large";
@@ -42,9 +45,10 @@
     return at == names.end() ? -1 : static_cast<int>(at - names.begin());
 }
 
-// units=2,spread=3,first=1
-bool read_metering(std::string_view text, double& units, double& spread) {
-    bool has_units = false, has_spread = false;
+// units=2,spread=3,first=1: each once, the set within the gateways that there are.
+bool read_metering(std::string_view text, const Configuration& told, double& units, int& spread) {
+    bool has_units = false, has_spread = false, has_first = false;
+    int first = 0;
     while (!text.empty()) {
         const std::string_view part = text.substr(0, text.find(','));
         text.remove_prefix(std::min(part.size() + 1, text.size()));
@@ -52,10 +56,13 @@
         std::string_view name = part.substr(0, equals),
                          value = part.substr(std::min(equals + 1, part.size()));
         while (!name.empty() && name.front() == ' ') name.remove_prefix(1);
-        if (name == "units") has_units = read_number(value, units);
-        if (name == "spread") has_spread = read_number(value, spread);
+        const auto once = [](bool& has, bool reads) { return std::exchange(has, true) ? false : reads; };
+        if (name == "units" && !once(has_units, read_number(value, units))) return false;
+        if (name == "spread" && !once(has_spread, read_number(value, spread, 10))) return false;
+        if (name == "first" && !once(has_first, read_number(value, first, 10))) return false;
     }
-    return has_units && has_spread;
+    return has_units && has_spread && has_first && units > 0 && units <= told.largest && spread >= 1 &&
+           spread <= told.gateways && first >= 0 && first < told.gateways;
 }
 
 }  // namespace
@@ -105,24 +112,45 @@
     Client& client = *clients_.find(mark);
     client.idle_since = deadlines_.now();
     client.connection = connections_.adopt(std::move(socket), *this, mark);
-    if (!client.connection) clients_.remove(mark);
+    if (!client.connection) return clients_.remove(mark);
+    limit(mark, client, slow_message);
+}
+
+void Clients::limit(Handle mark, Client& client, Time within) {
+    deadlines_.drop(client.limit);
+    client.limit = deadlines_.after(within, [this, mark] { overdue(mark); });
+}
+
+// Silent since it was opened or answered, slow to send a message, or slow to read its answer.
+void Clients::overdue(Handle mark) {
+    Client& client = *clients_.find(mark);
+    client.limit = {};
+    if (connections_.unsent(client.connection)) return let_go(mark, client);
+    if (!client.reader.begun()) {
+        if (connections_.quiet(client.connection)) return close_idle(mark);
+        return limit(mark, client, quiet);  // just come: its turn is next
+    }
+    client.last = true;
+    plain(client, 408, "the message did not end in time\n");
+    let_go(mark, client);
 }
 
 // A message may be on its way to a connection just opened or just answered; one that has been quiet for a
 // while can go.
 bool Clients::idle(Client& client) {
     return !client.busy && !client.reader.begun() && deadlines_.now() - client.idle_since >= quiet &&
-           !connections_.unsent(client.connection) && !connections_.has_unread(client.connection);
+           !connections_.unsent(client.connection) && connections_.quiet(client.connection);
 }
 
-// The client idle for longest goes.
+// The client idle for longest goes, those that have never sent anything first.
 void Clients::make_room() {
     Handle oldest = 0;
-    Time since = 0;
+    std::pair<bool, Time> since;
     clients_.each([&](Handle mark, Client& client) {
-        if ((oldest && client.idle_since >= since) || !idle(client)) return;
+        const std::pair<bool, Time> own{client.known, client.idle_since};
+        if ((oldest && own >= since) || !idle(client)) return;
         oldest = mark;
-        since = client.idle_since;
+        since = own;
     });
     if (oldest) close_idle(oldest);
 }
@@ -140,7 +168,7 @@
 }
 
 void Clients::forget(Handle mark, Client& client) {
-    deadlines_.drop(client.slow);
+    deadlines_.drop(client.limit);
     clients_.remove(mark);
 }
 
@@ -150,17 +178,14 @@
     if (!client || client->busy || connections_.unsent(connection)) return;
     const HttpReader::State state = client->reader.read(connections_.in(connection));
     if (state == HttpReader::State::more) {
-        if (client->reader.begun() && client->slow == Deadlines::Key{})
-            client->slow = deadlines_.after(slow_message, [this, mark] {
-                Client* const late = clients_.find(mark);
-                if (!late) return;
-                late->last = true;
-                plain(*late, 408, "the message did not end in time\n");
-                let_go(mark, *late);
-            });
+        // The first message's time began with the connection.
+        if (client->reader.begun() && client->known && !client->late) limit(mark, *client, slow_message);
+        client->late |= client->reader.begun();
         return;
     }
-    deadlines_.drop(client->slow);
+    deadlines_.drop(client->limit);
+    client->known = true;
+    client->late = false;
     if (state == HttpReader::State::bad) {
         client->last = true;
         plain(*client, client->reader.fault(), "this is no message of HTTP/1.1 within our limits\n");
@@ -173,7 +198,7 @@
     HttpReader& reader = client.reader;
     client.last |= !reader.keep_alive() || stopping_;
     Asked asked{};
-    std::string wrong;
+    std::string_view wrong;
     int status = 400;
     if (reader.target() == "/health/ready" && reader.method() == HTTP_GET) {
         status = stopping_ ? 503 : 200;
@@ -181,19 +206,18 @@
     } else if (reader.method() != HTTP_GET && reader.method() != HTTP_POST) {
         status = 405;
         wrong = "GET or POST\n";
-    } else if (reader.chunked()) {
-        status = 411;
-        wrong = "a body must come with its length\n";
     } else {
         wrong = what_is_wrong(reader, asked);
+        if (wrong.empty() && intake_.has_open(asked.id)) {
+            status = 409;
+            wrong = "X-Request-Id: of a request that is open\n";
+        }
     }
     if (!wrong.empty()) {
         plain(client, status, wrong);
         reader.next();
         if (client.last) return let_go(mark, client);
-        client.idle_since = deadlines_.now();
-        if (!connections_.in(client.connection).empty()) connections_.again(client.connection);
-        return;
+        return rest(mark, client);
     }
     reader.next();
     client.busy = true;
@@ -204,25 +228,27 @@
     else if (still && still->busy) still->submission = submission;
 }
 
-std::string Clients::what_is_wrong(HttpReader& reader, Asked& asked) const {
+std::string_view Clients::what_is_wrong(HttpReader& reader, Asked& asked) const {
     const bool get = reader.method() == HTTP_GET;
     if (get && !reader.body().empty()) return "GET has no body\n";
-    if (reader.field("X-Request-Id").empty()) return "X-Request-Id: missing\n";
+    if (reader.target().front() != '/') return "the path must begin with /\n";
+    if (reader.field("X-Request-Id").empty()) return "X-Request-Id: missing or twice\n";
+    asked.id = reader.field("X-Request-Id");
     asked.track = place_of(told_.tracks, reader.field("X-Class"));
     if (asked.track < 0) return "X-Class: missing or unknown\n";
+    if (told_.retriable[static_cast<std::size_t>(asked.track)] != get)
+        return "the class decides the method: GET if it is safe to repeat, else POST\n";
     asked.plan = place_of(told_.plans, reader.field("X-Contract"));
     if (asked.plan < 0) return "X-Contract: missing or unknown\n";
     const std::string_view customer = reader.field("X-Client-Id");
     if (customer.size() != 16 || !read_number(customer, asked.customer, 16) || asked.customer >> 33)
         return "X-Client-Id: must be 16 hex digits, below 2^33\n";
-    double patience = 0, spread = 0;
+    double patience = 0;
     if (!read_number(reader.field("X-Deadline"), patience) || !(patience > 0 && patience <= 3600))
         return "X-Deadline: must be seconds, up to 3600\n";
     asked.patience = static_cast<Time>(patience * tenths_a_second);
-    if (!read_metering(reader.field("X-Metering"), asked.units, spread) ||
-        !(asked.units > 0 && asked.units <= 1e6) || !(spread >= 1 && spread <= 1e6))
-        return "X-Metering: must give units and spread\n";
-    asked.gateways = static_cast<int>(spread);
+    if (!read_metering(reader.field("X-Metering"), told_, asked.units, asked.gateways))
+        return "X-Metering: must give units, spread and first, each once and in range\n";
     asked.head.reserve(512);
     asked.head.append(get ? "GET " : "POST ").append(reader.target()).append(" HTTP/1.1\r\n");
     reader.pass_on(asked.head, {"X-Deadline"});
@@ -233,7 +259,8 @@
 }
 
 void Clients::plain(Client& client, int status, std::string_view why) {
-    if (status >= 400 && status < 500) log_.line(Level::debug, "clients: " + std::string(why));
+    if (status >= 400 && status < 500 && log_.shows(Level::debug))
+        log_.line(Level::debug, "clients: " + std::string(why));
     write(client, status, "Content-Type: text/plain\r\n", why);
 }
 
@@ -253,18 +280,21 @@
     write(*client, status, fields, body);
     client->busy = false;
     client->submission = 0;
-    client->idle_since = deadlines_.now();
     if (client->last) return let_go(mark, *client);
-    if (connections_.unsent(client->connection))
-        client->slow = deadlines_.after(slow_message, [this, mark] {
-            Client* const late = clients_.find(mark);
-            if (late) let_go(mark, *late);
-        });
-    else if (!connections_.in(client->connection).empty()) connections_.again(client->connection);
+    rest(mark, *client);
+}
+
+// Its message is answered: it may read that answer, stand idle for a while, or have sent its next one
+// already.
+void Clients::rest(Handle mark, Client& client) {
+    client.idle_since = deadlines_.now();
+    const bool unsent = connections_.unsent(client.connection);
+    limit(mark, client, unsent ? slow_reader : most_idle);
+    if (!unsent && !connections_.in(client.connection).empty()) connections_.again(client.connection);
 }
 
 void Clients::drained(Handle handle, std::uint32_t mark) {
-    if (Client* const client = clients_.find(mark)) deadlines_.drop(client->slow);
+    if (Client* const client = clients_.find(mark)) limit(mark, *client, most_idle);
     received(handle, mark);
 }
 
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -16,13 +16,16 @@
     double units;
     int gateways;
     Time patience;
+    std::string id;          // the client's own
     std::string head, body;  // as it goes to a host: the first line, and the fields that pass through
 };
 
 class Intake {
   public:
     virtual ~Intake() = default;
-    virtual Handle submitted(Handle client, Asked&& asked) = 0;  // 0: no room for it
+    virtual Handle submitted(Handle client,
+                             Asked&& asked) = 0;  // 0: no room for it
+    virtual bool has_open(const std::string& id) const = 0;
     virtual void client_gone(Handle submission) = 0;
 };
 
@@ -44,19 +47,24 @@
         HttpReader reader{HTTP_REQUEST};
         Handle connection = 0, submission = 0;
         bool busy = false, last = false;  // `last`: its answer ends the connection
+        bool known = false;               // has sent a whole message
+        bool late = false;                // its message has a limit from its first byte
         Time idle_since = 0;              // since it was opened, or answered last
-        Deadlines::Key slow{};            // to send its message whole, or to read its answer
+        Deadlines::Key limit{};           // to send a message, to read its answer, or to stand idle
     };
 
     void accept();
     void accept_later();
     void welcome(tcp::socket socket);
     bool idle(Client& client);
+    void limit(Handle mark, Client& client, Time within);
+    void overdue(Handle mark);
     void make_room();
     void whole_message(Handle mark, Client& client);
-    std::string what_is_wrong(HttpReader& reader, Asked& asked) const;
+    std::string_view what_is_wrong(HttpReader& reader, Asked& asked) const;
     void plain(Client& client, int status, std::string_view why);
     void write(Client& client, int status, std::string_view fields, std::string_view body);
+    void rest(Handle mark, Client& client);
     void let_go(Handle mark, Client& client);
     void forget(Handle mark, Client& client);
     void close_idle(Handle mark);
--- a/src/net/configuration.cpp
+++ b/src/net/configuration.cpp
@@ -83,14 +83,18 @@
     return found == terms.end() ? nullptr : &found->second;
 }
 
-Time time_of(const Terms& terms, const std::string& name, Time otherwise) {
+double figure_of(const Terms& terms, const std::string& name, double otherwise, double least, double most) {
     const std::string* const text = term(terms, name);
     if (!text) return otherwise;
     char* end = nullptr;
-    const double ms = std::strtod(text->c_str(), &end);
-    if (text->empty() || *end || !(ms >= 0 && ms < 1e9))
-        throw Fault("settings: " + name + ": must be a time");
-    return std::llround(ms * 10);
+    const double figure = std::strtod(text->c_str(), &end);
+    if (text->empty() || *end || !(figure >= least && figure <= most))
+        throw Fault("settings: " + name + ": must be a number, and in range");
+    return figure;
+}
+
+Time time_of(const Terms& terms, const std::string& name, Time otherwise) {
+    return std::llround(figure_of(terms, name, static_cast<double>(otherwise) / 10, 0, 1e9) * 10);
 }
 
 std::vector<std::string> names_of(const Terms& terms, const std::string& list) {
@@ -152,6 +156,12 @@
     if (counted && *counted == "true") c.counter = address_of(from, "counter");
     c.tracks = names_of(c.terms, "tracks");
     c.plans = names_of(c.terms, "plans");
+    for (std::size_t n = 0; n < c.tracks.size(); ++n) {
+        const std::string* const repeats = term(c.terms, "tracks." + std::to_string(n) + ".repeats");
+        c.retriable.push_back(repeats && *repeats == "retriable");
+    }
+    c.gateways = static_cast<int>(figure_of(c.terms, "gateways", 1, 1, 1e6));
+    c.largest = figure_of(c.terms, "service.largest", 1e6, 0, 1e9);
     if (const std::string* const zones = term(c.terms, "zones")) {
         std::istringstream each(*zones);
         for (std::string zone; std::getline(each, zone, ',');) c.zones.push_back(zone);
--- a/src/net/configuration.h
+++ b/src/net/configuration.h
@@ -43,6 +43,9 @@
     Terms terms;
     Listing known;
     std::vector<std::string> tracks, plans, zones;  // by name; their places are their numbers
+    std::vector<bool> retriable;  // by track
+    int gateways = 1;
+    double largest = 1e6;  // units of one submission
     Time step = 0, connect_within = 0, idle_close = 0, count_limit = 0;
     bool ask = false;  // the list is sent only after it was asked for
     Level log_level = Level::info;
--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr std::size_t least_read = 4096, most_held = 16384;  // of what has come and waits in the ring
-constexpr Time linger = 20000;                               // two seconds for a peer to close
+constexpr Time linger = 10000;                 // a second for a peer to close
+constexpr std::size_t most_discarded = 65536;  // of what it still sends meanwhile
 
 }  // namespace
 
@@ -59,34 +60,48 @@
     if (!c->out.empty() && !c->writing) write(handle);
 }
 
-bool Connections::has_unread(Handle handle) {
+bool Connections::quiet(Handle handle) {
     Connection& c = *connections_.find(handle);
+    char byte;
     std::error_code fault;
-    return !c.in.empty() || c.socket.available(fault) > 0;
+    c.socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, fault);
+    return c.in.empty() && (fault == asio::error::would_block || fault == asio::error::try_again);
 }
 
+// Waits first and reads then: what has been read is told in the same turn, so `quiet` misses nothing, and a
+// connection that waits holds no buffer.
 void Connections::read(Handle handle) {
     Connection* const c = connections_.find(handle);
-    if (!c || !c->up || c->reading || c->in.size() >= most_held) return;
-    c->in.trim(least_read);
-    c->in.make_room(least_read);
-    const auto space = c->in.space();
-    const std::array<asio::mutable_buffer, 2> to = {asio::buffer(space[0].at, space[0].size),
-                                                    asio::buffer(space[1].at, space[1].size)};
+    if (!c) return;
+    c->in.trim();
+    if (!c->up || c->reading || c->in.size() >= most_held) return;
     c->reading = true;
-    c->socket.async_read_some(
-        to, [this, handle](const std::error_code& fault, std::size_t n) { after_read(handle, fault, n); });
+    c->socket.async_wait(tcp::socket::wait_read,
+                         [this, handle](const std::error_code& fault) { readable(handle, fault); });
 }
 
-void Connections::after_read(Handle handle, const std::error_code& fault, std::size_t n) {
+void Connections::readable(Handle handle, std::error_code fault) {
     Connection* const c = connections_.find(handle);
     if (!c) return;
     deadlines_.turn();
     c->reading = false;
-    if (fault) return ended(handle);
+    std::size_t n = 0;
+    if (!fault) {
+        c->in.make_room(least_read);
+        const auto space = c->in.space();
+        const std::array<asio::mutable_buffer, 2> to = {asio::buffer(space[0].at, space[0].size),
+                                                        asio::buffer(space[1].at, space[1].size)};
+        n = c->socket.read_some(to, fault);
+    }
+    if (fault && fault != asio::error::would_block && fault != asio::error::try_again) return ended(handle);
     c->in.commit(n);
-    if (c->finishing) c->in.consume(c->in.size());
-    else c->user->received(handle, c->mark);
+    if (c->finishing) {
+        // Whoever goes on at full speed is left to the system, and costs no time here.
+        c->in.consume(c->in.size());
+        if ((c->discarded += n) > most_discarded) return;
+    } else if (n) {
+        c->user->received(handle, c->mark);
+    }
     read(handle);
 }
 
@@ -133,7 +148,7 @@
         if (fault) return later_ended(handle);
         c.out.consume(n);
     }
-    c.out.trim(4096);
+    c.out.trim();
     if (c.finishing) end_sending(c);
 }
 
--- a/src/net/connections.h
+++ b/src/net/connections.h
@@ -46,8 +46,8 @@
     Ring& in(Handle handle) { return connections_.find(handle)->in; }
     // Bytes not yet handed to the system.
     std::size_t unsent(Handle handle) { return connections_.find(handle)->out.size(); }
-    // True when bytes have come that nobody has looked at.
-    bool has_unread(Handle handle);
+    // Nothing has come that nobody has looked at: no byte, here or with the system, and not the peer's end.
+    bool quiet(Handle handle);
     void send(Handle handle, std::initializer_list<std::string_view> parts);
     // Tells `received` once more in the next turn, for bytes that were left in the ring.
     void again(Handle handle);
@@ -64,12 +64,13 @@
         std::uint32_t mark;
         bool up = false, reading = false, writing = false, finishing = false;
         Ring in{}, out{};
+        std::size_t discarded = 0;  // of what came once it was finishing
         Deadlines::Key deadline{};
     };
 
     void connected(Handle handle, bool up);
     void read(Handle handle);
-    void after_read(Handle handle, const std::error_code& fault, std::size_t n);
+    void readable(Handle handle, std::error_code fault);
     void write(Handle handle);
     void later_ended(Handle handle);
     void ended(Handle handle);
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr Time least_pause = 250, most_pause = 10000;  // before the connection is opened again
-constexpr Time idle = 30000;                           // then a ping, well within the 10 s of the counter
+constexpr Time idle = 30000;        // then a ping, well within the 10 s of the counter
 constexpr std::size_t most_line = 256;
 
 }  // namespace
@@ -58,7 +58,7 @@
 }
 
 // What was written may have been added; what was not never will be.
-void Counter::lost(std::uint32_t mark, const char* why) {
+void Counter::lost(std::uint32_t mark, const char* why, Verdict written) {
     log_.line(Level::warning, std::string("counter: ") + why);
     Link& link = links_.at(mark);
     if (link.connection) connections_.close(link.connection);
@@ -68,6 +68,10 @@
     std::deque<Call> calls = std::exchange(link.calls, {});
     if (mark != mark_) {
         links_.erase(mark);
+    } else if (written == Verdict::broken && pause_ == 0) {
+        // It spoke well before, and what it says now is not slow: there is nothing to wait for.
+        pause_ = least_pause;
+        open();
     } else {
         pause_ = std::clamp(2 * pause_, least_pause, most_pause);
         reopening_ = deadlines_.after(pause_, [this] {
@@ -75,7 +79,7 @@
             open();
         });
     }
-    for (Call& call : calls) tell(call, call.line.empty() ? Verdict::timeout : Verdict::connect_failed);
+    for (Call& call : calls) tell(call, call.line.empty() ? written : Verdict::connect_failed);
 }
 
 void Counter::ended(Handle connection, std::uint32_t mark) {
@@ -173,30 +177,28 @@
 void Counter::answered(std::uint32_t mark, std::string_view line) {
     Link& link = links_.at(mark);
     if (link.calls.empty()) return lost(mark, "an answer to no call");
+    double total = 0;
+    Verdict verdict = Verdict::broken;
+    if (line.substr(0, 3) == "ok ") {
+        const auto [end, fault] = std::from_chars(line.data() + 3, line.data() + line.size(), total);
+        if (fault == std::errc() && end == line.data() + line.size() && std::isfinite(total))
+            verdict = Verdict::ok;
+    } else if (line == "busy") {
+        verdict = Verdict::full;
+    } else if (line == "error") {
+        verdict = Verdict::error;
+    } else if (link.calls.front().ping && line == "pong") {
+        verdict = Verdict::ok;
+    }
+    // Nothing more that comes on this connection can be trusted.
+    if (verdict == Verdict::broken) return lost(mark, "an unreadable answer", verdict);
     link.last_word = deadlines_.now();
     pause_ = 0;
     Call call = std::move(link.calls.front());
     link.calls.pop_front();
     ++link.first;
     if (mark != mark_ && link.calls.empty()) connections_.close(link.connection), links_.erase(mark);
-    double total = 0;
-    const bool ok = line.substr(0, 3) == "ok ";
-    if (ok) {
-        const auto [end, fault] = std::from_chars(line.data() + 3, line.data() + line.size(), total);
-        if (fault != std::errc() || end != line.data() + line.size() || !std::isfinite(total)) {
-            tell(call, Verdict::timeout);
-            if (links_.contains(mark)) lost(mark, "an unreadable answer");
-            return;
-        }
-    }
-    if (ok) tell(call, Verdict::ok, total);
-    else if (line == "busy") tell(call, Verdict::full);
-    else if (line == "error") tell(call, Verdict::error);
-    else if (call.ping && line == "pong") tell(call, Verdict::ok);
-    else {
-        tell(call, Verdict::timeout);
-        if (links_.contains(mark)) lost(mark, "an unreadable answer");
-    }
+    tell(call, verdict, total);
 }
 
 }  // namespace dewweir::net
--- a/src/net/counter.h
+++ b/src/net/counter.h
@@ -49,7 +49,7 @@
 
     void open();
     void retire();
-    void lost(std::uint32_t mark, const char* why);
+    void lost(std::uint32_t mark, const char* why, Verdict written = Verdict::timeout);
     void put(std::string line, std::uint64_t name, bool ping);
     void late(std::uint32_t mark, std::uint64_t number);
     void watch();
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -3,20 +3,29 @@
 #include <algorithm>
 #include <asio/post.hpp>
 #include <charconv>
+#include <unordered_set>
 
 namespace dewweir::net {
+namespace {
+
+// One that comes back under its id within a minute is the host it was; later it is a new one.
+constexpr Time remembered = 600000;
+constexpr int most_interim = 8;
+
+}  // namespace
 
 Hosts::Hosts(const Part& part, Outcomes& outcomes) : Part(part), outcomes_(outcomes) {}
 
 std::uint32_t Hosts::listed(const Entry& entry) {
-    const auto [at, fresh] = numbers_.try_emplace(entry.id, static_cast<std::uint32_t>(hosts_.size()));
-    if (fresh) {
-        hosts_.emplace_back().id = entry.id;
-        log_.line(Level::info, "host " + std::to_string(at->second) + " is " + entry.id);
+    const auto known = numbers_.find(entry.id);
+    if (known == numbers_.end() && entry.standing == Standing::gone) return 0;
+    const std::uint32_t number = known == numbers_.end() ? ++last_number_ : known->second;
+    Host& host = hosts_[number];
+    if (known == numbers_.end()) {
+        host.id = entry.id;
+        numbers_[entry.id] = number;
+        log_.line(Level::info, "host " + std::to_string(number) + " is " + entry.id);
     }
-    Host& host = hosts_[at->second];
-    const bool was_ready = host.standing == Standing::ready;
-    host.standing = entry.standing;
     // At another address, or started again: what stands idle leads nowhere.
     if (entry.standing != Standing::gone &&
         (host.address != entry.address || host.up_since != entry.up_since)) {
@@ -24,18 +33,34 @@
         host.up_since = entry.up_since;
         release_idle(host);
     }
-    if (host.standing != Standing::ready && was_ready) not_ready(at->second);
-    return at->second;
+    now_stands(number, host, entry.standing);
+    return number;
 }
 
 void Hosts::keep_only(const std::vector<Entry>& entries) {
-    std::vector<bool> named(hosts_.size());
-    for (const Entry& entry : entries) named[numbers_.at(entry.id)] = true;
-    for (std::uint32_t n = 0; n < hosts_.size(); ++n) {
-        if (named[n] || hosts_[n].standing == Standing::gone) continue;
-        hosts_[n].standing = Standing::gone;
-        not_ready(n);
+    std::unordered_set<std::uint32_t> named;
+    for (const Entry& entry : entries)
+        if (const auto known = numbers_.find(entry.id); known != numbers_.end()) named.insert(known->second);
+    for (auto& [number, host] : hosts_)
+        if (!named.contains(number)) now_stands(number, host, Standing::gone);
+}
+
+void Hosts::now_stands(std::uint32_t number, Host& host, Standing standing) {
+    const Standing before = std::exchange(host.standing, standing);
+    if (before == Standing::ready && standing != Standing::ready) not_ready(number);
+    if (before != Standing::gone && standing == Standing::gone)
+        host.leaving = deadlines_.after(remembered, [this, number] { forget_if_gone(number); });
+    if (standing != Standing::gone) deadlines_.drop(host.leaving);
+}
+
+void Hosts::forget_if_gone(std::uint32_t number) {
+    Host& host = hosts_.at(number);
+    if (host.ways) {  // an execution is still out there
+        host.leaving = deadlines_.after(remembered, [this, number] { forget_if_gone(number); });
+        return;
     }
+    numbers_.erase(host.id);
+    hosts_.erase(number);
 }
 
 void Hosts::release_idle(Host& host) {
@@ -44,7 +69,7 @@
 
 // Nothing more is written there: idle connections go back, and what waits for its connection is not sent.
 void Hosts::not_ready(std::uint32_t host) {
-    release_idle(hosts_[host]);
+    release_idle(hosts_.at(host));
     std::vector<Handle> waiting;
     ways_.each([&](Handle mark, Way& way) {
         if (way.host == host && !way.up) waiting.push_back(mark);
@@ -63,17 +88,29 @@
     const Handle mark = ways_.add(host);
     if (!mark) return 0;
     Way& way = *ways_.find(mark);
-    way.connection = connections_.open(hosts_[host].address, *this, mark, told_.connect_within);
-    if (way.connection) return mark;
+    way.connection = connections_.open(hosts_.at(host).address, *this, mark, told_.connect_within);
+    if (way.connection) return ++hosts_.at(host).ways, mark;
     ways_.remove(mark);
     return 0;
 }
 
+// The one used last that is fit for more: an answer may be followed by what belongs to none, or by its end.
+Handle Hosts::idle_way(Host& host) {
+    while (!host.idle.empty()) {
+        const Handle mark = host.idle.back();
+        Way& way = *ways_.find(mark);
+        take_from_idle(mark);
+        if (connections_.quiet(way.connection)) return mark;
+        give_back(mark, way);
+    }
+    return 0;
+}
+
 // Of all hosts, the connection that has stood idle for longest.
 void Hosts::drop_oldest_idle() {
     Handle oldest = 0;
     Deadlines::Key first{};
-    for (const Host& host : hosts_) {
+    for (const auto& [number, host] : hosts_) {
         if (host.idle.empty()) continue;
         const Way& way = *ways_.find(host.idle.front());
         if (!oldest || way.deadline < first) oldest = host.idle.front(), first = way.deadline;
@@ -84,14 +121,15 @@
 Handle Hosts::execute(Handle submission, std::uint32_t host, std::string_view head, std::string_view body,
                       Time give_up_after) {
     Handle mark = 0;
-    if (host < hosts_.size() && hosts_[host].standing == Standing::ready) {
-        if (!hosts_[host].idle.empty()) take_from_idle(mark = hosts_[host].idle.back());
-        else mark = open_way(host);
+    const auto to = hosts_.find(host);
+    if (to != hosts_.end() && to->second.standing == Standing::ready) {
+        mark = idle_way(to->second);
+        if (!mark) mark = open_way(host);
     }
     if (!mark) {
         // Drained a moment ago, or all our connections are out: no fault of the host's.
         log_.line(Level::warning, "hosts: no connection for an execution on " +
-                                      (host < hosts_.size() ? hosts_[host].id : std::to_string(host)));
+                                      (to != hosts_.end() ? to->second.id : std::to_string(host)));
         later_over(submission, host, Verdict::not_sent, 0);
         return 0;
     }
@@ -142,6 +180,7 @@
     HttpReader& reader = way->reader;
     HttpReader::State state = reader.read(connections_.in(connection));
     while (state == HttpReader::State::whole && reader.status() < 200) {  // an interim answer
+        if (++way->interim > most_interim) return over(mark, *way, Verdict::broken);
         reader.next();
         state = reader.read(connections_.in(connection));
     }
@@ -149,6 +188,10 @@
     if (state == HttpReader::State::bad) return over(mark, *way, Verdict::broken);
     const bool full = (reader.status() == 503 || reader.status() == 504) && reader.field("X-Not-Run") == "1";
     const Verdict verdict = reader.status() == 200 ? Verdict::ok : full ? Verdict::full : Verdict::error;
+    // Before its last byte was written the host cannot have begun it: whatever this is, it answers
+    // nothing.
+    if (verdict != Verdict::full && connections_.unsent(connection))
+        return over(mark, *way, Verdict::connect_failed);
     Answer answer;
     if (verdict == Verdict::ok) {
         reader.pass_on(answer.fields, {"X-Load"});
@@ -173,17 +216,18 @@
     const Time took = deadlines_.now() - way.sent;
     deadlines_.drop(way.deadline);
     // Bytes after the answer, or an answer before all was sent, leave the connection unfit for more.
-    const bool fit = way.reader.whole() && way.reader.keep_alive() &&
+    const bool fit = verdict != Verdict::broken && way.reader.whole() && way.reader.keep_alive() &&
                      connections_.in(way.connection).empty() && connections_.unsent(way.connection) == 0 &&
-                     hosts_[host].standing == Standing::ready;
+                     hosts_.at(host).standing == Standing::ready;
     way.reader.next();
+    way.interim = 0;
     if (fit) rest(mark, way);
     else give_back(mark, way);
     outcomes_.execution_over(submission, host, verdict, took, answer);
 }
 
 void Hosts::rest(Handle mark, Way& way) {
-    hosts_[way.host].idle.push_back(mark);
+    hosts_.at(way.host).idle.push_back(mark);
     // Well before the host's own time, so that nothing is written to a connection that it is closing.
     way.deadline = deadlines_.after(told_.idle_close * 3 / 4, [this, mark] {
         Way* const old = ways_.find(mark);
@@ -193,12 +237,13 @@
 
 void Hosts::take_from_idle(Handle mark) {
     Way& way = *ways_.find(mark);
-    std::erase(hosts_[way.host].idle, mark);
+    std::erase(hosts_.at(way.host).idle, mark);
     deadlines_.drop(way.deadline);
 }
 
 void Hosts::give_back(Handle mark, Way& way) {
     take_from_idle(mark);
+    --hosts_.at(way.host).ways;
     connections_.close(way.connection);
     ways_.remove(mark);
 }
--- a/src/net/hosts.h
+++ b/src/net/hosts.h
@@ -3,6 +3,7 @@
 // asking. It must never send anything twice, nor pick a host.
 #pragma once
 
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -27,7 +28,8 @@
   public:
     Hosts(const Part& part, Outcomes& outcomes);
 
-    // The host's number, kept for as long as the program runs.
+    // The host's number, which no other host gets while the program runs; 0 for one that was never here and
+    // is gone.
     std::uint32_t listed(const Entry& entry);
     // A whole list names those that stay: the others are taken as gone.
     void keep_only(const std::vector<Entry>& entries);
@@ -44,16 +46,19 @@
   private:
     struct Host {
         std::string id;
-        tcp::endpoint address;
+        tcp::endpoint address{};
         Standing standing = Standing::gone;
         Time up_since = 0;
-        std::vector<Handle> idle;  // ways, the one used last at the end
+        int ways = 0;                // all of them, idle or not
+        Deadlines::Key leaving{};    // then it is forgotten
+        std::vector<Handle> idle{};  // ways, the one used last at the end
     };
     struct Way {  // one connection to a host, and the execution that is out on it
         std::uint32_t host;
         HttpReader reader{HTTP_RESPONSE};
         Handle connection = 0, submission = 0;
         bool up = false;
+        int interim = 0;  // answers ahead of the one
         Time sent = 0;
         std::string waiting;  // what is to be written once it is up
         Deadlines::Key deadline{};
@@ -61,19 +66,23 @@
         explicit Way(std::uint32_t to) : host(to) {}
     };
 
+    Handle idle_way(Host& host);
     Handle open_way(std::uint32_t host);
     void take_from_idle(Handle way);
     void rest(Handle mark, Way& way);
     void give_back(Handle mark, Way& way);
     void drop_oldest_idle();
     void release_idle(Host& host);
+    void now_stands(std::uint32_t number, Host& host, Standing standing);
     void not_ready(std::uint32_t host);
+    void forget_if_gone(std::uint32_t number);
     void over(Handle mark, Way& way, Verdict verdict, const Answer& answer = {});
     void later_over(Handle submission, std::uint32_t host, Verdict verdict, Time took);
 
     Outcomes& outcomes_;
-    std::vector<Host> hosts_;
+    std::map<std::uint32_t, Host> hosts_;  // by number
     std::unordered_map<std::string, std::uint32_t> numbers_;
+    std::uint32_t last_number_ = 0;
     Slots<Way> ways_;
 };
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -46,6 +46,10 @@
         HttpReader& r = of(p);
         r.head_read_ = true;
         p->upgrade = 0;  // offers of other protocols are not taken up
+        // A request's body comes with its length: what names a coding too may hide another request.
+        const auto coded = [&](const Field& f) { return same_word(r.name(f), "Transfer-Encoding"); };
+        if (p->type == HTTP_REQUEST && std::any_of(r.index_.begin(), r.index_.end(), coded))
+            return r.stop(411);
         const bool sized = (p->flags & F_CONTENTLENGTH) && p->content_length != ULLONG_MAX;
         return sized && p->content_length > r.body_limit_ ? r.stop(413) : 0;
     };
@@ -89,17 +93,21 @@
 
 void HttpReader::next() {
     begun_ = head_read_ = whole_ = in_value_ = false;
-    target_.clear();
-    fields_.clear();
+    for (std::string* const part : {&target_, &fields_, &body_}) {
+        if (part->capacity() > 2048) *part = {};  // what is idle holds little
+        part->clear();
+    }
     index_.clear();
-    if (body_.capacity() > 8192) body_ = {};
-    body_.clear();
 }
 
 std::string_view HttpReader::field(std::string_view wanted) const {
-    for (const Field& f : index_)
-        if (same_word(name(f), wanted)) return value(f);
-    return {};
+    const Field* found = nullptr;
+    for (const Field& f : index_) {
+        if (!same_word(name(f), wanted)) continue;
+        if (found) return {};
+        found = &f;
+    }
+    return found ? value(*found) : std::string_view{};
 }
 
 void HttpReader::pass_on(std::string& to, std::initializer_list<std::string_view> but) const {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -36,10 +36,9 @@
     unsigned status() const { return parser_.status_code; }
     unsigned method() const { return parser_.method; }
     bool keep_alive() const { return keep_alive_; }
-    bool chunked() const { return parser_.flags & F_CHUNKED; }
     const std::string& target() const { return target_; }
     std::string& body() { return body_; }
-    // The value of a field, empty where there is none.
+    // The value of a field, empty where there is none, or more than one.
     std::string_view field(std::string_view name) const;
     // Appends the fields that pass through a gateway, but those it is told to leave out.
     void pass_on(std::string& to, std::initializer_list<std::string_view> but) const;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -117,14 +117,17 @@
 // The Choice may name a submission for as long as an execution is out; a later mention finds nothing.
 void Node::forget_if_over(Handle id) {
     const Submission* const s = submissions_.find(id);
-    if (s && !s->client && !s->out) submissions_.remove(id);
+    if (!s || s->client || s->out) return;
+    open_.erase(s->id);
+    submissions_.remove(id);
 }
 
 // ---- what has happened ----
 
 Handle Node::submitted(Handle client, Asked&& asked) {
-    const Handle id = submissions_.add(client, std::move(asked.head), std::move(asked.body));
+    const Handle id = submissions_.add(client, asked.id, std::move(asked.head), std::move(asked.body));
     if (!id) return 0;
+    open_.insert(std::move(asked.id));
     choice_.submitted(deadlines_.now(), id, asked.track, asked.plan, asked.customer, asked.units,
                       asked.gateways, asked.patience);
     return id;
@@ -161,7 +164,7 @@
     choice_.list_begins(now, listing.whole);
     for (const Entry& entry : listing.entries) {
         const std::uint32_t host = hosts_.listed(entry);
-        choice_.host_listed(now, host, entry.standing, entry.up_since, entry.zone, entry.cell);
+        if (host) choice_.host_listed(now, host, entry.standing, entry.up_since, entry.zone, entry.cell);
     }
     if (listing.whole) hosts_.keep_only(listing.entries);
     choice_.list_ends(now);
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -5,6 +5,7 @@
 
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "clients.h"
 #include "configuration.h"
@@ -28,7 +29,7 @@
   private:
     struct Submission {
         Handle client;  // 0 once it is answered, or its client has left
-        std::string head, body;
+        std::string id, head, body;
         int executions = 0;
         bool out = false;
         Handle execution = 0;  // what calls it off, while it is out
@@ -45,6 +46,7 @@
     void log(const std::string& line) override;
 
     Handle submitted(Handle client, Asked&& asked) override;
+    bool has_open(const std::string& id) const override { return open_.contains(id); }
     void client_gone(Handle submission) override;
     void execution_over(Handle submission, std::uint32_t host, Verdict verdict, Time took,
                         const Answer& answer) override;
@@ -61,6 +63,7 @@
     Connections connections_;
     Part part_;
     Slots<Submission> submissions_;
+    std::unordered_set<std::string> open_;  // the clients' ids of all submissions, never walked
     std::unordered_map<std::uint64_t, Deadlines::Key> alarms_;  // by token, while they stand
     Hosts hosts_;
     Counter counter_;
--- a/src/net/ring.h
+++ b/src/net/ring.h
@@ -21,7 +21,6 @@
         const std::size_t first = std::min(size_, capacity_ - head_);
         return {{{bytes_.get() + head_, first}, {bytes_.get(), size_ - first}}};
     }
-    // Moves nothing: a read may be under way into the space behind.
     void consume(std::size_t n) {
         size_ -= n;
         if (n) head_ = (head_ + n) & (capacity_ - 1);
@@ -60,13 +59,11 @@
         capacity_ = capacity;
         head_ = 0;
     }
-    // An empty ring begins anew at its front, and gives back what it holds beyond `keep`.
-    void trim(std::size_t keep) {
+    // Gives back what it holds when it stands empty.
+    void trim() {
         if (size_) return;
-        head_ = 0;
-        if (capacity_ <= keep) return;
         bytes_.reset();
-        capacity_ = 0;
+        capacity_ = head_ = 0;
     }
 
   private:
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -70,11 +70,11 @@
            "\r\nX-Client-Id: 00000000b4d65521\r\nX-Deadline: " + deadline +
            "\r\nX-Metering: units=1,spread=1,first=0\r\n\r\n";
 }
-std::string post(const std::string& body) {
-    return replaced(replaced(get(), "GET", "POST"), "\r\n\r\n",
+// Binding, so that it comes with a body.
+std::string book(const std::string& body = "{}") {
+    return replaced(replaced(replaced(get(), "GET", "POST"), "X-Class: read", "X-Class: book"), "\r\n\r\n",
                     "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
-std::string book() { return replaced(post("{}"), "X-Class: read", "X-Class: book"); }
 std::string says(const std::string& status, const std::string& body = "", const std::string& fields = "") {
     return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: " + std::to_string(body.size()) +
            "\r\n\r\n" + body;
@@ -117,7 +117,7 @@
     CHECK(answer.find("Content-Type: text/x-own\r\n") != answer.npos);
     CHECK(answer.substr(answer.size() - 8) == "\r\n\r\ndone");
     const std::string body(65536, 'x');  // the most that a body may hold, both ways
-    client.send(post(body));
+    client.send(book(body));
     CHECK(host.message().find("\r\n\r\n" + body) != std::string::npos);
     host.send(says("200 OK", body));
     CHECK(client.message().find("\r\n\r\n" + body) != std::string::npos);
@@ -217,6 +217,35 @@
     delivered(client, host, "2");
 }
 
+TEST_CASE("what follows an answer is nobody's answer, and neither is what comes before the request is sent") {
+    World world;
+    world.start();
+    Line client = world.client();
+    client.send(get("1") + get("2"));
+    Line host = world.a.accept();
+    host.message();
+    // The answer fills what is read at once, and the second one goes out as soon as it is told.
+    std::string first = says("200 OK", std::string(4000, 'x'));
+    first = says("200 OK", std::string(4000 + 4096 - first.size(), 'x'));
+    REQUIRE(first.size() == 4096);
+    host.send(first + says("200 OK", "noise"));
+    CHECK(client.message().back() == 'x');
+    Line other = world.a.accept();
+    delivered(client, other, "second");
+    CHECK(host.ended());
+    // Interim answers are skipped, but not without end.
+    client.send(get("3"));
+    other.message();
+    std::string many = says("100 Continue");
+    for (int n = 0; n < 5; ++n) many += many;
+    other.send(many);
+    CHECK(other.ended());
+    Line last = world.a.accept();
+    last.message();
+    last.send("HTTP/1.1 103 Early Hints\r\n\r\n" + says("200 OK", "third"));
+    CHECK(client.message().find("third") != std::string::npos);
+}
+
 TEST_CASE("a client that leaves: its execution is called off and nothing more is sent") {
     World world;
     world.start();
@@ -310,17 +339,29 @@
     refused(replaced(get(), "00000000b4d65521", "0000000200000000"));  // 2^33
     refused(replaced(get(), "00000000b4d65521", "b4d65521"));
     for (const char* limit : {"soon", "-1", "0", "nan", "1e9", "4s"}) refused(get("1", "worth", limit));
-    refused(replaced(get(), "units=1", "units=-1"));
-    refused(replaced(get(), "spread=1", "spread=0"));
+    for (const char* set :
+         {"units=-1,spread=1,first=0", "units=2,spread=1,first=0", "units=1,spread=0,first=0",
+          "units=1,spread=2,first=0", "units=1,spread=1.5,first=0", "units=1,spread=1,first=1",
+          "units=1,spread=1,first=", "units=1,spread=1", "units=1,spread=1,first=0,units=1"})
+        refused(replaced(get(), "units=1,spread=1,first=0", set));
+    refused(replaced(get(), "X-Deadline: 9.0", "X-Deadline: 9.0\r\nX-Deadline: 8.0"));
+    refused(replaced(get(), "X-Class: read", "X-Class: book"));
+    refused(replaced(book(), "X-Class: book", "X-Class: read"));
     refused(replaced(get(), "\r\n\r\n", "\r\nContent-Length: 2\r\n\r\n{}"));
     CHECK(refused(replaced(get(), "GET", "DELETE")) == 405);
-    CHECK(refused(replaced(post(""), "Content-Length: 0", "Transfer-Encoding: chunked") + "0\r\n\r\n") ==
+    CHECK(refused(replaced(book(""), "Content-Length: 0", "Transfer-Encoding: chunked") + "0\r\n\r\n") ==
           411);
-    CHECK(refused(replaced(post(""), "Content-Length: 0", "Content-Length: 65537")) == 413);
-    refused(replaced(post(""), "Content-Length: 0", "Content-Length: many"));
-    refused(replaced(post(""), "Content-Length: 0", "Content-Length: 2\r\nContent-Length: 3"));
+    CHECK(refused(replaced(book(""), "Content-Length: 0", "Content-Length: 65537")) == 413);
+    refused(replaced(book(""), "Content-Length: 0", "Content-Length: many"));
+    refused(replaced(book(""), "Content-Length: 0", "Content-Length: 2\r\nContent-Length: 3"));
     CHECK(refused(replaced(get(), "Host: app.svc", "Host: " + std::string(20000, 'a'))) == 431);
     refused("this is no HTTP\r\n\r\n");
+    // What names two lengths may hide a request behind it: nothing more is read there.
+    Line hidden = world.client();
+    hidden.send(replaced(book(""), "Content-Length: 0", "Content-Length: 4\r\nTransfer-Encoding: chunked") +
+                "0\r\n\r\n" + get("hidden"));
+    CHECK(status(hidden.message()) / 100 == 4);
+    CHECK(hidden.ended());
     CHECK(!world.a.knocked(20));
     // A request that is only wrong leaves its connection in use.
     Line client = world.client();
@@ -330,6 +371,43 @@
     delivered(client, host);
 }
 
+TEST_CASE("an id that is open is not taken a second time, and free again once it is answered") {
+    World world;
+    world.start();
+    Line client = world.client(), other = world.client();
+    client.send(get("same"));
+    Line host = world.a.accept();
+    host.message();
+    other.send(get("same"));
+    CHECK(status(other.message()) == 409);
+    host.send(says("200 OK"));
+    CHECK(status(client.message()) == 200);
+    other.send(get("same"));
+    delivered(other, host);
+}
+
+TEST_CASE("who sends nothing, or no whole message, is let go within 3 s; who has asked, not within 2 s") {
+    World world;
+    world.start();
+    const auto began = std::chrono::steady_clock::now();
+    const auto passed = [&] { return std::chrono::steady_clock::now() - began; };
+    Line silent = world.client(), half = world.client(), asked = world.client(), large = world.client();
+    half.send(get().substr(0, 60));
+    large.send(replaced(book(""), "Content-Length: 0", "Content-Length: 60000000") +
+               std::string(300000, 'x'));
+    CHECK(status(large.message()) == 413);
+    asked.send(get());
+    Line host = world.a.accept();
+    delivered(asked, host);
+    CHECK(silent.ended());
+    CHECK(passed() < std::chrono::milliseconds(2900));
+    CHECK(status(half.message()) == 408);
+    CHECK(half.ended());
+    CHECK(passed() < std::chrono::milliseconds(2900));
+    CHECK(asked.ended());
+    CHECK(passed() > std::chrono::milliseconds(2000));
+}
+
 TEST_CASE(
     "the counter: asked in lines, answered in order; late, busy, broken and absent ones let shares decide") {
     World world;
@@ -408,6 +486,25 @@
     }
 }
 
+TEST_CASE("an answer of the counter that cannot be read costs its connection, and opens no breaker") {
+    World world;
+    world.with_counter();
+    world.start();
+    for (int n = 0; n < 4; ++n) {
+        Line counter = world.counter.accept();
+        for (const bool good : {true, false}) {
+            Line client = world.client();
+            client.send(get(std::to_string(n)));
+            CHECK(counter.until("\r\n").find("incr ") == 0);
+            counter.send(good ? "ok 1\r\n" : "noise\r\n");
+            Line host = world.a.accept();
+            delivered(client, host);
+        }
+        CHECK(counter.ended());
+    }
+    CHECK(world.gateway->log().find("breaker") == std::string::npos);
+}
+
 TEST_CASE("a counter that is gone is found again when it is back") {
     World world;
     Door absent(false);
