--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -169,6 +169,7 @@
 
 void Clients::forget(Handle mark, Client& client) {
     deadlines_.drop(client.limit);
+    known_ -= client.known;
     clients_.remove(mark);
 }
 
@@ -184,7 +185,7 @@
         return;
     }
     deadlines_.drop(client->limit);
-    client->known = true;
+    known_ += !std::exchange(client->known, true);
     client->late = false;
     if (state == HttpReader::State::bad) {
         client->last = true;
@@ -289,7 +290,10 @@
 void Clients::rest(Handle mark, Client& client) {
     client.idle_since = deadlines_.now();
     const bool unsent = connections_.unsent(client.connection);
-    limit(mark, client, unsent ? slow_reader : most_idle);
+    // Clients hold a third of the descriptors at most. Those that ask once and stay would leave the others
+    // none: from half of that on, whoever stands idle goes soon.
+    const bool many = 6 * known_ > told_.sockets;
+    limit(mark, client, unsent ? slow_reader : many ? quiet : most_idle);
     if (!unsent && !connections_.in(client.connection).empty()) connections_.again(client.connection);
 }
 
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -73,6 +73,7 @@
     Intake& intake_;
     tcp::acceptor acceptor_;
     Slots<Client> clients_;
+    std::size_t known_ = 0;  // how many of them have sent a whole message
     bool stopping_ = false, crowded_ = false;
     std::function<void()> done_;
 };
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -408,6 +408,24 @@
     CHECK(passed() > std::chrono::milliseconds(2000));
 }
 
+TEST_CASE("where many ask once and keep their connection, those that stand idle go soon") {
+    World world;
+    world.sockets = 120;  // of which clients hold 40
+    world.start();
+    std::vector<Line> stay;
+    for (int n = 0; n < 25; ++n) {
+        stay.push_back(world.client());
+        stay.back().send(get(std::to_string(n)));
+        if (n == 0) stay.push_back(world.a.accept());
+        delivered(stay[n ? n + 1 : 0], stay[1]);
+    }
+    const auto began = std::chrono::steady_clock::now();
+    CHECK(stay.back().ended());
+    // The first one came while there was room for all.
+    if (std::chrono::steady_clock::now() - began < std::chrono::milliseconds(1000)) CHECK(stay[0].silent(0));
+    CHECK(std::chrono::steady_clock::now() - began < std::chrono::milliseconds(1500));
+}
+
 TEST_CASE(
     "the counter: asked in lines, answered in order; late, busy, broken and absent ones let shares decide") {
     World world;
