--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -91,7 +91,7 @@
     Time now, started, step, count_limit, fall, warm_after, longest_advice, beat_every, beat_at;
     Time kept, forgot_at = 0;
     int gateways, most_executions, zone;
-    double cold_from, fall_multiple, failing = 0;  // the part of the executions that fail lately
+    double cold_from, fall_multiple, failing = 0, mute = 0;  // parts of executions: failing, without end
     bool may_cancel, has_counter, list_whole = false;
     int list_round = 0;
     std::vector<Track> tracks;
@@ -513,8 +513,7 @@
         // With few places the next piece there may be a minute off: one failure is a row.
         if (h.failures < (few_places() ? 1 : verdict == Verdict::connect_failed ? 2 : 3) && !h.trial) return;
         if (2 * hosts_open < hosts_listed + 2 && !h.trial) return;  // when all fail at once none is to blame
-        hosts_open -= !h.trial;
-        if (!h.trial) gateway.log("host " + std::to_string(h.id) + " shut: failures in a row");
+        if (!h.trial) --hosts_open, gateway.log("host " + std::to_string(h.id) + " shut: failures in a row");
         h.shut_for = std::clamp(2 * h.shut_for, between_pieces(), 8 * between_pieces());
         h.shut_until = now + jittered(h.shut_for);
         h.trial = true;
@@ -525,9 +524,8 @@
     void host_delivered(Host& h, Time took) {
         if (h.trial) gateway.log("host " + std::to_string(h.id) + " back");
         h.trial = false;
-        failing -= failing / 16;
-        h.failures = 0;
-        h.shut_for = 0;
+        failing -= failing / 16, mute -= mute / 64;
+        h.shut_for = h.failures = 0;
         h.last_word = now;
         h.slowness += (static_cast<double>(took) - h.slowness) / (few_places() ? 3 : 8);
         swing += (std::abs(static_cast<double>(took) - typical) - swing) / 64;
@@ -607,14 +605,15 @@
             if (s.stage == Stage::waiting && now + needed(s) > s.goal_at) late.push_back(id);
             // Guards against hosts that take work and answer nothing: no word since this piece went there
             // (with few places none is due). A long piece is as long elsewhere, so only its first is called
-            // off.
+            // off; while pieces are lost for good on connections gone silent, so is one on a host that
+            // speaks.
             if (s.stage == Stage::out && !few_places() && !s.stream && !s.given_up && s.executions == 1 &&
                 most_executions > 1 && may_cancel && tracks[s.track].repeats == "retriable" &&
-                hosts.at(s.host).last_word < s.sent &&
+                (hosts.at(s.host).last_word < s.sent || mute > 1.0 / 256) &&
                 now - s.sent > std::max(tracks[s.track].goal * 2 / 5, whole(typical + 4 * swing))) {
                 s.given_up = true;
                 call_off(id, s);
-                host_failed(hosts.at(s.host), Verdict::timeout);
+                if (hosts.at(s.host).last_word < s.sent) host_failed(hosts.at(s.host), Verdict::timeout);
             }
         }
         for (const std::uint32_t id : late) turn_down(id, submissions.at(id), whole(typical));
@@ -636,6 +635,7 @@
         Submission* const s = open_one(id);
         if (!s || (s->stream && !gone)) return;
         call_off(id, *s);
+        if (!gone && s->stage == Stage::out) mute += (1 - mute) / 64;  // no answer in all its time
         if (!gone && s->executions == 0) return turn_down(id, *s, 0);
         if (!gone) gateway.write_off(id);
         if (s->executions == 0) give_back(*s);
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr Time least_pause = 250, most_pause = 10000;  // before the connection is opened again
-constexpr Time idle = 30000;        // then a ping, well within the 10 s of the counter
+constexpr Time idle = 30000;                           // then a ping, well within the 10 s of the counter
+constexpr Time most_silent = 4;                        // limits of a call
 constexpr std::size_t most_line = 256;
 
 }  // namespace
@@ -122,6 +123,9 @@
     // What was written waits for its answer, so that the order holds; on a connection that has been left,
     // nothing more is asked.
     if (Call& call = link.calls[number - link.first]; call.line.empty()) {
+        // One that says nothing to anybody has gone silent, as a slow counter never does for long.
+        const Time silent = deadlines_.now() - std::max(link.last_word, link.calls.front().made);
+        if (mark == mark_ && silent >= most_silent * told_.count_limit) return lost(mark, "silent");
         const bool last = mark != mark_ && number - link.first + 1 == link.calls.size();
         tell(call, Verdict::timeout);
         if (last) connections_.close(link.connection), links_.erase(mark);
@@ -135,15 +139,12 @@
     tell(call, Verdict::connect_failed);
 }
 
-// Keeps an idle connection from being closed, and gives up one that has gone silent.
+// Keeps an idle connection from being closed; a ping that gets no answer shows one that has gone silent.
 void Counter::watch() {
     deadlines_.after(idle / 10, [this] { watch(); });
     const Link& link = links_.at(mark_);
     if (!link.up) return;
     if (link.calls.empty() && deadlines_.now() - link.last_word > idle) put("ping\r\n", 0, true);
-    const Time silent = std::max<Time>(20 * told_.count_limit, 10000);
-    if (!link.calls.empty() && deadlines_.now() - std::max(link.last_word, link.calls.front().made) > silent)
-        lost(mark_, "silent");
 }
 
 void Counter::tell(Call& call, Verdict verdict, double total) {
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -523,6 +523,22 @@
     CHECK(world.gateway->log().find("breaker") == std::string::npos);
 }
 
+TEST_CASE("a counter's connection gone silent is replaced after a few limits of a call") {
+    World world;
+    world.with_counter();
+    world.settings = replaced(world.settings, R"("countLimit":1000.0)", R"("countLimit":100.0)");
+    world.start();
+    Line counter = world.counter.accept();
+    const auto began = std::chrono::steady_clock::now();
+    std::vector<Line> clients;
+    while (!world.counter.knocked(50)) {
+        clients.push_back(world.client());
+        clients.back().send(get(std::to_string(clients.size()), "small"));
+        REQUIRE(std::chrono::steady_clock::now() - began < std::chrono::milliseconds(1700));
+    }
+    CHECK(clients.size() > 4);  // not before
+}
+
 TEST_CASE("a counter that is gone is found again when it is back") {
     World world;
     Door absent(false);
