--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -338,7 +338,7 @@
             s.on_counter = true, s.on_share = false;
             s.reading = c.current.total;
             if (s.stage == Stage::over) give_back(s);
-        } else if (verdict != Verdict::timeout && made.window == c.window) {
+        } else if (verdict != Verdict::timeout && verdict != Verdict::broken && made.window == c.window) {
             c.owed += made.amount - (s.on_share ? 0 : s.units);
             s.window = -1;
         }
--- a/tests/run.cpp
+++ b/tests/run.cpp
@@ -93,9 +93,11 @@
         while (!stage.asked.empty() && counter != "silent") {
             const auto [name, amount] = stage.asked.front();
             stage.asked.erase(stage.asked.begin());
-            if (counter == "answers") stage.counts[name] += amount;
-            choice->counted(stage.now, name, counter == "answers" ? Verdict::ok : Verdict::full,
-                            stage.counts[name], 20);
+            if (counter != "full") stage.counts[name] += amount;
+            const Verdict said = counter == "answers" ? Verdict::ok
+                                 : counter == "full"  ? Verdict::full
+                                                      : Verdict::broken;
+            choice->counted(stage.now, name, said, stage.counts[name], 20);
         }
     }
 
@@ -152,7 +154,7 @@
             return;
         }
         if (!choice) choice = std::make_unique<Choice>(stage, terms, 1, stage.now);
-        if (word == "counter") {  // answers, silent, full; forgets: answers, with all names gone
+        if (word == "counter") {  // answers, silent, full, spoilt; forgets: answers, with all names gone
             line >> counter;
             if (counter == "forgets") stage.counts.clear(), counter = "answers";
             return answer_counts();
