Read once more: one way to forget a host, one look-up a count, a test's title says what it tests

No behaviour changes. Forgetting a host that is gone is put off in one place; a count's answer looks its customer up once; the reasons stand in order. The socket test of what follows an answer named a case that it does not play (an answer ahead of its request); its title no longer does, its assertions stand. That case has no test yet.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -186,7 +186,7 @@
 
     // ---- quotas ----
 
-    void call(Asked asked, std::uint32_t submission, Customer& c, std::int64_t window, double amount) {
+    void call(Asked asked, std::uint32_t submission, const Customer& c, std::int64_t window, double amount) {
         const std::uint64_t name = (c.id << 30) | (window & 0x3fffffff);
         calls[name].push_back({asked, submission, c.id, window, amount});
         gateway.count(name, amount, std::min<Time>(2 * plans[c.plan].window, 600000));
@@ -322,8 +322,9 @@
         const Call made = found->second.front();
         found->second.pop_front();
         if (found->second.empty()) calls.erase(found);
-        if (!customers.contains(made.customer)) return;
-        Customer& c = customers.at(made.customer);
+        const auto known = customers.find(made.customer);
+        if (known == customers.end()) return;
+        Customer& c = known->second;
         bring_up(c);
         const auto waiting = submissions.find(made.submission);
         const bool awaited = waiting != submissions.end() && waiting->second.stage == Stage::counting;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -20,8 +20,8 @@
         case 200: return "200 OK";
         case 400: return "400 Bad Request";
         case 405: return "405 Method Not Allowed";
-        case 409: return "409 Conflict";
         case 408: return "408 Request Timeout";
+        case 409: return "409 Conflict";
         case 411: return "411 Length Required";
         case 413: return "413 Content Too Large";
         case 431: return "431 Request Header Fields Too Large";
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -48,19 +48,17 @@
 void Hosts::now_stands(std::uint32_t number, Host& host, Standing standing) {
     const Standing before = std::exchange(host.standing, standing);
     if (before == Standing::ready && standing != Standing::ready) not_ready(number);
-    if (before != Standing::gone && standing == Standing::gone)
-        host.leaving = deadlines_.after(remembered, [this, number] { forget_if_gone(number); });
+    if (before != Standing::gone && standing == Standing::gone) forget_later(number, host);
     if (standing != Standing::gone) deadlines_.drop(host.leaving);
 }
 
-void Hosts::forget_if_gone(std::uint32_t number) {
-    Host& host = hosts_.at(number);
-    if (host.ways) {  // an execution is still out there
-        host.leaving = deadlines_.after(remembered, [this, number] { forget_if_gone(number); });
-        return;
-    }
-    numbers_.erase(host.id);
-    hosts_.erase(number);
+void Hosts::forget_later(std::uint32_t number, Host& host) {
+    host.leaving = deadlines_.after(remembered, [this, number] {
+        Host& gone = hosts_.at(number);
+        if (gone.ways) return forget_later(number, gone);  // an execution is still out there
+        numbers_.erase(gone.id);
+        hosts_.erase(number);
+    });
 }
 
 void Hosts::release_idle(Host& host) {
--- a/src/net/hosts.h
+++ b/src/net/hosts.h
@@ -75,7 +75,7 @@
     void release_idle(Host& host);
     void now_stands(std::uint32_t number, Host& host, Standing standing);
     void not_ready(std::uint32_t host);
-    void forget_if_gone(std::uint32_t number);
+    void forget_later(std::uint32_t number, Host& host);
     void over(Handle mark, Way& way, Verdict verdict, const Answer& answer = {});
     void later_over(Handle submission, std::uint32_t host, Verdict verdict, Time took);
 
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -217,7 +217,7 @@
     delivered(client, host, "2");
 }
 
-TEST_CASE("what follows an answer is nobody's answer, and neither is what comes before the request is sent") {
+TEST_CASE("what follows an answer is nobody's answer, and what comes ahead of one comes to an end") {
     World world;
     world.start();
     Line client = world.client();
