--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -4,8 +4,10 @@
 #include "dewweir/choice.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <deque>
+#include <iterator>
 #include <random>
 #include <stdexcept>
 #include <unordered_map>
@@ -22,6 +24,10 @@
 enum class Stage { counting, waiting, out, over };
 enum class Asked { add, previous, back };
 enum Alarm : std::uint64_t { beat, limit, count_late, follow, place_free };
+// How submissions were decided: the words of the log's line that counts them.
+constexpr const char* decisions[] = {"counted in",   "counted over", "share in", "share over",
+                                     "over already", "long line",    "late"};
+enum Decision { counted_in, counted_over, share_in, share_over, over_already, long_line, late_in_line };
 
 struct Track {
     Time goal, remembered;
@@ -103,7 +109,8 @@
     std::map<std::uint64_t, std::deque<Call>> calls;
     int count_failures = 0;  // in a row; three open the breaker, whose probing call may be out
     bool probing = false;
-    Time open_until = 0;
+    Time open_until = 0, told_at = 0;
+    std::array<int, std::size(decisions)> decided{};  // since the log was told
     // The part of the submissions that call. Of all hosts: the usual time of an execution, what it is with
     // little out, how far it swings; deliveries a warm host and tenth; places here; what may be out in all.
     double counted_part = 1, count_took, typical, ease, swing = 0, flow = 0, places_all = 0, reach = 1;
@@ -239,7 +246,8 @@
         // Guards the counter against customers far over: one found over is not asked for again before a
         // window, longer at a crowded counter, or before its store has refilled; a tiny share decides then.
         if (now < c.over_until && tiny_share(c)) return decide_by_share(id, s);
-        if (now < c.over_until && c.level < 0.9 * s.units) return beyond(id, s, s.units);
+        if (now < c.over_until && c.level < 0.9 * s.units)
+            return ++decided[over_already], beyond(id, s, s.units);
         // Guards a crowded counter: shares decide a part, and a customer's next call adds for them too. Calls
         // go first to those whose share does not hold their units: the counter may know of room elsewhere.
         const bool in_doubt = !tiny_share(c) && c.share < s.units;
@@ -266,8 +274,9 @@
         // Departure: over by the window, but the quota's store, replayed from the totals, holds the units.
         if (estimate <= p.burst || c.level >= 0) {
             c.over_until = 0;
-            return take_in(id, s);
+            return ++decided[counted_in], take_in(id, s);
         }
+        ++decided[counted_over];
         // At a crowded counter, what is not given back pays for what the tiny shares let in.
         give_back(s, !tiny_share(c) || counted_part >= 0.5);
         c.over_until = now + whole(static_cast<double>(p.window) / counted_part);
@@ -282,6 +291,7 @@
         // quota: neither nothing nor one piece at each gateway.
         const bool pass = c.share >= s.units * std::uniform_real_distribution<>()(chance);
         c.share = std::max(0.0, c.share - s.units);
+        ++decided[pass ? share_in : share_over];
         if (!pass) return beyond(id, s, s.units);
         c.level -= s.units;
         c.current.total += s.units;
@@ -617,12 +627,25 @@
                 if (hosts.at(s.host).last_word < s.sent) host_failed(hosts.at(s.host), Verdict::timeout);
             }
         }
+        decided[late_in_line] += static_cast<int>(late.size());
         for (const std::uint32_t id : late) turn_down(id, submissions.at(id), whole(typical));
         place();
+        if (since(told_at) > 5 * tracks[0].goal) tell_decided();
         if (since(forgot_at) > kept) forget_idle();
         arm(beat_every, beat);
     }
 
+    void tell_decided() {
+        std::string line;
+        for (std::size_t n = 0; n < decided.size(); ++n)
+            if (decided[n])
+                line.append(line.empty() ? "" : ", ").append(decisions[n]) +=
+                    ' ' + std::to_string(decided[n]);
+        if (!line.empty()) gateway.log("decided: " + line);
+        decided = {};
+        told_at = now;
+    }
+
     // Guards against records without end: a customer seen so long ago is no other than a new one, its stores
     // are full and its windows over; a host not listed for so long is another one if it comes back.
     void forget_idle() {
@@ -713,7 +736,7 @@
     // Overload: what cannot be answered in useful time is bounced before it is counted. A try may be its
     // client's third, which is not told, so the line is kept well under the goal.
     if (!s.line.empty() && s.wait_in_line() > static_cast<double>(sub.goal_at - now) / 8)
-        return s.turn_down(id, sub, whole(s.wait_in_line() / 2));
+        return ++s.decided[long_line], s.turn_down(id, sub, whole(s.wait_in_line() / 2));
     s.check_quota(id, sub);
 }
 
