--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -394,7 +394,8 @@
     // With so many gateways that each has under half a place at a host, one host's answers come too rarely to
     // learn its places from: what may be out in all is learnt from all answers.
     bool few_places() const { return gateways > 8; }
-    double room() const { return few_places() ? reach : 1 + places_all + 2 * std::sqrt(places_all); }
+    double ample() const { return 1 + places_all + 2 * std::sqrt(places_all); }
+    double room() const { return few_places() ? reach : ample(); }
     double wait_in_line() const { return static_cast<double>(line.size()) * typical / room(); }
 
     Time needed(const Submission& s) const {
@@ -545,8 +546,12 @@
         // Hosts held at a little over their easy time keep their pace; long queues at a host can cost it.
         ease += (typical - ease) / (typical < ease ? 16 : 16384);
         const double most = std::clamp(1.5 * ease, 0.15 * tracks[0].goal, 0.35 * tracks[0].goal);
-        if (took > 2 * most) reach = std::max(1.0, reach * 0.8);
-        else if (out_all + 2 > reach) reach *= 1.05;
+        // The mean of the answers steers the reach, not how many are slow: pieces differ, and a tenth may
+        // take thrice the mean at hosts at ease. What all gateways may have out without harm it gets back
+        // unused.
+        if (const double over = std::min(took / (2 * most), 4.0) - 1;
+            over > 0 || reach < ample() || out_all + 2 > reach)
+            reach = std::max(1.0, reach * (1 - over / 16));
         if (h.slowness < 0.75 * most && h.out + 2 > h.places)
             h.places += std::min(h.places, 1 / (h.places * gateways));
         if (h.slowness > most) cut_places(h, 1 - std::min(0.5, 1 - most / h.slowness) / (h.out + 1));
@@ -693,7 +698,7 @@
     if (fresh) {
         h.slowness = s.typical;
         s.places_all += h.places = 4.0 / s.gateways;
-        s.reach = 1 + s.places_all + 2 * std::sqrt(s.places_all);
+        s.reach = s.ample();
     }
     h.list_round = s.list_round;
     if (up_since > h.up_since) {  // started again: nothing learnt of its last life counts
--- a/tests/run.cpp
+++ b/tests/run.cpp
@@ -9,6 +9,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <sstream>
 #include <vector>
 
@@ -210,6 +211,15 @@
             CHECK_MESSAGE((n >= least && n <= most), word << " seen " << n << " times");
             return;
         }
+        if (word == "spread") {  // over how many hosts what was executed since the last `forget` went
+            std::size_t least, most;
+            line >> least >> most;
+            std::set<std::string> hosts;
+            for (const std::string& one : stage.seen)
+                if (const auto at = one.find(" on "); at != one.npos) hosts.insert(one.substr(at));
+            CHECK_MESSAGE((hosts.size() >= least && hosts.size() <= most), hosts.size() << " hosts");
+            return;
+        }
         if (word == "advice") {  // of the last bounce, in ms
             double least, most;
             line >> least >> most;
@@ -237,9 +247,18 @@
         if (word == "follow_failed") return choice->list_failed(stage.now);
         std::uint32_t id;
         line >> id;
-        if (word == "serve") {  // serve ID VERDICT ...: submitted at its customer's only gateway, and ended
-            happen("submit " + std::to_string(id) + " gateways=1");
-            return happen("end" + text.substr(5) + " settled=1");
+        // serve ID VERDICT [upto=ID] ...: each submitted at its customer's only gateway, and ended, by turns
+        if (word == "serve") {
+            std::string verdict, how;
+            const std::uint32_t last = value(line, "upto", id);
+            line >> verdict;
+            std::getline(line, how);
+            for (; id <= last; ++id) {
+                const std::string one = std::to_string(id), only = " upto=" + one + how;
+                happen("submit " + one + " gateways=1" + only);
+                happen("end " + one + " " + verdict + only + " settled=1");
+            }
+            return;
         }
         // submit ID [upto=ID] [every=ms] [customer=, 0: each its own] [plan=] [units=] [gateways=]
         // [patience=]
