--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -43,7 +43,7 @@
     std::uint32_t id;
     bool listed = false, trial = false;
     Time up_since = 0, full_until = 0, shut_until = 0, shut_for = 0, last_word = 0, budget_at = 0,
-         listed_at = 0;
+         listed_at = 0, connected = 0;
     int zone = 0, cell = 0, out = 0, failures = 0, list_round = 0, full_for = -1;
     double places = 0, slowness = 0, budget = 1;
 };
@@ -95,7 +95,7 @@
     const Terms terms;
     std::mt19937 chance;
     Time now, started, step, count_limit, fall, warm_after, longest_advice, beat_every, beat_at;
-    Time kept, forgot_at = 0;
+    Time kept, connection_kept, forgot_at = 0;
     int gateways, most_executions, zone;
     double cold_from, fall_multiple, failing = 0, mute = 0;  // parts of executions: failing, without end
     bool may_cancel, has_counter, list_whole = false;
@@ -149,6 +149,7 @@
         cold_from = number("rules.cold_from");
         warm_after = std::max<Time>(1, time("rules.warm_after"));
         kept = 4 * warm_after;
+        connection_kept = term("limits.idle_close") ? time("limits.idle_close") * 3 / 4 : 0;
         for (int n = 0; n < number("tracks.count"); ++n) {
             const std::string at_ = "tracks." + std::to_string(n) + ".";
             const std::string repeats = term(at_ + "repeats") ? *term(at_ + "repeats") : "";
@@ -448,6 +449,11 @@
             const double warm = warmth(h);
             if (h.out + 1 > std::max(1.0, h.places * warm * part) || !budget_left(h, warm)) continue;
             double score = std::max(h.slowness, typical / 4) * (h.out + 1) / (few_places() ? 1 : warm);
+            // With few places each piece would go to another host, over a new connection, and none would be
+            // met often enough to be known: all those without a connection standing open weigh as much as one
+            // with.
+            if (few_places() && connection_kept > 0 && now >= h.connected)
+                score = (h.last_word ? std::max(h.slowness, ease) : ease) * std::max(1, hosts_open);
             if (h.zone != zone) score *= 1.1;
             // Guards against hosts that turn away what one plan sends, though others still get in.
             const bool full = now < h.full_until && h.full_for == customers.at(s.customer).plan;
@@ -569,6 +575,8 @@
         const auto found = submissions.find(id);
         const bool moot = verdict == Verdict::not_sent;
         const bool ran = verdict != Verdict::full && verdict != Verdict::connect_failed && !moot;
+        const bool answered = verdict == Verdict::ok || verdict == Verdict::full || verdict == Verdict::error;
+        h.connected = answered ? now + connection_kept : 0;
         if (verdict == Verdict::ok) host_delivered(h, took);
         else if (verdict == Verdict::full) {
             // Guards against hammering: what is turned away at once would come again at once.
@@ -704,6 +712,7 @@
     if (up_since > h.up_since) {  // started again: nothing learnt of its last life counts
         h.up_since = up_since;
         h.failures = 0;
+        h.connected = 0;
         h.budget_at = now;
         h.budget = std::uniform_real_distribution<>()(s.chance);
     }
