--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -45,7 +45,7 @@
     Time up_since = 0, full_until = 0, shut_until = 0, shut_for = 0, last_word = 0, budget_at = 0,
          listed_at = 0, connected = 0;
     int zone = 0, cell = 0, out = 0, failures = 0, list_round = 0, full_for = -1;
-    double places = 0, slowness = 0, budget = 1;
+    double places = 0, slowness = 0, budget = 1, adopted = 1;
 };
 
 // What the counter is told to hold of one window; what is known to be ours; what it was found to have lost.
@@ -428,9 +428,11 @@
 
     // A cold host's budget runs over any window and for all gateways together: this one sends no faster than
     // the part, by age, of what it has a warm host do, from a chance level: parts are far under one piece.
+    // Of many gateways some send for all.
     bool budget_left(Host& h, double warm) {
         if (warm >= 1) return true;
-        const double rate = std::max(warm * flow * fall_multiple / 2, fall_multiple / (fall * gateways));
+        const double rate =
+            std::max(warm * flow * fall_multiple / 2, fall_multiple / (fall * gateways)) * h.adopted;
         h.budget = std::min(1.0, h.budget + rate * since(h.budget_at));
         h.budget_at = now;
         return h.budget >= 1;
@@ -451,8 +453,8 @@
             double score = std::max(h.slowness, typical / 4) * (h.out + 1) / (few_places() ? 1 : warm);
             // With few places each piece would go to another host, over a new connection, and none would be
             // met often enough to be known: all those without a connection standing open weigh as much as one
-            // with.
-            if (few_places() && connection_kept > 0 && now >= h.connected)
+            // with. Cold hosts have their budget, and are needed most when many have been replaced.
+            if (few_places() && connection_kept > 0 && now >= h.connected && warm >= 1)
                 score = (h.last_word ? std::max(h.slowness, ease) : ease) * std::max(1, hosts_open);
             if (h.zone != zone) score *= 1.1;
             // Guards against hosts that turn away what one plan sends, though others still get in.
@@ -715,6 +717,11 @@
         h.connected = 0;
         h.budget_at = now;
         h.budget = std::uniform_real_distribution<>()(s.chance);
+        // Some gateways by chance stand for all, so that each sends it enough to know it and keep a
+        // connection. Four swings of what they send together, each about as uneven as it is much, stay within
+        // the half of the fall multiple that the budget leaves: 4 * sqrt(2 / 32) = 1.
+        const double part = std::min(1.0, 32.0 / s.gateways);
+        h.adopted = std::uniform_real_distribution<>()(s.chance) < part ? 1 / part : 0;
     }
     h.listed = standing == Standing::ready;
     h.zone = zone;
--- a/tests/run.cpp
+++ b/tests/run.cpp
@@ -76,6 +76,7 @@
     std::unique_ptr<Choice> choice;
     std::string counter = "answers";
     std::map<std::string, double> memory;
+    std::uint64_t seed = 1;
 
     Play() {
         std::istringstream words(usual_terms);
@@ -154,7 +155,7 @@
             }
             return;
         }
-        if (!choice) choice = std::make_unique<Choice>(stage, terms, 1, stage.now);
+        if (!choice) choice = std::make_unique<Choice>(stage, terms, seed, stage.now);
         if (word == "counter") {  // answers, silent, full, spoilt; forgets: answers, with all names gone
             line >> counter;
             if (counter == "forgets") stage.counts.clear(), counter = "answers";
@@ -289,6 +290,40 @@
     }
 };
 
+// The fourth rule is about all gateways together: what they send a fresh host, each by its own chance, adds
+// up.
+TEST_CASE("a hundred gateways together give a fresh host its part, no more and not nothing") {
+    constexpr int gateways = 100, steps = 100, window = 20;  // steps of 100 ms; a window is one fall
+    std::vector<Play> plays(gateways);
+    std::vector<int> fresh(steps), all(steps);
+    for (int g = 0; g < gateways; ++g) {
+        Play& play = plays[g];
+        play.seed = 1 + g;
+        play.happen("terms gateways=100 limits.idle_close=15000");
+        play.happen("fleet");
+        for (int step = 0; step < steps; ++step) {
+            if (step == steps / 2) play.happen("news 21 young");
+            play.happen("serve " + std::to_string(step + 1) + " ok customer=0");
+            for (const std::string& one : play.stage.seen) {
+                all[step] += one.rfind("execute", 0) == 0;
+                fresh[step] += one.ends_with(" on 21");
+            }
+            play.stage.seen.clear();
+            play.happen("wait 100");
+        }
+    }
+    for (int from = steps / 2; from + window <= steps; ++from) {
+        double sent = 0, warm_host = 0, part = 0;
+        for (int step = from; step < from + window; ++step) {
+            sent += fresh[step], warm_host += all[step] / 20.0;
+            part += (0.2 + 0.8 * (step - steps / 2) / 150) / window;
+        }
+        INFO(from << ": " << sent << " sent, a warm host has " << warm_host << ", its part is " << part);
+        CHECK(sent < 3 * part * warm_host * 0.75);  // the fall multiple, with a quarter to spare
+        CHECK(sent > part * warm_host * 0.3);
+    }
+}
+
 TEST_CASE("scenarios") {
     std::vector<std::filesystem::path> files;
     for (const auto& entry : std::filesystem::directory_iterator(SCENARIOS)) files.push_back(entry.path());
