--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -541,6 +541,9 @@
 
     void cut_places(Host& h, double to) { h.places = std::max(2.0 / gateways, h.places * to); }
 
+    // Of a host's smoothed time; half as much again, of the mean of all answers.
+    double aim() const { return std::clamp(1.5 * ease, 0.15 * tracks[0].goal, 0.35 * tracks[0].goal); }
+
     void host_delivered(Host& h, Time took) {
         if (h.trial) gateway.log("host " + std::to_string(h.id) + " back");
         h.trial = false;
@@ -553,11 +556,11 @@
         if (warmth(h) >= 1) ++delivered_lately;
         // Hosts held at a little over their easy time keep their pace; long queues at a host can cost it.
         ease += (typical - ease) / (typical < ease ? 16 : 16384);
-        const double most = std::clamp(1.5 * ease, 0.15 * tracks[0].goal, 0.35 * tracks[0].goal);
+        const double most = aim();
         // The mean of the answers steers the reach, not how many are slow: pieces differ, and a tenth may
         // take thrice the mean at hosts at ease. What all gateways may have out without harm it gets back
         // unused.
-        if (const double over = std::min(took / (2 * most), 4.0) - 1;
+        if (const double over = std::min(took / (1.5 * most), 4.0) - 1;
             over > 0 || reach < ample() || out_all + 2 > reach)
             reach = std::max(1.0, reach * (1 - over / 16));
         if (h.slowness < 0.75 * most && h.out + 2 > h.places)
@@ -587,6 +590,10 @@
             h.last_word = now, h.full_until = now + jittered(between_pieces());
             if (found != submissions.end()) h.full_for = customers.at(found->second.customer).plan;
         } else if (verdict != Verdict::called_off && !moot) host_failed(h, verdict);
+        // Guards against answers that never count since their clients left first: an overloaded host would be
+        // known by its quick ones alone. It took that long at least.
+        else if (!moot && few_places() && took > std::max(h.slowness, 2 * aim()))
+            h.slowness += (static_cast<double>(took) - h.slowness) / 3;
         // Of no execution that is out?
         if (found == submissions.end() || found->second.stage == Stage::waiting) return place();
         Submission& s = found->second;
