--- /dev/null
+++ b/src/net/check.cpp
@@ -0,0 +1,156 @@
+#include "check.h"
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "configuration.h"
+#include "terms.h"
+
+namespace dewweir::net {
+namespace {
+
+using nlohmann::json;
+
+// Where each key of a JSON text stands: its path with list places, `known.members.0.id`, and its line from 1.
+class Lines {
+  public:
+    explicit Lines(const std::string& text) : text_(text) { value(""); }
+    // Of the key, or of the nearest there is above it.
+    int of(std::string path) const {
+        for (;;) {
+            if (const auto found = lines_.find(path); found != lines_.end()) return found->second;
+            const std::size_t dot = path.rfind('.');
+            if (dot == path.npos) return 0;
+            path.resize(dot);
+        }
+    }
+
+  private:
+    void space() {
+        for (; at_ < text_.size() && std::string_view(" \t\r\n").find(text_[at_]) != std::string_view::npos;
+             ++at_)
+            line_ += text_[at_] == '\n';
+    }
+    std::string string() {
+        std::string all;
+        for (++at_; at_ < text_.size() && text_[at_] != '"'; ++at_) {
+            if (text_[at_] == '\\') ++at_;
+            if (at_ < text_.size()) all += text_[at_];
+        }
+        ++at_;
+        return all;
+    }
+    void value(const std::string& path) {
+        space();
+        if (at_ >= text_.size()) return;
+        const char opens = text_[at_];
+        if (opens == '"') return static_cast<void>(string());
+        if (opens != '{' && opens != '[') {
+            while (at_ < text_.size() &&
+                   std::string_view(",]} \t\r\n").find(text_[at_]) == std::string_view::npos)
+                ++at_;
+            return;
+        }
+        const char closes = opens == '{' ? '}' : ']';
+        ++at_;
+        for (std::size_t n = 0;; ++n) {
+            space();
+            if (at_ >= text_.size()) return;
+            if (text_[at_] == closes) return ++at_, static_cast<void>(0);
+            if (text_[at_] == ',') ++at_, space();
+            std::string name = std::to_string(n);
+            const int line = line_;
+            if (opens == '{') {
+                name = string();
+                space();
+                ++at_;  // the colon
+            }
+            const std::string below = path.empty() ? name : path + "." + name;
+            lines_.try_emplace(below, line);
+            value(below);
+        }
+    }
+
+    const std::string& text_;
+    std::size_t at_ = 0;
+    int line_ = 1;
+    std::map<std::string, int> lines_;
+};
+
+// Acts on nobody: a Choice is made for what it says of its terms.
+struct Nobody : Gateway {
+    void execute(std::uint32_t, std::uint32_t, Time) override {}
+    void bounce(std::uint32_t, Time) override {}
+    void write_off(std::uint32_t) override {}
+    void cancel(std::uint32_t, int) override {}
+    void count(std::uint64_t, double, Time) override {}
+    void arm(Time, std::uint64_t) override {}
+    void disarm(std::uint64_t) override {}
+    void follow_list() override {}
+    void log(const std::string&) override {}
+};
+
+// What is missing or unreadable among the terms, one after the other: each is put right before the next is
+// looked for.
+std::vector<std::string> term_faults(Terms terms) {
+    std::vector<std::string> all;
+    Nobody nobody;
+    for (int n = 0; n < 256; ++n) {
+        try {
+            Choice(nobody, terms, 1, 0);
+            return all;
+        } catch (const std::invalid_argument& fault) {
+            const std::string said = fault.what(), name = said.substr(said.rfind(' ') + 1);
+            all.push_back(said);
+            terms[name] =
+                name.size() > 8 && name.compare(name.size() - 8, 8, ".repeats") == 0 ? "retriable" : "1";
+        }
+    }
+    return all;
+}
+
+std::vector<std::string> keys_of(const json& object) {
+    std::vector<std::string> names;
+    if (object.is_object())
+        for (const auto& [name, value] : object.items()) names.push_back(name);
+    return names;
+}
+
+}  // namespace
+
+std::vector<Complaint> check_configuration(const std::string& text, const std::string& file) {
+    json read;
+    try {
+        read = json::parse(text);
+    } catch (const json::parse_error& fault) {
+        const auto upto = static_cast<std::ptrdiff_t>(std::min(fault.byte, text.size()));
+        const auto line = 1 + std::count(text.begin(), text.begin() + upto, '\n');
+        std::string what = fault.what();
+        what = what.substr(std::min(what.find("] ") + 2, what.size()));
+        return {{file, static_cast<int>(line), "", "no JSON: " + what}};
+    }
+    if (!read.is_object()) return {{file, 1, "", "must be a JSON object"}};
+    const Lines lines(text);
+    std::vector<Complaint> all;
+    Terms terms;
+    for (const std::string& fault : configuration_faults(text, terms)) {
+        // `key: what`, or `settings: key: what`.
+        std::string key = fault.substr(0, fault.find(": ")),
+                    what = fault.substr(std::min(fault.find(": ") + 2, fault.size()));
+        if (what == "missing") what += did_you_mean(key, keys_of(read));
+        all.push_back({file, lines.of(key), key, what});
+    }
+    for (const std::string& fault : term_faults(terms)) {
+        const std::string name = their_words(fault.substr(fault.rfind(' ') + 1));
+        all.push_back({file, lines.of("settings." + name), "settings." + name,
+                       fault.substr(0, fault.rfind(':')) + " (" + fault.substr(fault.rfind(' ') + 1) +
+                           " in our words)"});
+    }
+    std::stable_sort(all.begin(), all.end(),
+                     [](const Complaint& a, const Complaint& b) { return a.line < b.line; });
+    return all;
+}
+
+}  // namespace dewweir::net
--- /dev/null
+++ b/src/net/check.h
@@ -0,0 +1,15 @@
+// Looks a platform configuration over without starting anything: lists every fault at once, each with its
+// line. It must never accept what the gateway would refuse at its start, nor refuse what that would accept:
+// it reads as the gateway reads, and asks a Choice that acts on nobody.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "operator/complaint.h"
+
+namespace dewweir::net {
+
+std::vector<Complaint> check_configuration(const std::string& text, const std::string& file);
+
+}  // namespace dewweir::net
--- a/src/net/configuration.cpp
+++ b/src/net/configuration.cpp
@@ -138,41 +138,63 @@
     return listing;
 }
 
-Configuration configuration_of(const json& from) {
+// Each step on its own: its fault ends the reading, or is put on a list that is asked for.
+struct Steps {
+    std::vector<std::string>* faults;
+    template <class Do> void operator()(Do read) const {
+        if (!faults) return read();
+        try {
+            read();
+        } catch (const Fault& fault) { faults->push_back(fault.what()); }
+    }
+};
+
+Configuration configuration_of(const json& from, std::vector<std::string>* faults = nullptr) {
     Configuration c;
-    c.name = text_of(from, "name");
-    c.listen = address_of(from, "listen");
-    c.discovery = address_of(from, "discovery");
-    const std::string seed = text_of(from, "seed");
-    char* end = nullptr;
-    c.seed = std::strtoull(seed.c_str(), &end, 16);
-    if (*end || seed.size() > 16) throw Fault("seed: must be up to 16 hex digits");
-    if (from.contains("limits") && member(from, "limits").contains("sockets"))
-        c.sockets = static_cast<std::size_t>(number_of(member(from, "limits"), "sockets", 32, 1e6));
-    const json& told = member(from, "settings");
-    if (!told.is_object()) throw Fault("settings: must be an object");
-    flatten(c.terms, told, "");
-    const std::string* const counted = term(c.terms, "service.counter");
-    if (counted && *counted == "true") c.counter = address_of(from, "counter");
-    c.tracks = names_of(c.terms, "tracks");
-    c.plans = names_of(c.terms, "plans");
+    const Steps step{faults};
+    step([&] { c.name = text_of(from, "name"); });
+    step([&] { c.listen = address_of(from, "listen"); });
+    step([&] { c.discovery = address_of(from, "discovery"); });
+    step([&] {
+        const std::string seed = text_of(from, "seed");
+        char* end = nullptr;
+        c.seed = std::strtoull(seed.c_str(), &end, 16);
+        if (*end || seed.size() > 16) throw Fault("seed: must be up to 16 hex digits");
+    });
+    step([&] {
+        if (from.contains("limits") && member(from, "limits").contains("sockets"))
+            c.sockets = static_cast<std::size_t>(number_of(member(from, "limits"), "sockets", 32, 1e6));
+    });
+    step([&] {
+        const json& told = member(from, "settings");
+        if (!told.is_object()) throw Fault("settings: must be an object");
+        flatten(c.terms, told, "");
+    });
+    step([&] {
+        const std::string* const counted = term(c.terms, "service.counter");
+        if (counted && *counted == "true") c.counter = address_of(from, "counter");
+    });
+    step([&] { c.tracks = names_of(c.terms, "tracks"); });
+    step([&] { c.plans = names_of(c.terms, "plans"); });
     for (std::size_t n = 0; n < c.tracks.size(); ++n) {
         const std::string* const repeats = term(c.terms, "tracks." + std::to_string(n) + ".repeats");
         c.retriable.push_back(repeats && *repeats == "retriable");
     }
-    c.gateways = static_cast<int>(figure_of(c.terms, "gateways", 1, 1, 1e6));
-    c.largest = figure_of(c.terms, "service.largest", 1e6, 0, 1e9);
+    step([&] { c.gateways = static_cast<int>(figure_of(c.terms, "gateways", 1, 1, 1e6)); });
+    step([&] { c.largest = figure_of(c.terms, "service.largest", 1e6, 0, 1e9); });
     if (const std::string* const zones = term(c.terms, "zones")) {
         std::istringstream each(*zones);
         for (std::string zone; std::getline(each, zone, ',');) c.zones.push_back(zone);
     }
-    c.step = time_of(c.terms, "step", 0);
-    c.connect_within = time_of(c.terms, "limits.connect_within", 2500);
-    c.idle_close = time_of(c.terms, "limits.idle_close", 100000);
-    c.count_limit = time_of(c.terms, "service.count_limit", 500);
+    step([&] { c.step = time_of(c.terms, "step", 0); });
+    step([&] { c.connect_within = time_of(c.terms, "limits.connect_within", 2500); });
+    step([&] { c.idle_close = time_of(c.terms, "limits.idle_close", 100000); });
+    step([&] { c.count_limit = time_of(c.terms, "service.count_limit", 500); });
     const std::string* const way = term(c.terms, "discovery");
     c.ask = way && *way == "ask";
-    if (from.contains("known")) c.known = listing_of(member(from, "known"), c.zones);
+    step([&] {
+        if (from.contains("known")) c.known = listing_of(member(from, "known"), c.zones);
+    });
     return c;
 }
 
@@ -182,10 +204,23 @@
     return configuration_of(parsed(text, "configuration"));
 }
 
+std::vector<std::string> configuration_faults(const std::string& text, Terms& terms) {
+    std::vector<std::string> faults;
+    terms = configuration_of(parsed(text, "configuration"), &faults).terms;
+    return faults;
+}
+
 Listing parse_listing(std::string_view text, const std::vector<std::string>& zones) {
     return listing_of(parsed(text, "list"), zones);
 }
 
+Level level_of(const std::string& name) {
+    const std::string names[] = {"error", "warning", "info", "debug"};
+    const auto at = std::find(std::begin(names), std::end(names), name);
+    if (at == std::end(names)) throw Fault("DEWWEIR_LOG: must be error, warning, info or debug");
+    return static_cast<Level>(at - std::begin(names));
+}
+
 Configuration read_configuration() {
     const char* const path = std::getenv("EDGE_CONFIG");
     if (!path || !*path) throw Fault("EDGE_CONFIG: missing from the environment");
@@ -194,12 +229,7 @@
     text << file.rdbuf();
     if (!file) throw Fault(std::string("EDGE_CONFIG: cannot read ") + path);
     Configuration c = parse_configuration(text.str());
-    if (const char* const level = std::getenv("DEWWEIR_LOG")) {
-        const std::string names[] = {"error", "warning", "info", "debug"};
-        const auto at = std::find(std::begin(names), std::end(names), level);
-        if (at == std::end(names)) throw Fault("DEWWEIR_LOG: must be error, warning, info or debug");
-        c.log_level = static_cast<Level>(at - std::begin(names));
-    }
+    if (const char* const level = std::getenv("DEWWEIR_LOG")) { c.log_level = level_of(level); }
     return c;
 }
 
--- a/src/net/configuration.h
+++ b/src/net/configuration.h
@@ -43,7 +43,7 @@
     Terms terms;
     Listing known;
     std::vector<std::string> tracks, plans, zones;  // by name; their places are their numbers
-    std::vector<bool> retriable;  // by track
+    std::vector<bool> retriable;                    // by track
     int gateways = 1;
     double largest = 1e6;  // units of one submission
     Time step = 0, connect_within = 0, idle_close = 0, count_limit = 0;
@@ -51,9 +51,14 @@
     Level log_level = Level::info;
 };
 
+// Throws Fault when there is no such level.
+Level level_of(const std::string& name);
 // From the environment and the file it names.
 Configuration read_configuration();
 Configuration parse_configuration(const std::string& text);
+// All that `parse_configuration` would refuse, one message each; `terms` gets what could be read of the
+// settings.
+std::vector<std::string> configuration_faults(const std::string& text, Terms& terms);
 // Throws Fault on anything that is no listing.
 Listing parse_listing(std::string_view text, const std::vector<std::string>& zones);
 
--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr std::size_t least_read = 4096, most_held = 16384;  // of what has come and waits in the ring
-constexpr Time linger = 10000;                 // a second for a peer to close
-constexpr std::size_t most_discarded = 65536;  // of what it still sends meanwhile
+constexpr Time linger = 10000;                               // a second for a peer to close
+constexpr std::size_t most_discarded = 65536;                // of what it still sends meanwhile
 
 }  // namespace
 
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -32,7 +32,7 @@
 
 void Log::write(const std::string& text) {
     const auto now = std::chrono::steady_clock::now();
-    if (now - filled_ >= std::chrono::seconds(1)) filled_ = now, allowance_ = 100;  // lines a second
+    if (now - filled_ >= std::chrono::seconds(1)) filled_ = now, allowance_ = lines_;
     if (allowance_ <= 0 || !writable()) {
         ++left_out_;
         return;
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -14,8 +14,10 @@
 
 class Log {
   public:
-    // `descriptor` is what the stream writes to; it is asked whether it takes a line. -1: always.
-    Log(std::ostream& out, int descriptor, Level most) : out_(out), descriptor_(descriptor), most_(most) {}
+    // `descriptor` is what the stream writes to; it is asked whether it takes a line. -1: always. `lines` a
+    // second are written at the most.
+    Log(std::ostream& out, int descriptor, Level most, int lines = 100)
+        : out_(out), descriptor_(descriptor), most_(most), lines_(lines) {}
     ~Log() { flush_repeats(); }
     bool shows(Level level) const { return level <= most_; }
     void line(Level level, const std::string& text);
@@ -28,6 +30,7 @@
     std::ostream& out_;
     int descriptor_;
     Level most_;
+    int lines_;
     std::string last_;
     std::uint64_t repeats_ = 0, left_out_ = 0;
     int allowance_ = 0;
--- /dev/null
+++ b/src/operator/complaint.h
@@ -0,0 +1,35 @@
+// What is wrong with a file that a person wrote, said so that it can be mended: where, what was found, what
+// is allowed. Every reader of such files lists all it finds before it gives up.
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace dewweir {
+
+struct Complaint {
+    std::string file;
+    int line = 0;  // from 1; 0: none can be named
+    std::string key, what;
+
+    std::string text() const {
+        std::string all = file;
+        if (line > 0) all += ":" + std::to_string(line);
+        all += ": ";
+        if (!key.empty()) all += key + ": ";
+        return all + what;
+    }
+};
+
+struct Complaints : std::runtime_error {
+    explicit Complaints(std::vector<Complaint> list)
+        : std::runtime_error(list.empty() ? "nothing is wrong" : list.front().text()), all(std::move(list)) {}
+    std::vector<Complaint> all;
+};
+
+// The one of `known` that `name` was most likely meant to be, as `; did you mean X?`; empty where none is
+// near.
+std::string did_you_mean(const std::string& name, const std::vector<std::string>& known);
+
+}  // namespace dewweir
--- /dev/null
+++ b/src/serve.h
@@ -0,0 +1,13 @@
+// The gateway as a program: reads what it is told at start and again at SIGHUP, runs one loop until SIGTERM
+// and whatever is then still to be answered, and ends.
+#pragma once
+
+namespace dewweir {
+
+struct OperatorFile;
+
+// `with`: the operator file's settings, or nothing, as on the platform. 0 after a clean end, 1 when it cannot
+// listen or finds a fault in itself, 2 on a configuration that is bad at start.
+int serve(const OperatorFile* with);
+
+}  // namespace dewweir
--- a/src/terms.cpp
+++ b/src/terms.cpp
@@ -7,8 +7,8 @@
 namespace dewweir {
 namespace {
 
-std::string our_words(const std::string& wire_words, char between) {
-    static const std::map<std::string, std::string> words = {
+const std::map<std::string, std::string>& words() {
+    static const std::map<std::string, std::string> all = {
         {"profiles", "tracks"},
         {"goalTime", "latency_goal"},
         {"hardLimit", "time_limit"},
@@ -52,12 +52,16 @@
         {"dialTimeout", "connect_within"},
         {"idleClose", "idle_close"},
     };
+    return all;
+}
+
+std::string our_words(const std::string& wire_words, char between) {
     std::string ours;
     for (std::size_t from = 0; from <= wire_words.size();) {
         const std::size_t to = std::min(wire_words.find(between, from), wire_words.size());
         const std::string word = wire_words.substr(from, to - from);
-        const auto known = words.find(word);
-        ours += (from ? std::string(1, between) : "") + (known == words.end() ? word : known->second);
+        const auto known = words().find(word);
+        ours += (from ? std::string(1, between) : "") + (known == words().end() ? word : known->second);
         from = to + 1;
     }
     return ours;
@@ -71,6 +75,22 @@
     terms[our_words(path, '.')] = named ? value : our_words(value, ',');
 }
 
+std::string their_words(const std::string& ours) {
+    std::string theirs;
+    for (std::size_t from = 0; from <= ours.size();) {
+        const std::size_t to = std::min(ours.find('.', from), ours.size());
+        std::string word = ours.substr(from, to - from);
+        for (const auto& [wire, our] : words())
+            if (our == word) {
+                word = wire;
+                break;
+            }
+        theirs += (from ? "." : "") + word;
+        from = to + 1;
+    }
+    return theirs;
+}
+
 Terms terms_of_lines(const std::string& lines) {
     Terms terms;
     for (std::size_t from = 0; from < lines.size();) {
--- a/src/terms.h
+++ b/src/terms.h
@@ -14,5 +14,7 @@
 void put_term(Terms& terms, const std::string& path, const std::string& value);
 // The same for lines of path=value.
 Terms terms_of_lines(const std::string& lines);
+// The operators' path for a name of ours, for messages to them.
+std::string their_words(const std::string& ours);
 
 }  // namespace dewweir
