--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -42,11 +42,14 @@
     return {host, static_cast<std::uint16_t>(port)};
 }
 
-std::string own_file() {
+// The gateway's program: beside this one, whose name is the same and `-tools`.
+std::string gateway_file() {
     char path[PATH_MAX];
     const ssize_t n = ::readlink("/proc/self/exe", path, sizeof path - 1);
-    if (n <= 0) throw std::runtime_error("cannot tell where this program is");
-    return std::string(path, static_cast<std::size_t>(n));
+    const std::string own(path, n > 0 ? static_cast<std::size_t>(n) : 0);
+    const std::size_t end = own.rfind("-tools");
+    if (end == own.npos) throw std::runtime_error("cannot tell where the gateway's program is");
+    return own.substr(0, end);
 }
 
 std::string contents(const std::string& file) {
@@ -210,7 +213,7 @@
     tried->add_option("--logs", trial.log_folder, "keep the gateways' configurations and logs there");
     tried->add_flag("--quiet", quiet, "no progress");
     tried->callback([&] {
-        trial.program = own_file();
+        trial.program = gateway_file();
         trial.progress = !quiet;
         end = static_cast<int>(rig::run_trial(trial));
     });
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,22 @@
-// The program: without arguments the gateway, as the platform starts it; else the command line.
-#include "cli/cli.h"
+// The program: without arguments the gateway, as the platform starts it. With arguments it becomes the tools'
+// program beside it, so that the gateway carries none of their code: linked in, that made it a sixth larger
+// at rest.
+#include <limits.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <iostream>
+#include <string>
+
 #include "serve.h"
 
-int main(int argc, char** argv) { return argc > 1 ? dewweir::cli::run(argc, argv) : dewweir::serve(nullptr); }
+int main(int argc, char** argv) {
+    if (argc <= 1) return dewweir::serve(nullptr);
+    char path[PATH_MAX];
+    const ssize_t n = ::readlink("/proc/self/exe", path, sizeof path - 1);
+    const std::string tools = std::string(path, n > 0 ? static_cast<std::size_t>(n) : 0) + "-tools";
+    ::execv(tools.c_str(), argv);
+    std::cerr << "dewweir: the sub-commands' program " << tools << ": " << std::strerror(errno) << '\n';
+    return 2;
+}
--- a/src/operator/operator_file.h
+++ b/src/operator/operator_file.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "complaint.h"
+#include "settings.h"
 
 namespace dewweir {
 
@@ -26,11 +27,6 @@
 const std::vector<Key>& operator_keys();
 const Key* operator_key(const std::string& name);
 
-struct OperatorFile {
-    std::string log_level = "info";
-    int log_lines = 100;  // a second
-};
-
 // Throws Complaints, which lists all that is wrong with it.
 OperatorFile parse_operator_file(const std::string& text, const std::string& file);
 OperatorFile read_operator_file(const std::string& file);
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -11,7 +11,7 @@
 #include <iostream>
 
 #include "net/node.h"
-#include "operator/operator_file.h"
+#include "operator/settings.h"
 
 namespace dewweir {
 
