--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -94,12 +94,12 @@
     Gateway& gateway;
     const Terms terms;
     std::mt19937 chance;
-    Time now, started, step, count_limit, fall, warm_after, longest_advice, beat_every, beat_at;
+    Time now, started, step, count_limit, fall, warm_after, longest_advice, ask_within, beat_every, beat_at;
     Time kept, connection_kept, forgot_at = 0;
     int gateways, most_executions, zone;
     double cold_from, fall_multiple, failing = 0, mute = 0;  // parts of executions: failing, without end
-    bool may_cancel, has_counter, list_whole = false;
-    int list_round = 0;
+    bool may_cancel, has_counter, asks, follows, list_whole = false;
+    int list_round = 0, list_failures = 0;
     std::vector<Track> tracks;
     std::vector<Plan> plans;
     std::map<std::uint32_t, Host> hosts;                    // by id
@@ -175,7 +175,8 @@
         typical = ease = static_cast<double>(goal) / 6;
         count_took = static_cast<double>(count_limit) / 10;
         arm(beat_every, beat);
-        if (term("discovery") && *term("discovery") == "ask") gateway.follow_list();
+        ask_within = term("rules.ask_within") ? time("rules.ask_within") : 10 * goal;
+        asks = follows = term("discovery") && *term("discovery") == "ask";
     }
 
     State& at(Time moment) { return now = moment, *this; }
@@ -192,6 +193,19 @@
         return about / 2 + std::uniform_int_distribution<Time>(0, std::max<Time>(1, about))(chance);
     }
 
+    // Guards against asking for the list all at once: gateways start, or lose their watch, in the same
+    // moment. Calls are served in turn, and one come to too late has cost its turn, so that none may be
+    // answered. The more of us, and the more failures, the longer the stretch over which chance spreads the
+    // next ones; with no host known there is nothing to wait with. Where news must be asked for, not asking
+    // is held against us after ask_within, and only after four times that once a call has failed.
+    void follow_later() {
+        const auto most = static_cast<double>(asks ? 2 * ask_within : ask_within / 2);
+        const double together = static_cast<double>(ask_within) / 2 * gateways / (gateways + 16);
+        const double first = hosts.empty() ? static_cast<double>(ask_within) / 64 : together;
+        const double stretch = std::min(most, std::ldexp(first, std::min(list_failures, 6)));
+        arm(whole(stretch * std::uniform_real_distribution<>()(chance)), follow);
+    }
+
     // ---- quotas ----
 
     void call(Asked asked, std::uint32_t submission, const Customer& c, std::int64_t window, double amount) {
@@ -619,6 +633,7 @@
     // ---- time ----
 
     void on_beat() {
+        if (std::exchange(follows, false)) follow_later();  // what was held from before has been told by now
         const double passed = static_cast<double>(std::max<Time>(1, now - beat_at));
         int warm = 0;
         places_all = hosts_listed = hosts_open = 0;
@@ -738,12 +753,14 @@
 void Choice::list_ends(Time now) {
     State& s = state_->at(now);
     for (auto& [id, h] : s.hosts) h.listed &= !s.list_whole || h.list_round == s.list_round;
+    s.list_failures = 0;
     s.place();
 }
 
 void Choice::list_failed(Time now) {
     State& s = state_->at(now);
-    s.arm(s.jittered(s.time("rules.ask_within") / 8), follow);
+    s.follow_later();
+    ++s.list_failures;
 }
 
 void Choice::submitted(Time now, std::uint32_t id, int track, int plan, std::uint64_t customer, double units,
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 // An empty line is due every 2 s, and what there is to tell counts as told 6 s later.
-constexpr Time most_silence = 45000, least_pause = 500, most_pause = 10000;
+constexpr Time most_silence = 45000;
 constexpr std::size_t most_line = 8 << 20;
 
 }  // namespace
@@ -26,8 +26,6 @@
     address_ = address;
     // Revisions of two sources need not compare: all is asked for anew.
     revision_ = 0;
-    pause_ = 0;
-    deadlines_.drop(again_);
     deadlines_.drop(silence_);
     if (connection_) connections_.close(connection_);
     connection_ = 0;
@@ -36,6 +34,7 @@
 
 void Discovery::opened(Handle connection, std::uint32_t, bool up) {
     if (!up) return lost("no connection");
+    log_.line(Level::info, "discovery: asked");
     const std::string from = std::to_string(revision_);
     connections_.send(connection, {"GET /registry/instances?stream=1&index=", from,
                                    " HTTP/1.1\r\nHost: discovery\r\nAccept: application/json\r\n\r\n"});
@@ -60,9 +59,10 @@
         if (line.find_first_not_of(" \r\t") == line.npos) continue;
         try {
             const Listing listing = parse_listing(line, told_.zones);
-            pause_ = 0;
             if (listing.revision < revision_) continue;
             revision_ = listing.revision;
+            log_.line(Level::info, "discovery: told revision " + std::to_string(revision_) + ", entries " +
+                                       std::to_string(listing.entries.size()));
             news_.list_told(listing);
         } catch (const std::exception& fault) {
             return lost(std::string("an unreadable line: ") + fault.what());
@@ -81,9 +81,7 @@
     deadlines_.drop(silence_);
     if (connection_) connections_.close(connection_);
     connection_ = 0;
-    pause_ = std::clamp(2 * pause_, least_pause, most_pause);
-    if (told_.ask) news_.list_failed();
-    else again_ = deadlines_.after(pause_, [this] { follow(); });
+    news_.list_failed();
 }
 
 }  // namespace dewweir::net
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -37,8 +37,7 @@
     Handle connection_ = 0;
     std::unique_ptr<HttpReader> reader_;
     std::uint64_t revision_;
-    Time pause_ = 0;
-    Deadlines::Key silence_{}, again_{};
+    Deadlines::Key silence_{};
 };
 
 }  // namespace dewweir::net
--- a/tests/run.cpp
+++ b/tests/run.cpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "dewweir/choice.h"
+#include "model/list.h"
 
 using namespace dewweir;
 
@@ -324,6 +325,61 @@
     }
 }
 
+// Plays a fleet that asks one discovery for the list, from one moment on, and says how many have been
+// answered at each whole second. Each whose call is refused asks again when its Choice says so.
+std::vector<int> answered_a_second(int gateways, int seconds, const std::string& discovery,
+                                   model::List list) {
+    std::vector<Play> plays(gateways);
+    std::multimap<Time, std::pair<int, bool>> due;  // whose call is answered then, and whether with the list
+    std::vector<bool> has(gateways);
+    for (int g = 0; g < gateways; ++g) {
+        plays[g].seed = 1 + g;
+        plays[g].happen("terms discovery=" + discovery + " gateways=" + std::to_string(gateways));
+        plays[g].happen("hosts 1 ready 2 ready");
+        // With news that come by themselves the watch has just been lost.
+        if (discovery == "push") plays[g].happen("follow_failed");
+    }
+    std::vector<int> answered;
+    const Time begun = plays[0].stage.now;
+    for (int ms = 1; ms <= seconds * 1000; ++ms) {
+        for (int g = 0; g < gateways; ++g) {
+            Play& play = plays[g];
+            play.wait(10);
+            const auto asked = std::erase(play.stage.seen, "follow");
+            if (asked > 1) FAIL_CHECK("asked twice at once");
+            if (!asked || has[g]) continue;
+            const model::List::Answer answer = list.call(play.stage.now);
+            due.emplace(answer.at, std::pair{g, answer.served});
+        }
+        while (!due.empty() && due.begin()->first <= begun + ms * 10) {
+            const auto [g, served] = due.begin()->second;
+            due.erase(due.begin());
+            plays[g].happen(served ? "news" : "follow_failed");
+            has[g] = has[g] || served;
+        }
+        if (ms % 1000 == 0) answered.push_back(static_cast<int>(std::count(has.begin(), has.end(), true)));
+    }
+    return answered;
+}
+
+// Twenty calls a second at discovery: a hundred gateways need five seconds in any case, and half of
+// ask_within is five. Asking again after a second or two each, they got no answer at all but the first 40.
+TEST_CASE("a hundred gateways that lose their watch at once get their list from a discovery soon") {
+    const model::List slow({.each = 500, .patience = 20000, .line = 1000});
+    for (const std::string discovery : {"ask", "push"}) {
+        INFO(discovery);
+        const std::vector<int> answered = answered_a_second(100, 12, discovery, slow);
+        CHECK(answered[2] >= 25);  // no second is lost: 20 can be answered in each
+        CHECK(answered[6] >= 85);  // half of ask_within, and the longest wait for an answer
+        CHECK(answered[11] == 100);
+    }
+    const std::vector<int> few = answered_a_second(3, 2, "ask", slow);
+    CHECK(few[0] == 3);  // nobody to wait for
+    // Five calls a second, and a line of ten: most calls are refused at once, and each refusal costs time.
+    const std::vector<int> crowded = answered_a_second(100, 40, "ask", model::List({2000, 20000, 10}));
+    CHECK(crowded[39] >= 50);
+}
+
 TEST_CASE("scenarios") {
     std::vector<std::filesystem::path> files;
     for (const auto& entry : std::filesystem::directory_iterator(SCENARIOS)) files.push_back(entry.path());
