Where news comes by itself the list is asked for at once again: drains kept

At fault: follow_later and the start in Node, which spread calls without regard to how news comes.

Change: at the start at once; after a failure within askWithin / 128, doubled up to an eighth.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -196,12 +196,14 @@
     // Guards against asking for the list all at once: gateways start, or lose their watch, in the same
     // moment. Calls are served in turn, and one come to too late has cost its turn, so that none may be
     // answered. The more of us, and the more failures, the longer the stretch over which chance spreads the
-    // next ones; with no host known there is nothing to wait with. Where news must be asked for, not asking
-    // is held against us after ask_within, and only after four times that once a call has failed.
+    // next ones; with no host known there is nothing to wait with. Not asking is held against us after
+    // ask_within, and only after four times that once a call has failed; where news comes by itself, it is so
+    // at once.
     void follow_later() {
-        const auto most = static_cast<double>(asks ? 2 * ask_within : ask_within / 2);
-        const double together = static_cast<double>(ask_within) / 2 * gateways / (gateways + 16);
-        const double first = hosts.empty() ? static_cast<double>(ask_within) / 64 : together;
+        const auto within = static_cast<double>(ask_within);
+        const double together = within / 2 * gateways / (gateways + 16);
+        const double first = !asks ? within / 128 : hosts.empty() ? within / 64 : together;
+        const double most = asks ? 2 * within : within / 8;
         const double stretch = std::min(most, std::ldexp(first, std::min(list_failures, 6)));
         arm(whole(stretch * std::uniform_real_distribution<>()(chance)), follow);
     }
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -20,8 +20,8 @@
       choice_(*this, told.terms, told.seed, deadlines_.now()),
       clients_(part_, *this) {
     if (!told.known.entries.empty()) list_told(told.known);
-    // Nothing is watched yet, and when to ask is the Choice's; where news must be asked for it asks by itself.
-    if (!told.ask) list_failed();
+    // Where news must be asked for, the Choice asks by itself.
+    if (!told.ask) discovery_.follow();
 }
 
 void Node::run() {
