--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -238,6 +238,11 @@
     double whole_share(const Customer& c) const { return std::max(plans[c.plan].burst / c.gateways, 1.0); }
     bool tiny_share(const Customer& c) const { return plans[c.plan].burst < c.gateways; }
 
+    // Where a plan gains by what lies beyond its quota, and hosts have room, nothing hangs on the quota.
+    bool at_stake(const Customer& c) const {
+        return plans[c.plan].extra_benefit <= plans[c.plan].overrun_cost || 2 * out_all >= room();
+    }
+
     void count_failed() {
         counted_part = std::max(1.0 / 32, counted_part * 0.85);
         if (++count_failures < 3) return;
@@ -267,9 +272,10 @@
             return ++decided[over_already], beyond(id, s, s.units);
         // Guards a crowded counter: shares decide a part, and a customer's next call adds for them too. Calls
         // go first to those whose share does not hold their units: the counter may know of room elsewhere.
-        const bool in_doubt = !tiny_share(c) && c.share < s.units;
+        const bool in_doubt = at_stake(c) && c.share < s.units;
+        const double calling = at_stake(c) ? counted_part : std::max(0.0, 2 * counted_part - 1);
         if (count_failures >= 3 && (now < open_until || probing)) return decide_by_share(id, s);
-        if (!has_counter || std::uniform_real_distribution<>()(chance) > counted_part * (in_doubt ? 8 : 1))
+        if (!has_counter || std::uniform_real_distribution<>()(chance) > calling * (in_doubt ? 8 : 1))
             return decide_by_share(id, s);
         if (count_failures >= 3) probing = true;
         s.window = c.window;
@@ -306,7 +312,8 @@
         bring_up(c);
         // A share smaller than the submission lets it in by chance, so that all shares together let in the
         // quota: neither nothing nor one piece at each gateway.
-        const bool pass = c.share >= s.units * std::uniform_real_distribution<>()(chance);
+        const bool pass = c.share >= s.units * std::uniform_real_distribution<>()(chance) ||
+                          (tiny_share(c) && !at_stake(c));
         c.share = std::max(0.0, c.share - s.units);
         ++decided[pass ? share_in : share_over];
         if (!pass) return beyond(id, s, s.units);
