--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -24,10 +24,14 @@
 enum class Stage { counting, waiting, out, over };
 enum class Asked { add, previous, back };
 enum Alarm : std::uint64_t { beat, limit, count_late, follow, place_free };
-// How submissions were decided: the words of the log's line that counts them.
-constexpr const char* decisions[] = {"counted in",   "counted over", "share in", "share over",
-                                     "over already", "long line",    "late"};
+// How submissions were decided, and what became of executions: the words of the log's line that counts them.
+// The last ones are verdicts, in their order.
+constexpr const char* decisions[] = {
+    "counted in",  "counted over", "share in",      "share over",   "over already", "long line",
+    "late",        "to warm",      "to cold",       "trial pieces", "delivered",    "errors",
+    "turned away", "timed out",    "not connected", "broken off",   "called off",   "not sent"};
 enum Decision { counted_in, counted_over, share_in, share_over, over_already, long_line, late_in_line };
+enum Execution { to_warm = late_in_line + 1, to_cold, trial_piece, first_verdict };
 
 struct Track {
     Time goal, remembered;
@@ -504,6 +508,7 @@
             if (c.ceiling < s.units) return turn_down(id, s, 0);
             c.ceiling -= s.units;
         }
+        ++decided[h.trial ? trial_piece : warmth(h) < 1 ? to_cold : to_warm];
         s.stage = Stage::out;
         s.host = h.id;
         s.sent = now;
@@ -600,6 +605,7 @@
         // Work that is called off may run on unseen: its place is not free before a usual time has passed.
         if (verdict == Verdict::called_off) arm(whole(h.slowness), place_free, h.id);
         else free_place(h);
+        ++decided[first_verdict + static_cast<int>(verdict)];
         const auto found = submissions.find(id);
         const bool moot = verdict == Verdict::not_sent;
         const bool ran = verdict != Verdict::full && verdict != Verdict::connect_failed && !moot;
--- a/src/net/configuration.cpp
+++ b/src/net/configuration.cpp
@@ -193,7 +193,8 @@
     const std::string* const way = term(c.terms, "discovery");
     c.ask = way && *way == "ask";
     step([&] {
-        if (from.contains("known")) c.known = listing_of(member(from, "known"), c.zones);
+        if (from.contains("known") && !from.at("known").is_null())
+            c.known = listing_of(member(from, "known"), c.zones);
     });
     return c;
 }
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -59,7 +59,12 @@
         if (line.find_first_not_of(" \r\t") == line.npos) continue;
         try {
             const Listing listing = parse_listing(line, told_.zones);
-            if (listing.revision < revision_) continue;
+            if (listing.revision < revision_) {
+                log_.line(Level::warning, "discovery: a list of revision " +
+                                              std::to_string(listing.revision) + ", older than " +
+                                              std::to_string(revision_) + ": left out");
+                continue;
+            }
             revision_ = listing.revision;
             log_.line(Level::info, "discovery: told revision " + std::to_string(revision_) + ", entries " +
                                        std::to_string(listing.entries.size()));
--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -60,8 +60,8 @@
         }
     }
     void with_counter() { settings = replaced(settings, R"("counter":false)", R"("counter":true)"); }
-    // Gives the plan `small` another window, of 20 s or a little more, that has just begun, so that none turns
-    // while a test waits; gives back, as the counter is told it, how long its names live.
+    // Gives the plan `small` another window, of 20 s or a little more, that has just begun, so that none
+    // turns while a test waits; gives back, as the counter is told it, how long its names live.
     std::string window_just_begun() {
         using namespace std::chrono;
         const auto now = duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
@@ -596,6 +596,85 @@
     CHECK(host.ended());
 }
 
+TEST_CASE("a spoilt discovery: refused, cut off in a line, told twice, gone back, told that all are gone") {
+    World world;
+    world.start();
+    Line client = world.client();
+    const std::string opened = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string whole = list(5, true, entry("a", world.a));
+    {
+        Line watch = world.discovery.accept();
+        watch.until("\r\n\r\n");
+        watch.send(says("503 Service Unavailable"));
+        CHECK(watch.ended());
+    }
+    CHECK(logged(world, "warning discovery: answers 503"));
+    {
+        Line watch = world.discovery.accept();
+        watch.until("\r\n\r\n");
+        watch.send(opened + chunk(whole.substr(0, whole.size() / 2)));
+        watch.close();
+    }
+    // What was known still serves, and half a line has told nothing.
+    client.send(get());
+    Line host = world.a.accept();
+    delivered(client, host);
+    Line watch = world.discovery.accept();
+    CHECK(watch.until("\r\n").find("index=4 ") != std::string::npos);
+    watch.until("\r\n\r\n");
+    watch.send(opened + chunk(whole + "\n") + chunk(whole + "\n"));
+    watch.send(chunk(list(2, true, "") + "\n"));
+    CHECK(logged(world, "warning discovery: a list of revision 2, older than 5: left out"));
+    // The kept connection has outlived all that.
+    client.send(get("2"));
+    delivered(client, host);
+    CHECK(!world.a.knocked(20));
+    // All are gone: one final answer within its time, and service again with the next host.
+    watch.send(chunk(list(6, true, "") + "\n"));
+    CHECK(host.ended());
+    client.send(get("3", "worth", "0.3"));
+    CHECK(status(client.message()) == 503);
+    CHECK(client.silent(20));
+    watch.send(chunk(list(7, false, entry("b", world.b)) + "\n"));
+    CHECK(logged(world, "told revision 7"));
+    client.send(get("4"));
+    Line other = world.b.accept();
+    delivered(client, other);
+}
+
+TEST_CASE(
+    "without a known list: bounced in time while there is none, served once it has come; no flood of asks") {
+    World world;
+    world.known = "null";
+    world.start();
+    Line client = world.client();
+    client.send(get("1", "worth", "0.3"));
+    CHECK(status(client.message()) == 503);
+    // Refused at once, again and again: its waits are chances under 78 ms, then twice that, at last 1.25 s.
+    // Four such waits in a row are over 1.2 s at least as often as not; twenty asks in one second would be a
+    // flood.
+    int asks = 0;
+    using namespace std::chrono;
+    const auto until = steady_clock::now() + seconds(1);
+    while (steady_clock::now() < until)
+        if (world.discovery.knocked(20)) {
+            Line watch = world.discovery.accept();
+            watch.until("\r\n\r\n");
+            watch.send(says("503 Service Unavailable"));
+            ++asks;
+        }
+    CHECK(asks >= 1);
+    CHECK(asks <= 20);
+    Line watch = world.discovery.accept();
+    CHECK(watch.until("\r\n").find("index=0 ") != std::string::npos);
+    watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+               chunk(list(1, true, entry("b", world.b)) + "\n"));
+    CHECK(logged(world, "told revision 1"));
+    client.send(get("2"));
+    Line host = world.b.accept();
+    delivered(client, host);
+}
+
 TEST_CASE("SIGHUP: discovery and counter are where the new file says; calls out keep their answers") {
     World world;
     world.with_counter();
