Log lines are named events with typed fields, as JSON if the operator file asks

Need: programs cannot read the log; names of what it tells stood nowhere but in prose.

The module's lines carry what they are about (Notice, and the host). log.format = json in the operator file writes an object a line; its writer is handed in by the sub-commands' program, so the platform's carries none of it. The promises stay: bounded, repeats counted, a stopped reader or a full disk loses lines and is told how many. Tests cause each.

--- a/include/dewweir/choice.h
+++ b/include/dewweir/choice.h
@@ -13,6 +13,8 @@
 
 enum class Verdict { ok, error, full, timeout, connect_failed, broken, called_off, not_sent };
 enum class Standing { gone, ready, draining };
+// What a line for the log is about.
+enum class Notice { breaker_open, breaker_closed, host_shut, host_back, decided };
 
 // What the module can have done. Submissions, hosts and counts go by the ids they came with.
 class Gateway {
@@ -26,7 +28,8 @@
     virtual void arm(Time from_now, std::uint64_t token) = 0;
     virtual void disarm(std::uint64_t token) = 0;  // may do nothing: a late alarm is heard without effect
     virtual void follow_list() = 0;
-    virtual void log(const std::string& line) = 0;
+    // `host`: which one it is about; 0 where it is about none.
+    virtual void log(Notice notice, std::uint32_t host, const std::string& line) = 0;
 };
 
 // One gateway's decisions. Each method is one thing that can happen; `now` never goes back.
--- a/simhost/main.cpp
+++ b/simhost/main.cpp
@@ -100,7 +100,7 @@
     }
     void disarm(std::uint64_t) override {}  // the wire has no such action
     void follow_list() override { reply_.action(266, 3).put(i_).put<std::uint8_t>(1); }
-    void log(const std::string& line) override {
+    void log(Notice, std::uint32_t, const std::string& line) override {
         const std::string text = line.substr(0, 60000);
         reply_.action(264, text.size() + 4).put(i_).text(text);
     }
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -250,12 +250,13 @@
     void count_failed() {
         counted_part = std::max(1.0 / 32, counted_part * 0.85);
         if (++count_failures < 3) return;
-        if (count_failures == 3) gateway.log("counter silent or failing: breaker open, shares decide");
+        if (count_failures == 3)
+            gateway.log(Notice::breaker_open, 0, "counter silent or failing: breaker open, shares decide");
         open_until = now + jittered(4 * count_limit);
         probing = false;
     }
     void count_answered(Time took) {
-        if (count_failures >= 3) gateway.log("counter answers: breaker closed");
+        if (count_failures >= 3) gateway.log(Notice::breaker_closed, 0, "counter answers: breaker closed");
         counted_part = std::min(1.0, counted_part * 1.02);
         count_failures = 0;
         probing = false;
@@ -561,7 +562,9 @@
         // With few places the next piece there may be a minute off: one failure is a row.
         if (h.failures < (few_places() ? 1 : verdict == Verdict::connect_failed ? 2 : 3) && !h.trial) return;
         if (2 * hosts_open < hosts_listed + 2 && !h.trial) return;  // when all fail at once none is to blame
-        if (!h.trial) --hosts_open, gateway.log("host " + std::to_string(h.id) + " shut: failures in a row");
+        if (!h.trial)
+            --hosts_open, gateway.log(Notice::host_shut, h.id,
+                                      "host " + std::to_string(h.id) + " shut: failures in a row");
         h.shut_for = std::clamp(2 * h.shut_for, between_pieces(), 8 * between_pieces());
         h.shut_until = now + jittered(h.shut_for);
         h.trial = true;
@@ -573,7 +576,7 @@
     double aim() const { return std::clamp(1.5 * ease, 0.15 * tracks[0].goal, 0.35 * tracks[0].goal); }
 
     void host_delivered(Host& h, Time took) {
-        if (h.trial) gateway.log("host " + std::to_string(h.id) + " back");
+        if (h.trial) gateway.log(Notice::host_back, h.id, "host " + std::to_string(h.id) + " back");
         h.trial = false;
         failing -= failing / 16, mute -= mute / 64;
         h.shut_for = h.failures = 0;
@@ -693,7 +696,7 @@
             if (decided[n])
                 line.append(line.empty() ? "" : ", ").append(decisions[n]) +=
                     ' ' + std::to_string(decided[n]);
-        if (!line.empty()) gateway.log("decided: " + line);
+        if (!line.empty()) gateway.log(Notice::decided, 0, "decided: " + line);
         decided = {};
         told_at = now;
     }
--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -12,6 +12,8 @@
 #include <sstream>
 
 #include "net/check.h"
+#include "net/events.h"
+#include "net/json_line.h"
 #include "operator/operator_file.h"
 #include "rig/load.h"
 #include "rig/stage.h"
@@ -91,7 +93,8 @@
     return end;
 }
 
-int explain(const std::string& key, bool all, bool page) {
+int explain(const std::string& key, bool all, bool page, bool events) {
+    if (events) return std::cout << net::events_table(), fine;
     if (page) return std::cout << keys_page(), fine;
     if (all) {
         for (const Key& one : operator_keys()) std::cout << explained(one);
@@ -172,7 +175,7 @@
     serve->add_option("--with", with, "an operator file")->check(CLI::ExistingFile);
     serve->callback([&] {
         const OperatorFile file = with.empty() ? OperatorFile{} : read_operator_file(with);
-        end = dewweir::serve(with.empty() ? nullptr : &file);
+        end = dewweir::serve(with.empty() ? nullptr : &file, net::json_line);
     });
 
     std::vector<std::string> files;
@@ -182,14 +185,16 @@
     checked->callback([&] { end = check_all(files); });
 
     std::string key;
-    bool all = false, page = false;
+    bool all = false, page = false, events = false;
     CLI::App* const explained = app.add_subcommand("explain", "what a key of the operator file does");
     explained->add_option("KEY", key, "its name");
     explained->add_flag("--all", all, "every key");
     explained->add_flag("--page", page, "the docs page of all keys");
+    explained->add_flag("--events", events, "what the log can tell, as the on-call page has it");
     explained->callback([&] {
-        if (key.empty() && !all && !page) throw CLI::ValidationError("explain", "name a KEY, or say --all");
-        end = explain(key, all, page);
+        if (key.empty() && !all && !page && !events)
+            throw CLI::ValidationError("explain", "name a KEY, or say --all");
+        end = explain(key, all, page, events);
     });
 
     rig::TrialPlan trial;
--- a/src/net/check.cpp
+++ b/src/net/check.cpp
@@ -89,7 +89,7 @@
     void arm(Time, std::uint64_t) override {}
     void disarm(std::uint64_t) override {}
     void follow_list() override {}
-    void log(const std::string&) override {}
+    void log(Notice, std::uint32_t, const std::string&) override {}
 };
 
 // What is missing or unreadable among the terms, one after the other: each is put right before the next is
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -94,7 +94,8 @@
             return accept();
         }
         if (fault != asio::error::would_block)
-            log_.line(Level::warning, "clients: cannot accept: " + fault.message());
+            log_.tell(Event::clients_not_accepted, "clients: cannot accept: " + fault.message(),
+                      {{"why", fault.message()}});
         make_room();
         accept_later();
     });
@@ -260,8 +261,8 @@
 }
 
 void Clients::plain(Client& client, int status, std::string_view why) {
-    if (status >= 400 && status < 500 && log_.shows(Level::debug))
-        log_.line(Level::debug, "clients: " + std::string(why));
+    if (status >= 400 && status < 500 && log_.shows(Event::client_refused))
+        log_.tell(Event::client_refused, "clients: " + std::string(why), {{"status", status}, {"why", why}});
     write(client, status, "Content-Type: text/plain\r\n", why);
 }
 
@@ -314,7 +315,7 @@
     if (stopping_) return;
     stopping_ = true;
     done_ = std::move(done);
-    log_.line(Level::info, "stopping: not ready any more; what was taken is answered");
+    log_.tell(Event::gateway_stopping, "stopping: not ready any more; what was taken is answered");
     deadlines_.after(accept_after_stop, [this] {
         // What the system has accepted for us counts as taken: it is fetched before the door closes.
         for (std::error_code fault; !fault;) {
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -60,7 +60,7 @@
 
 // What was written may have been added; what was not never will be.
 void Counter::lost(std::uint32_t mark, const char* why, Verdict written) {
-    log_.line(Level::warning, std::string("counter: ") + why);
+    log_.tell(Event::counter_lost, std::string("counter: ") + why, {{"why", why}});
     Link& link = links_.at(mark);
     if (link.connection) connections_.close(link.connection);
     link.connection = 0;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -34,7 +34,7 @@
 
 void Discovery::opened(Handle connection, std::uint32_t, bool up) {
     if (!up) return lost("no connection");
-    log_.line(Level::info, "discovery: asked");
+    log_.tell(Event::discovery_asked, "discovery: asked");
     const std::string from = std::to_string(revision_);
     connections_.send(connection, {"GET /registry/instances?stream=1&index=", from,
                                    " HTTP/1.1\r\nHost: discovery\r\nAccept: application/json\r\n\r\n"});
@@ -60,14 +60,18 @@
         try {
             const Listing listing = parse_listing(line, told_.zones);
             if (listing.revision < revision_) {
-                log_.line(Level::warning, "discovery: a list of revision " +
-                                              std::to_string(listing.revision) + ", older than " +
-                                              std::to_string(revision_) + ": left out");
+                log_.tell(Event::discovery_older,
+                          "discovery: a list of revision " + std::to_string(listing.revision) +
+                              ", older than " + std::to_string(revision_) + ": left out",
+                          {{"revision", static_cast<std::int64_t>(listing.revision)}});
                 continue;
             }
             revision_ = listing.revision;
-            log_.line(Level::info, "discovery: told revision " + std::to_string(revision_) + ", entries " +
-                                       std::to_string(listing.entries.size()));
+            log_.tell(Event::discovery_told,
+                      "discovery: told revision " + std::to_string(revision_) + ", entries " +
+                          std::to_string(listing.entries.size()),
+                      {{"revision", static_cast<std::int64_t>(revision_)},
+                       {"entries", static_cast<std::int64_t>(listing.entries.size())}});
             news_.list_told(listing);
         } catch (const std::exception& fault) {
             return lost(std::string("an unreadable line: ") + fault.what());
@@ -82,7 +86,7 @@
 }
 
 void Discovery::lost(const std::string& why) {
-    log_.line(Level::warning, "discovery: " + why);
+    log_.tell(Event::discovery_lost, "discovery: " + why, {{"why", why}});
     deadlines_.drop(silence_);
     if (connection_) connections_.close(connection_);
     connection_ = 0;
--- /dev/null
+++ b/src/net/events.h
@@ -0,0 +1,51 @@
+// What the log can tell: each event once, with its stable name, level, fields and meaning. The on-call page's
+// table is made of it. It must never lose or rename an event without a line in the changelog: people search
+// for the names.
+#pragma once
+
+#include <cstddef>
+#include <string>
+
+namespace dewweir::net {
+
+enum class Level { error, warning, info, debug };
+
+enum class Event : std::size_t {
+    gateway_ready,
+    gateway_ended,
+    gateway_stopping,
+    configuration_read,
+    configuration_restart,
+    configuration_bad,
+    host_named,
+    host_shut,
+    host_back,
+    host_no_connection,
+    clients_not_accepted,
+    client_refused,
+    counter_lost,
+    breaker_open,
+    breaker_closed,
+    discovery_asked,
+    discovery_told,
+    discovery_older,
+    discovery_lost,
+    decided,
+    log_repeated,
+    log_left_out,
+    count,
+};
+
+struct EventKind {
+    const char* name;
+    Level level;
+    const char* fields;  // with their types
+    const char* meaning;
+};
+
+const EventKind& kind_of(Event event);
+const char* name_of(Level level);
+// The table of docs/oncall.md.
+std::string events_table();
+
+}  // namespace dewweir::net
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -24,7 +24,8 @@
     if (known == numbers_.end()) {
         host.id = entry.id;
         numbers_[entry.id] = number;
-        log_.line(Level::info, "host " + std::to_string(number) + " is " + entry.id);
+        log_.tell(Event::host_named, "host " + std::to_string(number) + " is " + entry.id,
+                  {{"host", number}, {"id", entry.id}});
     }
     // At another address, or started again: what stands idle leads nowhere.
     if (entry.standing != Standing::gone &&
@@ -126,8 +127,8 @@
     }
     if (!mark) {
         // Drained a moment ago, or all our connections are out: no fault of the host's.
-        log_.line(Level::warning, "hosts: no connection for an execution on " +
-                                      (to != hosts_.end() ? to->second.id : std::to_string(host)));
+        const std::string id = to != hosts_.end() ? to->second.id : std::to_string(host);
+        log_.tell(Event::host_no_connection, "hosts: no connection for an execution on " + id, {{"id", id}});
         later_over(submission, host, Verdict::not_sent, 0);
         return 0;
     }
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -2,27 +2,34 @@
 
 #include <poll.h>
 
+#include <utility>
+
 namespace dewweir::net {
+namespace {
+
+constexpr std::size_t most_text = 1000;
 
-void Log::line(Level level, const std::string& text) {
-    if (!shows(level)) return;
-    static const char* const names[] = {"error ", "warning ", "info ", "debug "};
-    std::string full = names[static_cast<int>(level)] + text;
-    if (full.size() > 1000) full.resize(1000);
-    for (char& c : full)
+}  // namespace
+
+void Log::tell(Event event, std::string text, Fields fields) {
+    if (!shows(event)) return;
+    if (text.size() > most_text) text.resize(most_text);
+    for (char& c : text)
         if (static_cast<unsigned char>(c) < ' ') c = ' ';  // a peer's bytes must not make lines of their own
-    if (full == last_) {
+    std::string whole = kind_of(event).name + (' ' + text);
+    if (whole == last_) {
         ++repeats_;
         return;
     }
     flush_repeats();
-    write(full);
-    last_ = std::move(full);
+    write(event, text, fields);
+    last_ = std::move(whole);
 }
 
 void Log::flush_repeats() {
-    if (repeats_) write("info the line before came " + std::to_string(repeats_) + " more times");
-    repeats_ = 0;
+    if (const auto times = std::exchange(repeats_, 0))
+        write(Event::log_repeated, "the line before came " + std::to_string(times) + " more times",
+              {{"times", times}});
 }
 
 bool Log::writable() const {
@@ -30,7 +37,7 @@
     return descriptor_ < 0 || (::poll(&asked, 1, 0) == 1 && (asked.revents & POLLOUT));
 }
 
-void Log::write(const std::string& text) {
+void Log::write(Event event, const std::string& text, Fields fields) {
     const auto now = std::chrono::steady_clock::now();
     if (now - filled_ >= std::chrono::seconds(1)) filled_ = now, allowance_ = lines_;
     if (allowance_ <= 0 || !writable()) {
@@ -38,13 +45,28 @@
         return;
     }
     --allowance_;
-    if (left_out_) out_ << "warning " << left_out_ << " lines left out\n";
-    left_out_ = 0;
-    const auto unix_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
-                             std::chrono::system_clock::now().time_since_epoch())
-                             .count();
-    out_ << unix_ms / 1000 << '.' << std::to_string(1000 + unix_ms % 1000).substr(1) << ' ' << text << '\n';
-    out_.flush();
+    std::string lines;
+    if (left_out_)
+        lines =
+            line(Event::log_left_out, std::to_string(left_out_) + " lines left out", {{"lines", left_out_}});
+    lines += line(event, text, fields);
+    out_.clear();  // what went wrong before, as on a full disk, may be right again
+    out_ << lines << std::flush;
+    if (out_) left_out_ = 0;
+    else ++left_out_;
+}
+
+std::string Log::line(Event event, const std::string& text, Fields fields) const {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return form_(std::chrono::duration_cast<std::chrono::milliseconds>(now).count(), kind_of(event), text,
+                 fields) +
+           '\n';
+}
+
+std::string text_line(std::int64_t unix_ms, const EventKind& kind, const std::string& text, Fields) {
+    std::string line = std::to_string(unix_ms / 1000);
+    line.append(".").append(std::to_string(1000 + unix_ms % 1000), 1);
+    return line + ' ' + name_of(kind.level) + ' ' + text;
 }
 
 }  // namespace dewweir::net
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -5,34 +5,54 @@
 
 #include <chrono>
 #include <cstdint>
+#include <initializer_list>
 #include <ostream>
 #include <string>
+#include <string_view>
+#include <variant>
+
+#include "events.h"
 
 namespace dewweir::net {
 
-enum class Level { error, warning, info, debug };
+// One typed value of an event.
+struct Field {
+    std::string_view name;
+    std::variant<std::string_view, std::int64_t> value;
+};
+
+using Fields = std::initializer_list<Field>;
+
+// How a line is written, without its end; `unix_ms` is when. Handed in, so that the platform's program
+// carries no form but its own.
+using LineForm = std::string (*)(std::int64_t unix_ms, const EventKind& kind, const std::string& text,
+                                 Fields fields);
+std::string text_line(std::int64_t unix_ms, const EventKind& kind, const std::string& text, Fields fields);
 
 class Log {
   public:
     // `descriptor` is what the stream writes to; it is asked whether it takes a line. -1: always. `lines` a
     // second are written at the most.
-    Log(std::ostream& out, int descriptor, Level most, int lines = 100)
-        : out_(out), descriptor_(descriptor), most_(most), lines_(lines) {}
+    Log(std::ostream& out, int descriptor, Level most, int lines = 100, LineForm form = text_line)
+        : out_(out), descriptor_(descriptor), most_(most), lines_(lines), form_(form) {}
     ~Log() { flush_repeats(); }
-    bool shows(Level level) const { return level <= most_; }
-    void line(Level level, const std::string& text);
+    bool shows(Event event) const { return kind_of(event).level <= most_; }
+    // `text` is for people, the fields for programs; text lines have the first, JSON both.
+    void tell(Event event, std::string text, Fields fields = {});
 
   private:
     bool writable() const;
     void flush_repeats();
-    void write(const std::string& text);
+    void write(Event event, const std::string& text, Fields fields);
+    std::string line(Event event, const std::string& text, Fields fields) const;
 
     std::ostream& out_;
     int descriptor_;
     Level most_;
     int lines_;
-    std::string last_;
-    std::uint64_t repeats_ = 0, left_out_ = 0;
+    LineForm form_;
+    std::string last_;  // event and text
+    std::int64_t repeats_ = 0, left_out_ = 0;
     int allowance_ = 0;
     std::chrono::steady_clock::time_point filled_{};
 };
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -42,10 +42,12 @@
                                                    {"limits.sockets", fresh.sockets != told.sockets},
                                                    {"settings", fresh.terms != told.terms}};
     for (const auto& [key, differs] : others)
-        if (differs) log_.line(Level::warning, std::string("configuration: ") + key + ": needs a restart");
+        if (differs)
+            log_.tell(Event::configuration_restart,
+                      std::string("configuration: ") + key + ": needs a restart", {{"key", key}});
     discovery_.move_to(fresh.discovery);
     if (fresh.counter) counter_.move_to(*fresh.counter);
-    log_.line(Level::info, "configuration: read again");
+    log_.tell(Event::configuration_read, "configuration: read again");
 }
 
 // ---- what the module has done ----
@@ -106,7 +108,15 @@
     });
 }
 
-void Node::log(const std::string& line) { log_.line(Level::info, line); }
+void Node::log(Notice notice, std::uint32_t host, const std::string& line) {
+    switch (notice) {
+        case Notice::breaker_open: return log_.tell(Event::breaker_open, line);
+        case Notice::breaker_closed: return log_.tell(Event::breaker_closed, line);
+        case Notice::host_shut: return log_.tell(Event::host_shut, line, {{"host", host}});
+        case Notice::host_back: return log_.tell(Event::host_back, line, {{"host", host}});
+        case Notice::decided: return log_.tell(Event::decided, line);
+    }
+}
 
 void Node::answer(Handle id, int status, std::string_view fields, std::string_view body) {
     Submission* const s = submissions_.find(id);
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -43,7 +43,7 @@
     void arm(Time from_now, std::uint64_t token) override;
     void disarm(std::uint64_t token) override;
     void follow_list() override;
-    void log(const std::string& line) override;
+    void log(Notice notice, std::uint32_t host, const std::string& line) override;
 
     Handle submitted(Handle client, Asked&& asked) override;
     bool has_open(const std::string& id) const override { return open_.contains(id); }
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -76,6 +76,7 @@
             return complain(node, key.name, "found " + shown(node) + "; it must be " + key.allowed() + near);
         }
         if (key.name == "log.level") read.log_level = text;
+        else if (key.name == "log.format") read.log_format = text;
         else if (key.name == "log.lines_a_second") read.log_lines = static_cast<int>(figure);
     }
 };
@@ -92,6 +93,14 @@
          0,
          {"error", "warning", "info", "debug"},
          "The least grave lines that are logged; DEWWEIR_LOG in the environment holds over it."},
+        {"log.format",
+         Key::Kind::choice,
+         "",
+         "text",
+         0,
+         0,
+         {"text", "json"},
+         "Lines for people, or an object a line with the event's name and typed fields."},
         {"log.lines_a_second",
          Key::Kind::whole,
          "lines a second",
--- a/src/operator/settings.h
+++ b/src/operator/settings.h
@@ -7,6 +7,7 @@
 
 struct OperatorFile {
     std::string log_level = "info";
+    std::string log_format = "text";
     int log_lines = 100;  // a second
 };
 
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -17,7 +17,7 @@
 
 using namespace net;
 
-int serve(const OperatorFile* with) {
+int serve(const OperatorFile* with, LineForm json) {
     std::signal(SIGPIPE, SIG_IGN);
     asio::io_context io(1);  // one thread, and no locks for others
     // Caught from here on: one that comes before the gateway stands is heard once it does.
@@ -32,7 +32,9 @@
         return 2;
     }
     try {
-        Log log(std::clog, STDERR_FILENO, told.log_level, with ? with->log_lines : OperatorFile{}.log_lines);
+        const OperatorFile own = with ? *with : OperatorFile{};
+        Log log(std::clog, STDERR_FILENO, told.log_level, own.log_lines,
+                own.log_format == "json" && json ? json : text_line);
         std::unique_ptr<Node> node;
         try {
             node = std::make_unique<Node>(io, log, told);
@@ -48,14 +50,16 @@
             try {
                 node->take_over(read_configuration());
             } catch (const std::exception& wrong) {
-                log.line(Level::error, std::string("configuration: ") + wrong.what() + "; the old one stays");
+                log.tell(Event::configuration_bad,
+                         std::string("configuration: ") + wrong.what() + "; the old one stays",
+                         {{"why", wrong.what()}});
             }
             reloads.async_wait(reload);
         };
         reloads.async_wait(reload);
-        log.line(Level::info, "gateway " + told.name + " ready");
+        log.tell(Event::gateway_ready, "gateway " + told.name + " ready", {{"name", told.name}});
         node->run();
-        log.line(Level::info, "gateway " + told.name + " ended");
+        log.tell(Event::gateway_ended, "gateway " + told.name + " ended", {{"name", told.name}});
     } catch (const std::exception& fault) {
         std::cerr << "dewweir: " << fault.what() << '\n';
         return 1;
--- a/tests/cli/program.cpp
+++ b/tests/cli/program.cpp
@@ -91,6 +91,19 @@
     std::ifstream in(file);
     return nlohmann::json::parse(in, nullptr, false);
 }
+const char* const configuration =
+    R"({"name":"n1","listen":"127.0.0.1:%PORT%","discovery":"127.0.0.1:1","seed":"1",
+"settings":{"step":2.0,"fleetSize":1,"discovery":"push","limits":{"maxAttempts":1},"specifics":{"counter":false},
+"contract":{"fall":2000.0,"fallMultiple":3.0,"coldFrom":0.3,"warmAfter":8000.0},
+"profiles":[{"name":"check","goalTime":500.0,"idempotency":"retryable","dedupWindow":5000.0}]}})";
+
+std::string configuration_at_free_port() {
+    asio::io_context io;
+    const asio::ip::tcp::acceptor holder(io, {asio::ip::address_v4::loopback(), 0});
+    std::string text = configuration;
+    return text.replace(text.find("%PORT%"), 6, std::to_string(holder.local_endpoint().port()));
+}
+
 bool has(const std::string& text, const std::string& part) { return text.find(part) != text.npos; }
 
 }  // namespace
@@ -125,6 +138,16 @@
     Program unknown({"explain", "log.lvel"});
     CHECK(unknown.ends() == 2);
     CHECK(has(unknown.said, "did you mean log.level?"));
+    Program events({"explain", "--events"});
+    CHECK(events.ends() == 0);
+    CHECK(has(events.said, "| `breaker.open` | info |"));
+    const std::string as_json = folder.file("json.toml", "log.format = \"json\"\n");
+    Program logged({"serve", "--with", as_json}, [&] {
+        setenv("EDGE_CONFIG", folder.file("run.json", configuration_at_free_port()).c_str(), 1);
+    });
+    CHECK(logged.says("\"event\":\"gateway.ready\",\"level\":\"info\",\"name\":\"n1\""));
+    kill(logged.pid, SIGTERM);
+    CHECK(logged.ends() == 0);
     Program serve({"serve", "--with", bad});
     CHECK(serve.ends() == 2);
     CHECK(has(serve.said, "bad.toml:2: "));
--- a/tests/model/models.cpp
+++ b/tests/model/models.cpp
@@ -1,14 +1,18 @@
 // The stand-ins' models, the referee and the readers of files, without a socket or a clock.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
+#include <fcntl.h>
+#include <unistd.h>
 
 #include <cmath>
 #include <fstream>
+#include <nlohmann/json.hpp>
 #include <sstream>
 
 #include "model/counter.h"
 #include "model/host.h"
 #include "net/check.h"
+#include "net/json_line.h"
 #include "operator/operator_file.h"
 #include "rig/load.h"
 #include "rig/referee.h"
@@ -229,6 +233,7 @@
     CHECK(set.log_lines == 7);
     CHECK(set.log_level == empty.log_level);
     CHECK(operator_key("log.level")->usual == empty.log_level);
+    CHECK(operator_key("log.format")->usual == empty.log_format);
     CHECK(operator_key("log.lines_a_second")->usual == std::to_string(empty.log_lines));
 }
 
@@ -266,3 +271,89 @@
     CHECK(has(all_of(net::check_configuration("{\n\"name\": }", "c.json")), "c.json:2: no JSON"));
     CHECK(has(all_of(net::check_configuration("[]", "c.json")), "must be a JSON object"));
 }
+
+TEST_CASE("the log as JSON: an object a line, fields by their types, whatever a peer has sent") {
+    std::stringstream out;
+    {
+        net::Log log(out, -1, net::Level::info, 100, net::json_line);
+        log.tell(net::Event::host_named, "host 3 is a\n\xff\"b", {{"host", 3}, {"id", "a\n\xff\"b"}});
+        log.tell(net::Event::client_refused, "below the level", {{"status", 400}});
+        for (int n = 0; n < 4; ++n) log.tell(net::Event::breaker_open, "open");
+    }
+    std::vector<nlohmann::json> lines;
+    for (std::string line; std::getline(out, line);)
+        lines.push_back(nlohmann::json::parse(line, nullptr, false));
+    REQUIRE(lines.size() == 3);
+    CHECK(lines[0]["event"] == "host.named");
+    CHECK(lines[0]["level"] == "info");
+    CHECK(lines[0]["host"] == 3);
+    CHECK(lines[0]["id"].is_string());
+    CHECK(lines[0]["time"].is_number());
+    CHECK(lines[1]["event"] == "breaker.open");
+    CHECK(lines[2]["event"] == "log.repeated");
+    CHECK(lines[2]["times"] == 3);
+}
+
+TEST_CASE("the log as text is a line an event, and past its allowance lines are counted") {
+    std::stringstream out;
+    net::Log log(out, -1, net::Level::info, 5);
+    for (int n = 0; n < 9; ++n) log.tell(net::Event::host_named, "host " + std::to_string(n));
+    CHECK(has(out.str(), " info host 4\n"));
+    CHECK_FALSE(has(out.str(), "host 5"));
+    usleep(1050000);
+    log.tell(net::Event::gateway_ended, "over");
+    CHECK(has(out.str(), " warning 4 lines left out\n"));
+    CHECK(has(out.str(), " info over\n"));
+}
+
+TEST_CASE("a reader that has stopped holds nothing up, and is told how much it missed") {
+    int ends[2];
+    REQUIRE(pipe(ends) == 0);
+    fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    std::ofstream out("/proc/self/fd/" + std::to_string(ends[1]));
+    net::Log log(out, ends[1], net::Level::info, 100000);
+    const std::string text(900, 'x');
+    for (int n = 0; n < 300; ++n)
+        log.tell(net::Event::host_named, std::to_string(n) + text);  // would block here
+    char bytes[65536];
+    std::size_t read_all = 0;
+    for (ssize_t n; (n = read(ends[0], bytes, sizeof bytes)) > 0;) read_all += static_cast<std::size_t>(n);
+    CHECK(read_all <= 65536);
+    log.tell(net::Event::gateway_ended, "over");
+    const ssize_t n = read(ends[0], bytes, sizeof bytes);
+    REQUIRE(n > 0);
+    const std::string last(bytes, static_cast<std::size_t>(n));
+    CHECK(has(last, " lines left out\n"));
+    CHECK(has(last, " info over\n"));
+    close(ends[0]);
+    close(ends[1]);
+}
+
+TEST_CASE("a full disk behind the log loses lines, and no more than those") {
+    std::ofstream full("/dev/full");
+    REQUIRE(full.good());
+    net::Log log(full, -1, net::Level::info);
+    log.tell(net::Event::gateway_ready, "to nowhere");
+    log.tell(net::Event::gateway_ended, "nor this");
+    // Space again: another device behind the same stream.
+    full.clear();
+    full.close();
+    char name[] = "/tmp/dewweir-log-XXXXXX";
+    const int fd = mkstemp(name);
+    REQUIRE(fd >= 0);
+    full.open(name);
+    log.tell(net::Event::breaker_open, "heard");
+    std::stringstream text;
+    text << std::ifstream(name).rdbuf();
+    CHECK(has(text.str(), " warning 2 lines left out\n"));
+    CHECK(has(text.str(), " info heard\n"));
+    close(fd);
+    unlink(name);
+}
+
+TEST_CASE("the on-call page lists every event as the code does") {
+    std::stringstream page;
+    page << std::ifstream(std::string(SOURCE) + "/docs/oncall.md").rdbuf();
+    CHECK_MESSAGE(has(page.str(), net::events_table()),
+                  "docs/oncall.md: its table is not `dewweir explain --events`");
+}
--- a/tests/run.cpp
+++ b/tests/run.cpp
@@ -55,7 +55,7 @@
         std::erase_if(timers, [&](const auto& timer) { return timer.second == token; });
     }
     void follow_list() override { seen.push_back("follow"); }
-    void log(const std::string&) override {}
+    void log(Notice, std::uint32_t, const std::string&) override {}
 };
 
 double value(std::istringstream& line, const std::string& name, double otherwise) {
