--- a/tests/sockets.cpp
+++ b/tests/sockets.cpp
@@ -650,9 +650,8 @@
     Line client = world.client();
     client.send(get("1", "worth", "0.3"));
     CHECK(status(client.message()) == 503);
-    // Refused at once, again and again: its waits are chances under 78 ms, then twice that, at last 1.25 s.
-    // Four such waits in a row are over 1.2 s at least as often as not; twenty asks in one second would be a
-    // flood.
+    // Refused at once, again and again: its waits are chances under 78 ms, then twice that each time, up to
+    // 1.25 s. Their means, 39, 78, 156, 312 and 625 ms, make six asks in a second; twenty would be a flood.
     int asks = 0;
     using namespace std::chrono;
     const auto until = steady_clock::now() + seconds(1);
