--- a/include/dewweir/choice.h
+++ b/include/dewweir/choice.h
@@ -1,6 +1,7 @@
 // The interface of the decision module: what happens is told to a Choice, and it acts on its Gateway.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -14,7 +15,38 @@
 enum class Verdict { ok, error, full, timeout, connect_failed, broken, called_off, not_sent };
 enum class Standing { gone, ready, draining };
 // What a line for the log is about.
-enum class Notice { breaker_open, breaker_closed, host_shut, host_back, decided };
+enum class Notice { breaker_open, breaker_closed, host_shut, host_back };
+// How submissions were decided, and what became of executions; the last are verdicts, in their order.
+enum class Decision {
+    counted_in,
+    counted_over,
+    share_in,
+    share_over,
+    over_already,
+    long_line,
+    late,
+    to_warm,
+    to_cold,
+    trial_piece,
+    delivered,
+    errors,
+    turned_away,
+    timed_out,
+    not_connected,
+    broken_off,
+    called_off,
+    not_sent
+};
+using Decided = std::array<std::int64_t, static_cast<std::size_t>(Decision::not_sent) + 1>;
+
+// What other gateways say of a host, weighed by whoever hands it over (src/verdicts): evidence, not an order.
+struct Hearsay {
+    double doubt = 0;       // of so many gateways' worth: that it fails, and has not been well since
+    Time found = 0;         // when the last of these saw it fail; 0: none
+    Time until = 0;         // when the last of these words is over; nothing here counts after it
+    bool draining = false;  // by a list later than ours
+    Time up_since = 0;      // by such a list it has started again then; 0: it has not
+};
 
 // What the module can have done. Submissions, hosts and counts go by the ids they came with.
 class Gateway {
@@ -30,12 +62,17 @@
     virtual void follow_list() = 0;
     // `host`: which one it is about; 0 where it is about none.
     virtual void log(Notice notice, std::uint32_t host, const std::string& line) = 0;
+    // How often each, since it was last told; every few latency goals.
+    virtual void decided(const Decided& often) = 0;
+    // What the counter holds of a name by all we know, for whoever tells other gateways: told with each
+    // answer.
+    virtual void total_known(std::uint64_t, double) {}
 };
 
 // One gateway's decisions. Each method is one thing that can happen; `now` never goes back.
 class Choice {
   public:
-    // Throws std::invalid_argument naming the term that is missing or unreadable.
+    // Throws errors::BadSetting (src/errors) naming the term that is missing or unreadable.
     Choice(Gateway& gateway, const Terms& terms, std::uint64_t seed, Time now);
     ~Choice();
 
@@ -44,6 +81,10 @@
     void host_listed(Time now, std::uint32_t host, Standing standing, Time up_since, int zone, int cell);
     void list_ends(Time now);
     void list_failed(Time now);
+    // In place of what was heard of it before. Hosts that no list has named are passed over.
+    void others_found(Time now, std::uint32_t host, const Hearsay& said);
+    // Two other gateways at least were told so much of that name (of `Gateway::count`), or more.
+    void others_counted(Time now, std::uint64_t name, double total);
 
     void submitted(Time now, std::uint32_t submission, int track, int plan, std::uint64_t customer,
                    double units, int customer_gateways, Time patience_left);
--- a/src/operator/complaint.cpp
+++ b/src/errors/bad_file.cpp
@@ -1,9 +1,9 @@
-#include "complaint.h"
+#include "bad_file.h"
 
 #include <algorithm>
 #include <numeric>
 
-namespace dewweir {
+namespace dewweir::errors {
 namespace {
 
 // How many letters must be put in, left out or changed to make one word of the other.
@@ -32,4 +32,4 @@
     return best ? "; did you mean " + *best + "?" : "";
 }
 
-}  // namespace dewweir
+}  // namespace dewweir::errors
--- a/src/operator/complaint.h
+++ b/src/errors/bad_file.h
@@ -2,11 +2,13 @@
 // is allowed. Every reader of such files lists all it finds before it gives up.
 #pragma once
 
-#include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
-namespace dewweir {
+#include "errors/errors.h"
+
+namespace dewweir::errors {
 
 struct Complaint {
     std::string file;
@@ -22,14 +24,21 @@
     }
 };
 
-struct Complaints : std::runtime_error {
-    explicit Complaints(std::vector<Complaint> list)
-        : std::runtime_error(list.empty() ? "nothing is wrong" : list.front().text()), all(std::move(list)) {}
+struct BadFile : Of<Kind::bad_file> {
+    explicit BadFile(std::vector<Complaint> list)
+        : Of("", list.empty() ? "nothing is wrong" : joined(list)), all(std::move(list)) {}
     std::vector<Complaint> all;
+
+  private:
+    static std::string joined(const std::vector<Complaint>& list) {
+        std::string lines;
+        for (const Complaint& one : list) lines += (lines.empty() ? "" : "\n") + one.text();
+        return lines;
+    }
 };
 
 // The one of `known` that `name` was most likely meant to be, as `; did you mean X?`; empty where none is
 // near.
 std::string did_you_mean(const std::string& name, const std::vector<std::string>& known);
 
-}  // namespace dewweir
+}  // namespace dewweir::errors
--- a/src/model/counter.h
+++ b/src/model/counter.h
@@ -23,7 +23,7 @@
   public:
     static constexpr Time longest_life = 600000;
 
-    // Throws std::invalid_argument naming the trait that is out of range.
+    // Throws errors::BadCall naming the trait that is out of range.
     explicit Counter(const CounterTraits& traits);
 
     double slow = 1;      // times a call's turn
--- a/src/model/host.h
+++ b/src/model/host.h
@@ -44,7 +44,7 @@
 
 class Host {
   public:
-    // Throws std::invalid_argument naming the trait that is out of range.
+    // Throws errors::BadCall naming the trait that is out of range.
     Host(const HostTraits& traits, std::uint64_t seed);
 
     // A fresh process: cold unless it started long ago (`cold` false), with nothing in hand.
--- a/src/model/list.h
+++ b/src/model/list.h
@@ -15,14 +15,14 @@
 
 class List {
   public:
-    // Throws std::invalid_argument naming the trait that is out of range.
+    // Throws errors::BadCall naming the trait that is out of range.
     explicit List(const ListTraits& traits);
 
     struct Answer {
         Time at;      // when it is due
         bool served;  // else refused
     };
-    Answer call(Time now);
+    Answer call(Time now, double slow = 1);  // `slow`: times a turn
 
   private:
     ListTraits traits_;
--- a/src/net/check.cpp
+++ b/src/net/check.cpp
@@ -90,20 +90,21 @@
     void disarm(std::uint64_t) override {}
     void follow_list() override {}
     void log(Notice, std::uint32_t, const std::string&) override {}
+    void decided(const Decided&) override {}
 };
 
 // What is missing or unreadable among the terms, one after the other: each is put right before the next is
 // looked for.
-std::vector<std::string> term_faults(Terms terms) {
-    std::vector<std::string> all;
+std::vector<errors::BadSetting> term_faults(Terms terms) {
+    std::vector<errors::BadSetting> all;
     Nobody nobody;
     for (int n = 0; n < 256; ++n) {
         try {
             Choice(nobody, terms, 1, 0);
             return all;
-        } catch (const std::invalid_argument& fault) {
-            const std::string said = fault.what(), name = said.substr(said.rfind(' ') + 1);
-            all.push_back(said);
+        } catch (const errors::BadSetting& fault) {
+            const std::string& name = fault.to_what();
+            all.push_back(fault);
             terms[name] =
                 name.size() > 8 && name.compare(name.size() - 8, 8, ".repeats") == 0 ? "retriable" : "1";
         }
@@ -120,7 +121,7 @@
 
 }  // namespace
 
-std::vector<Complaint> check_configuration(const std::string& text, const std::string& file) {
+std::vector<errors::Complaint> check_configuration(const std::string& text, const std::string& file) {
     json read;
     try {
         read = json::parse(text);
@@ -133,23 +134,20 @@
     }
     if (!read.is_object()) return {{file, 1, "", "must be a JSON object"}};
     const Lines lines(text);
-    std::vector<Complaint> all;
+    std::vector<errors::Complaint> all;
     Terms terms;
-    for (const std::string& fault : configuration_faults(text, terms)) {
-        // `key: what`, or `settings: key: what`.
-        std::string key = fault.substr(0, fault.find(": ")),
-                    what = fault.substr(std::min(fault.find(": ") + 2, fault.size()));
-        if (what == "missing") what += did_you_mean(key, keys_of(read));
-        all.push_back({file, lines.of(key), key, what});
+    for (const errors::BadSetting& fault : configuration_faults(text, terms)) {
+        const std::string& key = fault.to_what();
+        const std::string near = fault.missing ? errors::did_you_mean(key, keys_of(read)) : "";
+        all.push_back({file, lines.of(key), key, fault.happened() + near});
     }
-    for (const std::string& fault : term_faults(terms)) {
-        const std::string name = their_words(fault.substr(fault.rfind(' ') + 1));
-        all.push_back({file, lines.of("settings." + name), "settings." + name,
-                       fault.substr(0, fault.rfind(':')) + " (" + fault.substr(fault.rfind(' ') + 1) +
-                           " in our words)"});
+    for (const errors::BadSetting& fault : term_faults(terms)) {
+        const std::string name = "settings." + their_words(fault.to_what());
+        all.push_back(
+            {file, lines.of(name), name, fault.happened() + " (" + fault.to_what() + " in our words)"});
     }
     std::stable_sort(all.begin(), all.end(),
-                     [](const Complaint& a, const Complaint& b) { return a.line < b.line; });
+                     [](const errors::Complaint& a, const errors::Complaint& b) { return a.line < b.line; });
     return all;
 }
 
--- a/src/net/check.h
+++ b/src/net/check.h
@@ -6,10 +6,10 @@
 #include <string>
 #include <vector>
 
-#include "operator/complaint.h"
+#include "errors/bad_file.h"
 
 namespace dewweir::net {
 
-std::vector<Complaint> check_configuration(const std::string& text, const std::string& file);
+std::vector<errors::Complaint> check_configuration(const std::string& text, const std::string& file);
 
 }  // namespace dewweir::net
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "errors/errors.h"
+
 namespace dewweir::net {
 namespace {
 
@@ -73,7 +75,7 @@
     std::error_code fault;
     acceptor_.bind(told_.listen, fault);
     if (!fault) acceptor_.listen(asio::socket_base::max_listen_connections, fault);
-    if (fault) throw std::runtime_error("listen: " + fault.message());
+    if (fault) throw errors::CannotListen("listen", fault.message());
     acceptor_.non_blocking(true);
     accept();
 }
--- /dev/null
+++ b/src/net/company.h
@@ -0,0 +1,35 @@
+// The other gateways of the fleet, as the gateway knows them: where an operator file asks for them. Without
+// one there is none, and nothing is called. Hosts go by the ids of the list: our numbers mean nothing
+// elsewhere.
+#pragma once
+
+#include <string>
+
+#include "configuration.h"
+#include "dewweir/choice.h"
+
+namespace dewweir::net {
+
+class Company {
+  public:
+    virtual ~Company() = default;
+    // We are about to end: tells the others, so that they need not find it out.
+    virtual void leave() = 0;
+
+    // What we found ourselves. May be called from within a call of the Choice's: what follows comes later.
+    virtual void host_found(const std::string& host, bool shut) = 0;
+    virtual void host_asked(const std::string& host) = 0;  // an execution goes there
+    virtual void host_ended(const std::string& host, Verdict verdict, Time took) = 0;  // it has ended
+    virtual void list_told(const Listing& listing) = 0;
+    virtual void total_known(std::uint64_t name, double total) = 0;
+};
+
+// Who is told what the others found.
+class Hearer {
+  public:
+    virtual ~Hearer() = default;
+    virtual void others_found(const std::string& host, const Hearsay& said) = 0;
+    virtual void others_counted(std::uint64_t name, double total) = 0;
+};
+
+}  // namespace dewweir::net
--- a/src/net/configuration.cpp
+++ b/src/net/configuration.cpp
@@ -10,6 +10,9 @@
 #include "terms.h"
 
 namespace dewweir::net {
+
+using errors::BadSetting;
+
 namespace {
 
 using asio::ip::tcp;
@@ -17,20 +20,20 @@
 
 json parsed(std::string_view text, const char* what) {
     json read = json::parse(text, nullptr, false);
-    if (!read.is_object()) throw Fault(std::string(what) + ": no JSON object");
+    if (!read.is_object()) throw BadSetting(what, "no JSON object");
     return read;
 }
 
 const json& member(const json& from, const std::string& key) {
     const auto at = from.find(key);
-    if (at == from.end()) throw Fault(key + ": missing");
+    if (at == from.end()) throw BadSetting(key, "missing", true);
     return *at;
 }
 
 std::string text_of(const json& from, const std::string& key) {
     const json& found = member(from, key);
     if (!found.is_string() || found.get_ref<const std::string&>().empty())
-        throw Fault(key + ": must be a text");
+        throw BadSetting(key, "must be a text");
     return found.get<std::string>();
 }
 
@@ -39,22 +42,14 @@
     const double number = found.is_number() ? found.get<double>() : std::nan("");
     if (!(number >= least && number <= most)) {
         std::ostringstream says;
-        says << key << ": must be a number from " << least << " to " << most;
-        throw Fault(says.str());
+        says << "must be a number from " << least << " to " << most;
+        throw BadSetting(key, says.str());
     }
     return number;
 }
 
-tcp::endpoint address_of(const json& from, const std::string& key) {
-    const std::string text = text_of(from, key);
-    const std::size_t colon = text.rfind(':');
-    std::error_code fault;
-    const auto host = asio::ip::make_address_v4(text.substr(0, std::min(colon, text.size())), fault);
-    char* end = nullptr;
-    const unsigned long port = colon < text.size() ? std::strtoul(&text[colon + 1], &end, 10) : 0;
-    if (fault || !end || *end || port < 1 || port > 65535)
-        throw Fault(key + ": must be an IPv4 address and port, is `" + text + "`");
-    return {host, static_cast<unsigned short>(port)};
+tcp::endpoint address_at(const json& from, const std::string& key) {
+    return address_of(key, text_of(from, key));
 }
 
 // The settings, path by path; a list of plain values is one value, a list of objects is counted.
@@ -89,7 +84,7 @@
     char* end = nullptr;
     const double figure = std::strtod(text->c_str(), &end);
     if (text->empty() || *end || !(figure >= least && figure <= most))
-        throw Fault("settings: " + name + ": must be a number, and in range");
+        throw BadSetting("settings." + name, "must be a number, and in range");
     return figure;
 }
 
@@ -102,7 +97,7 @@
     const std::string* count = term(terms, list + ".count");
     for (int n = 0; count && n < std::atoi(count->c_str()); ++n) {
         const std::string* const name = term(terms, list + "." + std::to_string(n) + ".name");
-        if (!name) throw Fault("settings: " + list + "." + std::to_string(n) + ".name: missing");
+        if (!name) throw BadSetting("settings." + list + "." + std::to_string(n) + ".name", "missing", true);
         names.push_back(*name);
     }
     return names;
@@ -112,22 +107,22 @@
     Listing listing;
     listing.revision = static_cast<std::uint64_t>(number_of(from, "revision", 0, 9e15));
     const json& complete = member(from, "complete");
-    if (!complete.is_boolean()) throw Fault("complete: must be true or false");
+    if (!complete.is_boolean()) throw BadSetting("complete", "must be true or false");
     listing.whole = complete.get<bool>();
     const json& members = member(from, "members");
-    if (!members.is_array()) throw Fault("members: must be a list");
+    if (!members.is_array()) throw BadSetting("members", "must be a list");
     for (const json& one : members) {
-        if (!one.is_object()) throw Fault("members: must hold objects");
+        if (!one.is_object()) throw BadSetting("members", "must hold objects");
         Entry entry;
         entry.id = text_of(one, "id");
         const std::string phase = text_of(one, "phase");
         if (phase == "in_service") entry.standing = Standing::ready;
         else if (phase == "terminating") entry.standing = Standing::draining;
         else if (phase == "terminated") entry.standing = Standing::gone;
-        else throw Fault("phase: unknown, `" + phase + "`");
+        else throw BadSetting("phase", "unknown, `" + phase + "`");
         // What is gone needs no address.
         if (entry.standing != Standing::gone || one.contains("host_port"))
-            entry.address = address_of(one, "host_port");
+            entry.address = address_at(one, "host_port");
         const std::string zone = one.contains("locality") ? text_of(one, "locality") : "";
         entry.zone = static_cast<int>(std::find(zones.begin(), zones.end(), zone) - zones.begin());
         entry.cell = one.contains("cell") ? static_cast<int>(number_of(one, "cell", 0, 65535)) : 0;
@@ -140,26 +135,26 @@
 
 // Each step on its own: its fault ends the reading, or is put on a list that is asked for.
 struct Steps {
-    std::vector<std::string>* faults;
+    std::vector<BadSetting>* faults;
     template <class Do> void operator()(Do read) const {
         if (!faults) return read();
         try {
             read();
-        } catch (const Fault& fault) { faults->push_back(fault.what()); }
+        } catch (const BadSetting& fault) { faults->push_back(fault); }
     }
 };
 
-Configuration configuration_of(const json& from, std::vector<std::string>* faults = nullptr) {
+Configuration configuration_of(const json& from, std::vector<BadSetting>* faults = nullptr) {
     Configuration c;
     const Steps step{faults};
     step([&] { c.name = text_of(from, "name"); });
-    step([&] { c.listen = address_of(from, "listen"); });
-    step([&] { c.discovery = address_of(from, "discovery"); });
+    step([&] { c.listen = address_at(from, "listen"); });
+    step([&] { c.discovery = address_at(from, "discovery"); });
     step([&] {
         const std::string seed = text_of(from, "seed");
         char* end = nullptr;
         c.seed = std::strtoull(seed.c_str(), &end, 16);
-        if (*end || seed.size() > 16) throw Fault("seed: must be up to 16 hex digits");
+        if (*end || seed.size() > 16) throw BadSetting("seed", "must be up to 16 hex digits");
     });
     step([&] {
         if (from.contains("limits") && member(from, "limits").contains("sockets"))
@@ -167,18 +162,20 @@
     });
     step([&] {
         const json& told = member(from, "settings");
-        if (!told.is_object()) throw Fault("settings: must be an object");
+        if (!told.is_object()) throw BadSetting("settings", "must be an object");
         flatten(c.terms, told, "");
     });
     step([&] {
         const std::string* const counted = term(c.terms, "service.counter");
-        if (counted && *counted == "true") c.counter = address_of(from, "counter");
+        if (counted && *counted == "true") c.counter = address_at(from, "counter");
     });
     step([&] { c.tracks = names_of(c.terms, "tracks"); });
     step([&] { c.plans = names_of(c.terms, "plans"); });
     for (std::size_t n = 0; n < c.tracks.size(); ++n) {
         const std::string* const repeats = term(c.terms, "tracks." + std::to_string(n) + ".repeats");
         c.retriable.push_back(repeats && *repeats == "retriable");
+        step(
+            [&] { c.goals.push_back(time_of(c.terms, "tracks." + std::to_string(n) + ".latency_goal", 0)); });
     }
     step([&] { c.gateways = static_cast<int>(figure_of(c.terms, "gateways", 1, 1, 1e6)); });
     step([&] { c.largest = figure_of(c.terms, "service.largest", 1e6, 0, 1e9); });
@@ -190,6 +187,7 @@
     step([&] { c.connect_within = time_of(c.terms, "limits.connect_within", 2500); });
     step([&] { c.idle_close = time_of(c.terms, "limits.idle_close", 100000); });
     step([&] { c.count_limit = time_of(c.terms, "service.count_limit", 500); });
+    step([&] { c.ask_within = time_of(c.terms, "rules.ask_within", 100000); });
     const std::string* const way = term(c.terms, "discovery");
     c.ask = way && *way == "ask";
     step([&] {
@@ -205,8 +203,8 @@
     return configuration_of(parsed(text, "configuration"));
 }
 
-std::vector<std::string> configuration_faults(const std::string& text, Terms& terms) {
-    std::vector<std::string> faults;
+std::vector<BadSetting> configuration_faults(const std::string& text, Terms& terms) {
+    std::vector<BadSetting> faults;
     terms = configuration_of(parsed(text, "configuration"), &faults).terms;
     return faults;
 }
@@ -215,20 +213,31 @@
     return listing_of(parsed(text, "list"), zones);
 }
 
+tcp::endpoint address_of(const std::string& key, const std::string& text) {
+    const std::size_t colon = text.rfind(':');
+    std::error_code fault;
+    const auto host = asio::ip::make_address_v4(text.substr(0, std::min(colon, text.size())), fault);
+    char* end = nullptr;
+    const unsigned long port = colon < text.size() ? std::strtoul(&text[colon + 1], &end, 10) : 0;
+    if (fault || !end || *end || port < 1 || port > 65535)
+        throw BadSetting(key, "must be an IPv4 address and port, is `" + text + "`");
+    return {host, static_cast<unsigned short>(port)};
+}
+
 Level level_of(const std::string& name) {
     const std::string names[] = {"error", "warning", "info", "debug"};
     const auto at = std::find(std::begin(names), std::end(names), name);
-    if (at == std::end(names)) throw Fault("DEWWEIR_LOG: must be error, warning, info or debug");
+    if (at == std::end(names)) throw BadSetting("DEWWEIR_LOG", "must be error, warning, info or debug");
     return static_cast<Level>(at - std::begin(names));
 }
 
 Configuration read_configuration() {
     const char* const path = std::getenv("EDGE_CONFIG");
-    if (!path || !*path) throw Fault("EDGE_CONFIG: missing from the environment");
+    if (!path || !*path) throw BadSetting("EDGE_CONFIG", "missing from the environment", true);
     std::ifstream file(path);
     std::stringstream text;
     text << file.rdbuf();
-    if (!file) throw Fault(std::string("EDGE_CONFIG: cannot read ") + path);
+    if (!file) throw BadSetting("EDGE_CONFIG", std::string("cannot read ") + path);
     Configuration c = parse_configuration(text.str());
     if (const char* const level = std::getenv("DEWWEIR_LOG")) { c.log_level = level_of(level); }
     return c;
--- a/src/net/configuration.h
+++ b/src/net/configuration.h
@@ -5,12 +5,12 @@
 #include <asio/ip/tcp.hpp>
 #include <cstdint>
 #include <optional>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "dewweir/choice.h"
+#include "errors/errors.h"
 #include "log.h"
 
 namespace dewweir::net {
@@ -29,11 +29,6 @@
     std::vector<Entry> entries;
 };
 
-// Its message names the faulty key.
-struct Fault : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
-
 struct Configuration {
     std::string name;
     asio::ip::tcp::endpoint listen, discovery;
@@ -44,22 +39,25 @@
     Listing known;
     std::vector<std::string> tracks, plans, zones;  // by name; their places are their numbers
     std::vector<bool> retriable;                    // by track
+    std::vector<Time> goals;                        // by track; 0 where it is not told
     int gateways = 1;
     double largest = 1e6;  // units of one submission
-    Time step = 0, connect_within = 0, idle_close = 0, count_limit = 0;
+    Time step = 0, connect_within = 0, idle_close = 0, count_limit = 0, ask_within = 0;
     bool ask = false;  // the list is sent only after it was asked for
     Level log_level = Level::info;
 };
 
-// Throws Fault when there is no such level.
+// Throws errors::BadSetting when there is no such level.
 Level level_of(const std::string& name);
-// From the environment and the file it names.
+// `127.0.0.1:9000`; `key` is for the error. Throws errors::BadSetting.
+asio::ip::tcp::endpoint address_of(const std::string& key, const std::string& text);
+// From the environment and the file it names. Throws errors::BadSetting for the first key that is wrong.
 Configuration read_configuration();
 Configuration parse_configuration(const std::string& text);
-// All that `parse_configuration` would refuse, one message each; `terms` gets what could be read of the
+// All that `parse_configuration` would refuse; `terms` gets what could be read of the
 // settings.
-std::vector<std::string> configuration_faults(const std::string& text, Terms& terms);
-// Throws Fault on anything that is no listing.
+std::vector<errors::BadSetting> configuration_faults(const std::string& text, Terms& terms);
+// Throws errors::BadSetting on anything that is no listing.
 Listing parse_listing(std::string_view text, const std::vector<std::string>& zones);
 
 }  // namespace dewweir::net
--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -175,6 +175,14 @@
     connections_.remove(handle);
 }
 
+void Connections::reset(Handle handle) {
+    Connection* const c = connections_.find(handle);
+    if (!c) return;
+    std::error_code ignored;
+    c->socket.set_option(tcp::socket::linger(true, 0), ignored);
+    close(handle);
+}
+
 void Connections::finish(Handle handle) {
     Connection& c = *connections_.find(handle);
     c.finishing = true;
--- a/src/net/connections.h
+++ b/src/net/connections.h
@@ -52,6 +52,8 @@
     // Tells `received` once more in the next turn, for bytes that were left in the ring.
     void again(Handle handle);
     void close(Handle handle);
+    // Closes it so that the peer hears of a reset, not of an end.
+    void reset(Handle handle);
     // Sends what is left, then ends its sending and waits a little for the peer to close: closing over unread
     // bytes would take the last answer away from it. The user hears no more of it.
     void finish(Handle handle);
--- /dev/null
+++ b/src/net/counts_event.cpp
@@ -0,0 +1,86 @@
+#include "counts_event.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <cstdio>
+#include <utility>
+
+#include "log.h"
+
+namespace dewweir::net {
+namespace {
+
+constexpr int buckets_a_doubling = 4;
+
+std::int64_t resident_kb() {
+    long pages = 0, resident = 0;
+    std::FILE* const file = std::fopen("/proc/self/statm", "re");
+    if (!file) return 0;
+    const int read = std::fscanf(file, "%ld %ld", &pages, &resident);
+    std::fclose(file);
+    return read == 2 ? static_cast<std::int64_t>(resident) * ::sysconf(_SC_PAGESIZE) / 1024 : 0;
+}
+
+std::int64_t thousandths(double units) { return std::llround(units * 1000); }
+
+}  // namespace
+
+int time_bucket(Time took) {
+    // Whole numbers alone, since it is counted for each delivery: the doubling, then how many of its quarters.
+    // The roots of 2 to 32 bits are closer than any two times under the last bucket are apart.
+    constexpr std::uint64_t quarters[] = {5107605667, 6074000999, 7223245205};
+    const auto time = std::min(static_cast<std::uint64_t>(std::max<Time>(1, took)), std::uint64_t{1} << 22);
+    const int doublings = std::bit_width(time) - 1;
+    int bucket = buckets_a_doubling * doublings;
+    for (const std::uint64_t quarter : quarters) bucket += time << 32 >= quarter << doublings;
+    return std::min(bucket, time_buckets - 1);
+}
+
+void CountsEvent::delivered(int track, Time took) {
+    ++(took <= goals_[static_cast<std::size_t>(track)] ? in_goal_ : late_);
+    ++times_[static_cast<std::size_t>(time_bucket(took))];
+}
+
+void CountsEvent::decided(const Decided& often) {
+    for (std::size_t n = 0; n < often.size(); ++n) decided_[n] += often[n];
+}
+
+void CountsEvent::tell(Log& log, Time now) {
+    std::vector<std::int64_t> times;  // bucket and count in turn, of those that have any
+    for (std::size_t n = 0; n < times_.size(); ++n)
+        if (times_[n]) times.push_back(static_cast<std::int64_t>(n)), times.push_back(times_[n]);
+    const auto of = [this](Decision one) { return decided_[static_cast<std::size_t>(one)]; };
+    const std::int64_t quota =
+        of(Decision::counted_over) + of(Decision::share_over) + of(Decision::over_already);
+    const std::int64_t line = of(Decision::long_line) + of(Decision::late);
+    log.tell(Event::counts,
+             // Its end makes each line another: equal ones would be told as repeats.
+             "counts until " + std::to_string(now / 10) + ": tries " + std::to_string(tries_) + ", in goal " +
+                 std::to_string(in_goal_) + ", late " + std::to_string(late_) + ", bounced " +
+                 std::to_string(bounced_) + ", written off " + std::to_string(written_off_),
+             {{"end_ms", now / 10},
+              {"every_ms", every_ / 10},
+              {"tries", tries_},
+              {"in_goal", in_goal_},
+              {"late", late_},
+              {"bounced", bounced_},
+              {"over_quota", quota},
+              {"long_line", line},
+              {"written_off", written_off_},
+              {"gone", gone_},
+              {"executions", executions_},
+              {"calls", calls_},
+              {"units_asked", thousandths(asked_)},
+              {"units_in", thousandths(in_)},
+              {"units_counted", thousandths(counted_)},
+              {"memory_kb", resident_kb()},
+              {"times", &times}});
+    const Time every = every_;
+    auto goals = std::move(goals_);
+    *this = CountsEvent(every, std::move(goals));
+}
+
+}  // namespace dewweir::net
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -25,7 +25,13 @@
     if (address == address_) return;
     address_ = address;
     // Revisions of two sources need not compare: all is asked for anew.
+    ask_anew();
+}
+
+void Discovery::ask_anew() {
     revision_ = 0;
+    behind_ = false;
+    deadlines_.drop(anew_);
     deadlines_.drop(silence_);
     if (connection_) connections_.close(connection_);
     connection_ = 0;
@@ -59,13 +65,12 @@
         if (line.find_first_not_of(" \r\t") == line.npos) continue;
         try {
             const Listing listing = parse_listing(line, told_.zones);
-            if (listing.revision < revision_) {
-                log_.tell(Event::discovery_older,
-                          "discovery: a list of revision " + std::to_string(listing.revision) +
-                              ", older than " + std::to_string(revision_) + ": left out",
-                          {{"revision", static_cast<std::int64_t>(listing.revision)}});
+            behind_ = listing.revision < revision_;
+            if (behind_) {
+                older(listing);
                 continue;
             }
+            deadlines_.drop(anew_);
             revision_ = listing.revision;
             log_.tell(Event::discovery_told,
                       "discovery: told revision " + std::to_string(revision_) + ", entries " +
@@ -81,6 +86,25 @@
     if (state != HttpReader::State::more) lost("the watch has ended");
 }
 
+// Either said late, by a source that will catch up, or by one that has lost what it kept and counts anew: its
+// lists would be left out for good. A whole one is the sign; time tells the two apart.
+void Discovery::older(const Listing& listing) {
+    log_.tell(Event::discovery_older,
+              "discovery: a list of revision " + std::to_string(listing.revision) + ", older than " +
+                  std::to_string(revision_) + ": left out",
+              {{"revision", static_cast<std::int64_t>(listing.revision)}});
+    if (listing.whole && anew_ == Deadlines::Key{})
+        anew_ = deadlines_.after(2 * told_.ask_within, [this] { take_anew(); });
+}
+
+void Discovery::take_anew() {
+    anew_ = {};
+    if (!behind_) return;
+    log_.tell(Event::discovery_lost, "discovery: behind for too long: all is asked for anew",
+              {{"why", "behind for too long"}});
+    ask_anew();
+}
+
 void Discovery::ended(Handle connection, std::uint32_t) {
     if (connection == connection_) lost("connection ended");
 }
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -1,5 +1,6 @@
 // The watch on discovery: owns its connection and the revision reached. It must never wait behind anything
-// else, and never takes a list older than the one it has.
+// else, and takes no list older than the one it has, unless the source has
+// been behind for so long that its revisions must have begun anew.
 #pragma once
 
 #include <memory>
@@ -30,6 +31,9 @@
 
   private:
     void lost(const std::string& why);
+    void older(const Listing& listing);
+    void take_anew();
+    void ask_anew();
     void heard();
 
     ListNews& news_;
@@ -38,6 +42,8 @@
     std::unique_ptr<HttpReader> reader_;
     std::uint64_t revision_;
     Deadlines::Key silence_{};
+    Deadlines::Key anew_{};  // since a whole list was older than ours, and none has been as new
+    bool behind_ = false;    // the last word was older
 };
 
 }  // namespace dewweir::net
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -38,6 +38,16 @@
     return number;
 }
 
+std::string Hosts::id_of(std::uint32_t host) const {
+    const auto at = hosts_.find(host);
+    return at == hosts_.end() ? std::string() : at->second.id;
+}
+
+std::uint32_t Hosts::number_of(const std::string& id) const {
+    const auto at = numbers_.find(id);
+    return at == numbers_.end() ? 0 : at->second;
+}
+
 void Hosts::keep_only(const std::vector<Entry>& entries) {
     std::unordered_set<std::uint32_t> named;
     for (const Entry& entry : entries)
--- a/src/net/hosts.h
+++ b/src/net/hosts.h
@@ -33,6 +33,9 @@
     std::uint32_t listed(const Entry& entry);
     // A whole list names those that stay: the others are taken as gone.
     void keep_only(const std::vector<Entry>& entries);
+    // By number its id in the list, empty for none; by id its number, 0 for none.
+    std::string id_of(std::uint32_t host) const;
+    std::uint32_t number_of(const std::string& id) const;
 
     // Gives what `call_off` takes; 0 when nothing can be sent (its end is told all the same).
     Handle execute(Handle submission, std::uint32_t host, std::string_view head, std::string_view body,
--- a/src/net/json_line.cpp
+++ b/src/net/json_line.cpp
@@ -8,7 +8,13 @@
     nlohmann::json all = {
         {"time", static_cast<double>(unix_ms) / 1000}, {"level", name_of(kind.level)}, {"event", kind.name}};
     for (const Field& field : fields)
-        std::visit([&](const auto& value) { all[std::string(field.name)] = value; }, field.value);
+        std::visit(
+            [&](const auto& value) {
+                if constexpr (std::is_pointer_v<std::decay_t<decltype(value)>>)
+                    all[std::string(field.name)] = *value;
+                else all[std::string(field.name)] = value;
+            },
+            field.value);
     all["text"] = text;
     // A peer's bytes need not be text: they are shown as such, never as a broken line.
     return all.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "events.h"
 
@@ -18,7 +19,7 @@
 // One typed value of an event.
 struct Field {
     std::string_view name;
-    std::variant<std::string_view, std::int64_t> value;
+    std::variant<std::string_view, std::int64_t, const std::vector<std::int64_t>*> value;
 };
 
 using Fields = std::initializer_list<Field>;
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -4,11 +4,14 @@
 #include <asio/post.hpp>
 #include <cstdio>
 
+#include "decided.h"
+
 namespace dewweir::net {
 
-Node::Node(asio::io_context& io, Log& log, const Configuration& told)
+Node::Node(asio::io_context& io, Log& log, const Configuration& told, Tallies* tallies)
     : io_(io),
       log_(log),
+      tallies_(tallies),
       // Alarms are as exact as in the simulator, which looks at them once a step.
       deadlines_(std::min<Time>(told.step, 50)),
       // Standard streams, listening, signals, the loop's own: 14 descriptors with a margin.
@@ -22,6 +25,21 @@
     if (!told.known.entries.empty()) list_told(told.known);
     // Where news must be asked for, the Choice asks by itself.
     if (!told.ask) discovery_.follow();
+    if (tallies_) tally();
+}
+
+// At the same moments everywhere, so that gateways can be compared.
+void Node::tally() {
+    const Time every = tallies_->every();
+    deadlines_.after(every - deadlines_.now() % every, [this] {
+        tallies_->tell(log_, deadlines_.now());
+        tally();
+    });
+}
+
+void Node::keep(Company* company) {
+    company_ = company;
+    if (company_) company_->list_told(part_.told_.known);  // what every later list is a change to
 }
 
 void Node::run() {
@@ -63,10 +81,13 @@
     }
     ++s->executions;
     s->out = true;
+    if (tallies_) tallies_->executed(s->executions == 1, s->units);
+    if (company_) company_->host_asked(hosts_.id_of(host));
     s->execution = hosts_.execute(id, host, s->head, s->body, give_up_after);
 }
 
 void Node::bounce(std::uint32_t id, Time come_back_in) {
+    if (tallies_) tallies_->bounced();
     char advice[48] = "";
     if (come_back_in > 0)
         std::snprintf(advice, sizeof advice, "Retry-After: %.4f\r\n",
@@ -74,7 +95,10 @@
     answer(id, 503, advice, "bounced: trying again is harmless\n");
 }
 
-void Node::write_off(std::uint32_t id) { answer(id, 502, {}, "written off\n"); }
+void Node::write_off(std::uint32_t id) {
+    if (tallies_) tallies_->written_off();
+    answer(id, 502, {}, "written off\n");
+}
 
 void Node::cancel(std::uint32_t id, int execution) {
     Submission* const s = submissions_.find(id);
@@ -82,7 +106,10 @@
     hosts_.call_off(s->execution);
 }
 
-void Node::count(std::uint64_t name, double amount, Time keep_for) { counter_.count(name, amount, keep_for); }
+void Node::count(std::uint64_t name, double amount, Time keep_for) {
+    if (tallies_) tallies_->counted(amount);
+    counter_.count(name, amount, keep_for);
+}
 
 void Node::arm(Time from_now, std::uint64_t token) {
     const Deadlines::Key key = deadlines_.after(from_now, [this, token] {
@@ -109,15 +136,25 @@
 }
 
 void Node::log(Notice notice, std::uint32_t host, const std::string& line) {
+    if (company_ && (notice == Notice::host_shut || notice == Notice::host_back))
+        company_->host_found(hosts_.id_of(host), notice == Notice::host_shut);
     switch (notice) {
         case Notice::breaker_open: return log_.tell(Event::breaker_open, line);
         case Notice::breaker_closed: return log_.tell(Event::breaker_closed, line);
         case Notice::host_shut: return log_.tell(Event::host_shut, line, {{"host", host}});
         case Notice::host_back: return log_.tell(Event::host_back, line, {{"host", host}});
-        case Notice::decided: return log_.tell(Event::decided, line);
     }
 }
 
+void Node::decided(const Decided& often) {
+    if (tallies_) tallies_->decided(often);
+    if (const std::string line = decided_line(often); !line.empty()) log_.tell(Event::decided, line);
+}
+
+void Node::total_known(std::uint64_t name, double total) {
+    if (company_) company_->total_known(name, total);
+}
+
 void Node::answer(Handle id, int status, std::string_view fields, std::string_view body) {
     Submission* const s = submissions_.find(id);
     if (!s || !s->client) return;
@@ -139,6 +176,11 @@
     const Handle id = submissions_.add(client, asked.id, std::move(asked.head), std::move(asked.body));
     if (!id) return 0;
     open_.insert(std::move(asked.id));
+    if (tallies_) {
+        tallies_->submitted(asked.units);
+        Submission& s = *submissions_.find(id);
+        s.track = asked.track, s.units = asked.units, s.since = deadlines_.now();
+    }
     choice_.submitted(deadlines_.now(), id, asked.track, asked.plan, asked.customer, asked.units,
                       asked.gateways, asked.patience);
     return id;
@@ -148,6 +190,7 @@
     Submission* const s = submissions_.find(id);
     if (!s || !s->client) return;
     s->client = 0;
+    if (tallies_) tallies_->client_gone();
     choice_.client_gone(deadlines_.now(), id);
     forget_if_over(id);
 }
@@ -159,9 +202,12 @@
     s->out = false;
     s->execution = 0;
     const int execution = s->executions - 1;
-    if (verdict == Verdict::ok && s->client)
+    if (verdict == Verdict::ok && s->client) {
+        if (tallies_) tallies_->delivered(s->track, deadlines_.now() - s->since);
         clients_.answer(std::exchange(s->client, 0), 200, delivered.fields, delivered.body);
+    }
     const bool settled = s->client == 0;
+    if (company_) company_->host_ended(hosts_.id_of(host), verdict, took);
     choice_.execution_ended(deadlines_.now(), id, execution, host, verdict, took, settled, 0);
     forget_if_over(id);
 }
@@ -179,8 +225,18 @@
     }
     if (listing.whole) hosts_.keep_only(listing.entries);
     choice_.list_ends(now);
+    if (company_) company_->list_told(listing);
 }
 
 void Node::list_failed() { choice_.list_failed(deadlines_.now()); }
 
+void Node::others_found(const std::string& host, const Hearsay& said) {
+    if (const std::uint32_t number = hosts_.number_of(host))
+        choice_.others_found(deadlines_.now(), number, said);
+}
+
+void Node::others_counted(std::uint64_t name, double total) {
+    choice_.others_counted(deadlines_.now(), name, total);
+}
+
 }  // namespace dewweir::net
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -8,22 +8,29 @@
 #include <unordered_set>
 
 #include "clients.h"
+#include "company.h"
 #include "configuration.h"
 #include "connections.h"
 #include "counter.h"
 #include "dewweir/choice.h"
 #include "discovery.h"
 #include "hosts.h"
+#include "tallies.h"
 
 namespace dewweir::net {
 
-class Node : Gateway, Intake, Outcomes, Counts, ListNews {
+class Node : Gateway, Intake, Outcomes, Counts, ListNews, Hearer {
   public:
     // Throws when the address cannot be listened on, or a term is missing.
-    Node(asio::io_context& io, Log& log, const Configuration& told);
+    // `tallies`: told of what is done, where somebody counts it; outlives the node.
+    Node(asio::io_context& io, Log& log, const Configuration& told, Tallies* tallies = nullptr);
     void run();  // until the loop is stopped
     // A new configuration: where discovery and the counter are. What else it changes is named in the log.
     void take_over(const Configuration& fresh);
+    const Part& part() const { return part_; }
+    Hearer& hearer() { return *this; }
+    // Told from now on what we find, until it is nullptr again.
+    void keep(Company* company);
     void stop(std::function<void()> done) { clients_.stop(std::move(done)); }
 
   private:
@@ -33,6 +40,9 @@
         int executions = 0;
         bool out = false;
         Handle execution = 0;  // what calls it off, while it is out
+        int track = 0;
+        double units = 0;
+        Time since = 0;
     };
 
     void execute(std::uint32_t submission, std::uint32_t host, Time give_up_after) override;
@@ -44,6 +54,8 @@
     void disarm(std::uint64_t token) override;
     void follow_list() override;
     void log(Notice notice, std::uint32_t host, const std::string& line) override;
+    void decided(const Decided& often) override;
+    void total_known(std::uint64_t name, double total) override;
 
     Handle submitted(Handle client, Asked&& asked) override;
     bool has_open(const std::string& id) const override { return open_.contains(id); }
@@ -53,12 +65,17 @@
     void counted(std::uint64_t name, Verdict verdict, double total, Time took) override;
     void list_told(const Listing& listing) override;
     void list_failed() override;
+    void others_found(const std::string& host, const Hearsay& said) override;
+    void others_counted(std::uint64_t name, double total) override;
 
     void answer(Handle submission, int status, std::string_view fields, std::string_view body);
     void forget_if_over(Handle submission);
+    void tally();
 
     asio::io_context& io_;
     Log& log_;
+    Tallies* tallies_;
+    Company* company_ = nullptr;
     Deadlines deadlines_;
     Connections connections_;
     Part part_;
--- /dev/null
+++ b/src/net/tallies.h
@@ -0,0 +1,27 @@
+// What a gateway does, told as it happens to whoever counts it. The node calls it; without an operator file
+// there is none, and nothing is called.
+#pragma once
+
+#include "dewweir/choice.h"
+
+namespace dewweir::net {
+
+class Log;
+
+class Tallies {
+  public:
+    virtual ~Tallies() = default;
+    virtual void submitted(double units) = 0;
+    virtual void executed(bool first, double units) = 0;
+    virtual void counted(double units) = 0;  // a call to the counter: added, or given back under 0
+    virtual void delivered(int track, Time took) = 0;
+    virtual void bounced() = 0;
+    virtual void written_off() = 0;
+    virtual void client_gone() = 0;
+    virtual void decided(const Decided& often) = 0;
+    // Tells the log what was counted since the last time; `now` as the node has it.
+    virtual void tell(Log& log, Time now) = 0;
+    virtual Time every() const = 0;  // how often that is
+};
+
+}  // namespace dewweir::net
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -1,117 +1,125 @@
 #include "operator_file.h"
 
-#include <toml++/toml.h>
-
 #include <algorithm>
-#include <cmath>
-#include <fstream>
-#include <sstream>
 
 namespace dewweir {
 namespace {
 
-std::string number_text(double number) {
-    std::ostringstream out;
-    out.precision(12);
-    out << number;
-    return out.str();
-}
-
-std::string joined(const std::vector<std::string>& words) {
-    std::string all;
-    for (const std::string& word : words) all += (all.empty() ? "" : ", ") + word;
+const Schema& schema() {
+    static const Schema all = {
+        {
+            {"log.level",
+             Key::Kind::choice,
+             "",
+             "info",
+             0,
+             0,
+             {"error", "warning", "info", "debug"},
+             "The least grave lines that are logged; DEWWEIR_LOG in the environment holds over it."},
+            {"log.format",
+             Key::Kind::choice,
+             "",
+             "text",
+             0,
+             0,
+             {"text", "json"},
+             "Lines for people, or an object a line with the event's name and typed fields."},
+            {"log.lines_a_second",
+             Key::Kind::whole,
+             "lines a second",
+             "100",
+             1,
+             100000,
+             {},
+             "The most lines that are logged; more are counted and left out, and the log says how many."},
+            {"log.counts_every",
+             Key::Kind::time,
+             "",
+             "0s",
+             0,
+             3600,
+             {},
+             "How often the log tells what was counted since the last time (event `counts`); 0s: never."},
+            {"members.listen",
+             Key::Kind::text,
+             "",
+             "",
+             0,
+             0,
+             {},
+             "IPv4 address and port for datagrams between gateways, as the others reach it; left out: none."},
+            {"members.deployment",
+             Key::Kind::text,
+             "",
+             "",
+             0,
+             0,
+             {},
+             "A word that all gateways of one deployment have; datagrams with another are dropped."},
+            {"members.seeds",
+             Key::Kind::texts,
+             "",
+             "",
+             0,
+             0,
+             {},
+             "Addresses and ports of some gateways, to find the others by; our own may be among them."},
+            {"members.from",
+             Key::Kind::texts,
+             "",
+             "",
+             0,
+             0,
+             {},
+             "IPv4 addresses, without port, whose datagrams are read; any other's are dropped."},
+            {"members.reach",
+             Key::Kind::texts,
+             "",
+             "",
+             0,
+             0,
+             {},
+             "NAME=ADDRESS: where a gateway is reached from here, if not where it says itself."},
+            {"members.status",
+             Key::Kind::text,
+             "",
+             "",
+             0,
+             0,
+             {},
+             "A file that says, each second, who is there by what this gateway believes; left out: none."},
+            {"members.period",
+             Key::Kind::time,
+             "",
+             "1s",
+             0.05,
+             60,
+             {},
+             "One other gateway is probed in each; the same at all gateways."},
+            {"members.gossip",
+             Key::Kind::time,
+             "",
+             "200ms",
+             0.01,
+             10,
+             {},
+             "News is passed on in each, to three others; the same at all gateways."},
+            {"members.verdicts",
+             Key::Kind::choice,
+             "",
+             "on",
+             0,
+             0,
+             {"on", "off"},
+             "Whether gateways tell each other what they find of hosts: failing, draining, started again."},
+        },
+        {}};
     return all;
 }
 
-std::string shown(const toml::node& node) {
-    std::ostringstream out;
-    node.visit([&](const auto& value) {
-        if constexpr (toml::is_value<decltype(value)>) out << value;
-        else out << (value.is_table() ? "a table" : "a list");
-    });
-    return out.str();
-}
-
-struct Reader {
-    std::string file;
-    std::vector<Complaint> complaints;
-    OperatorFile read;
-
-    void complain(const toml::node& at, const std::string& key, const std::string& what) {
-        complaints.push_back({file, static_cast<int>(at.source().begin.line), key, what});
-    }
-
-    void walk(const toml::table& table, const std::string& path) {
-        for (const auto& [name, node] : table) {
-            const std::string key = (path.empty() ? "" : path + ".") + std::string(name.str());
-            const auto& keys = operator_keys();
-            const bool inner = std::any_of(keys.begin(), keys.end(),
-                                           [&](const Key& k) { return k.name.rfind(key + ".", 0) == 0; });
-            if (inner && node.is_table()) walk(*node.as_table(), key);
-            else if (inner) complain(node, key, "found " + shown(node) + "; it must be a table");
-            else if (const Key* const known = operator_key(key)) take(*known, node);
-            else unknown(node, key);
-        }
-    }
-
-    void unknown(const toml::node& node, const std::string& key) {
-        std::vector<std::string> names;
-        for (const Key& one : operator_keys()) names.push_back(one.name);
-        complain(node, key, "no such key" + did_you_mean(key, names));
-    }
-
-    void take(const Key& key, const toml::node& node) {
-        bool good = false;
-        std::string text;
-        double figure = 0;
-        if (key.kind == Key::Kind::whole && node.is_integer()) {
-            figure = static_cast<double>(node.as_integer()->get());
-            good = figure >= key.least && figure <= key.most;
-        } else if (key.kind == Key::Kind::choice && node.is_string()) {
-            text = node.as_string()->get();
-            good = std::find(key.choices.begin(), key.choices.end(), text) != key.choices.end();
-        }
-        if (!good) {
-            const std::string near = key.kind == Key::Kind::choice ? did_you_mean(text, key.choices) : "";
-            return complain(node, key.name, "found " + shown(node) + "; it must be " + key.allowed() + near);
-        }
-        if (key.name == "log.level") read.log_level = text;
-        else if (key.name == "log.format") read.log_format = text;
-        else if (key.name == "log.lines_a_second") read.log_lines = static_cast<int>(figure);
-    }
-};
-
 }  // namespace
 
-const std::vector<Key>& operator_keys() {
-    static const std::vector<Key> keys = {
-        {"log.level",
-         Key::Kind::choice,
-         "",
-         "info",
-         0,
-         0,
-         {"error", "warning", "info", "debug"},
-         "The least grave lines that are logged; DEWWEIR_LOG in the environment holds over it."},
-        {"log.format",
-         Key::Kind::choice,
-         "",
-         "text",
-         0,
-         0,
-         {"text", "json"},
-         "Lines for people, or an object a line with the event's name and typed fields."},
-        {"log.lines_a_second",
-         Key::Kind::whole,
-         "lines a second",
-         "100",
-         1,
-         100000,
-         {},
-         "The most lines that are logged; more are counted and left out, and the log says how many."},
-    };
-    return keys;
-}
+const std::vector<Key>& operator_keys() { return schema().keys; }
 
 const Key* operator_key(const std::string& name) {
     for (const Key& key : operator_keys())
@@ -119,51 +127,42 @@
     return nullptr;
 }
 
-std::string Key::allowed() const {
-    if (kind == Kind::choice) return "one of " + joined(choices);
-    return "a whole number from " + number_text(least) + " to " + number_text(most);
-}
-
 OperatorFile parse_operator_file(const std::string& text, const std::string& file) {
-    Reader reader{file, {}, {}};
-    try {
-        const toml::table table = toml::parse(text, file);
-        reader.walk(table, "");
-    } catch (const toml::parse_error& fault) {
-        reader.complaints.push_back(
-            {file, static_cast<int>(fault.source().begin.line), "", std::string(fault.description())});
-    }
-    if (!reader.complaints.empty()) {
-        std::stable_sort(reader.complaints.begin(), reader.complaints.end(),
-                         [](const Complaint& a, const Complaint& b) { return a.line < b.line; });
-        throw Complaints(reader.complaints);
-    }
-    return reader.read;
+    const Values told = parse_document(text, file, schema()).top;
+    OperatorFile read;
+    read.log_level = told.text("log.level");
+    read.log_format = told.text("log.format");
+    read.counts_every = told.time("log.counts_every");
+    read.log_lines = static_cast<int>(told.number("log.lines_a_second"));
+    MembersFile& members = read.members;
+    members.listen = told.text("members.listen");
+    members.deployment = told.text("members.deployment"), members.status = told.text("members.status");
+    members.seeds = told.texts("members.seeds"), members.from = told.texts("members.from");
+    members.reach = told.texts("members.reach");
+    members.period = told.time("members.period"), members.gossip = told.time("members.gossip");
+    members.verdicts = told.text("members.verdicts") == "on";
+    if (members.listen.empty()) return read;
+    std::vector<errors::Complaint> wrong;
+    for (const char* const key : {"members.deployment", "members.from"})
+        if (!told.told(key))
+            wrong.push_back({file, told.line("members.listen"), key, "missing, beside members.listen"});
+    if (members.listen.rfind("0.0.0.0", 0) == 0)
+        wrong.push_back(
+            {file, told.line("members.listen"), "members.listen",
+             "it is told to the others, who cannot reach 0.0.0.0: name the address that they can"});
+    throw_if_any(std::move(wrong));
+    return read;
 }
 
 OperatorFile read_operator_file(const std::string& file) {
-    std::ifstream in(file);
-    std::stringstream text;
-    text << in.rdbuf();
-    if (!in) throw Complaints({{file, 0, "", "cannot be read"}});
-    return parse_operator_file(text.str(), file);
-}
-
-std::string explained(const Key& key) {
-    return key.name + "\n  " + key.help + "\n  allowed: " + key.allowed() +
-           (key.unit.empty() ? "" : ", in " + key.unit) + "\n  without it: " + key.usual + "\n";
+    return parse_operator_file(file_text(file), file);
 }
 
 std::string keys_page() {
-    std::string page =
-        "# Keys of the operator file\n\n"
-        "Made by `dewweir explain --page`; the schema is in `src/operator/operator_file.cpp`. Do not "
-        "edit.\n\n"
-        "| key | allowed | unit | without it | what it does |\n| --- | --- | --- | --- | --- |\n";
-    for (const Key& key : operator_keys())
-        page += "| `" + key.name + "` | " + key.allowed() + " | " + key.unit + " | `" + key.usual + "` | " +
-                key.help + " |\n";
-    return page;
+    return "# Keys of the operator file\n\n"
+           "Made by `dewweir explain --page`; the schema is in `src/operator/operator_file.cpp`. Do not "
+           "edit.\n\n" +
+           keys_table(operator_keys());
 }
 
 }  // namespace dewweir
--- /dev/null
+++ b/src/peers/words.cpp
@@ -0,0 +1,107 @@
+#include "words.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <vector>
+
+namespace dewweir::peers {
+namespace {
+
+using members::Word;
+using nlohmann::json;
+
+constexpr std::uint64_t words_a_ms = 1024;  // at the most, so that a later process of a name is later
+constexpr Time list_life = 100000;          // 10 s: a watch that is lost is found again within that
+
+}  // namespace
+
+Words::Words(members::Members& members, net::Hearer& hearer, const std::string& name, std::uint64_t instance)
+    : members_(members),
+      hearer_(hearer),
+      hosts_({}, name, instance * words_a_ms),
+      lists_(list_life),
+      counts_({}, name) {
+    members_.on_word = [this](Time now, const std::string&, const Word& word) {
+        verdicts::HostWord of_host;
+        const bool fresh = verdicts::CountWords::is_one(word)      ? counts_.came(now, word)
+                           : verdicts::ListWords::is_one(word)     ? lists_.came(now, word)
+                           : verdicts::host_word_of(word, of_host) ? hosts_.came(now, of_host)
+                                                                   : false;
+        ++(fresh ? passed_on_ : dropped_);
+        if (fresh) members_.tell(word);
+    };
+    members_.all_words = [this] {
+        const Time now = members_.now();
+        std::vector<Word> all = lists_.all(now);
+        for (const Word& one : counts_.all(now)) all.push_back(one);
+        for (const verdicts::HostWord& one : hosts_.all(now)) all.push_back(verdicts::word_of(one));
+        return all;
+    };
+}
+
+void Words::host_found(Time now, const std::string& host, bool shut) {
+    hosts_.found(now, host, shut ? verdicts::Finding::shut : verdicts::Finding::well);
+}
+
+void Words::host_ended(Time now, const std::string& host, Verdict verdict, Time took) {
+    using End = verdicts::HostWords::End;
+    const bool nothing = verdict == Verdict::called_off || verdict == Verdict::not_sent;
+    const End end = verdict == Verdict::ok     ? End::well
+                    : verdict == Verdict::full ? End::alive  // which says nothing against the host
+                    : nothing                  ? End::nothing
+                                               : End::failed;
+    hosts_.ended(now, host, end, took);
+}
+
+bool Words::total_known(Time now, std::uint64_t name, double total) { return counts_.told(now, name, total); }
+
+void Words::list_told(Time now, const net::Listing& listing) {
+    std::vector<verdicts::ListedHost> hosts;
+    for (const net::Entry& one : listing.entries)
+        hosts.push_back({one.id, one.standing == Standing::ready, one.up_since});
+    lists_.told(now, listing.revision, listing.whole, hosts);
+}
+
+void Words::follow(Time now) {
+    for (const verdicts::HostWord& one : hosts_.to_tell(now)) members_.tell(verdicts::word_of(one));
+    for (const Word& one : lists_.to_tell()) members_.tell(one);
+    for (const Word& one : counts_.to_tell()) members_.tell(one);
+    for (const std::uint64_t name : counts_.changed(now))
+        if (const double total = counts_.known(now, name); total > 0) hearer_.others_counted(name, total);
+    std::set<std::string> changed;
+    for (const std::string& host : hosts_.changed(now)) changed.insert(host);
+    for (const std::string& host : lists_.changed(now)) changed.insert(host);
+    for (const std::string& host : changed) {
+        const verdicts::HostWords::Doubt doubt = hosts_.doubt_of(now, host);
+        const verdicts::ListWords::Said listed = lists_.said_of(now, host);
+        const Hearsay said{.doubt = doubt.doubt,
+                           .found = doubt.found,
+                           .until = std::max(doubt.until, listed.until),
+                           .draining = listed.draining,
+                           .up_since = listed.up_since};
+        const bool nothing = doubt.shut_by + doubt.well_by == 0 && listed.until == 0;
+        if (nothing ? told_.erase(host) > 0 : (told_[host] = said, true)) hearer_.others_found(host, said);
+    }
+}
+
+Time Words::next(Time now) const { return std::min({hosts_.next(now), lists_.next(now), counts_.next(now)}); }
+
+json Words::status(Time now) const {
+    json words = json::array(), hosts = json::array();
+    for (const verdicts::HostWord& one : hosts_.all(now))
+        words.push_back({{"host", one.host},
+                         {"by", one.origin},
+                         {"finding", verdicts::name_of(one.finding)},
+                         {"found_ms", (now - one.found) / 10},
+                         {"weight", one.origin == hosts_.self() ? 1.0 : hosts_.weight(now, one.origin)}});
+    for (const auto& [host, said] : told_)
+        hosts.push_back({{"host", host},
+                         {"doubt", said.doubt},
+                         {"draining", said.draining},
+                         {"started_again", said.up_since > 0},
+                         {"for_ms", std::max<Time>(0, said.until - now) / 10}});
+    return {{"words", words}, {"hosts", hosts}, {"passed_on", passed_on_}, {"dropped", dropped_}};
+}
+
+}  // namespace dewweir::peers
--- /dev/null
+++ b/src/peers/words.h
@@ -0,0 +1,45 @@
+// What our gateway found, told to the others, and what they found, told to ours: ties the pure packages of
+// verdicts to the members' gossip and to the decisions. Owns which of a host's words the decisions were last
+// told; it must never weigh one.
+#pragma once
+
+#include <map>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+
+#include "members/members.h"
+#include "net/company.h"
+#include "verdicts/count_words.h"
+#include "verdicts/host_words.h"
+#include "verdicts/list_words.h"
+
+namespace dewweir::peers {
+
+class Words {
+  public:
+    // `instance`: of this process, as the members have it; later ones of the name are later by it.
+    Words(members::Members& members, net::Hearer& hearer, const std::string& name, std::uint64_t instance);
+
+    void host_found(Time now, const std::string& host, bool shut);
+    Time host_asked(Time now, const std::string& host) { return hosts_.asked(now, host); }
+    void host_ended(Time now, const std::string& host, Verdict verdict, Time took);
+    bool total_known(Time now, std::uint64_t name, double total);  // whether there is news to tell
+    void list_told(Time now, const net::Listing& listing);
+    void gone(const std::string& origin) { hosts_.gone(origin); }
+
+    // What has come to be told, to the others and to the decisions. Not from within a call of the Choice's.
+    void follow(Time now);
+    Time next(Time now) const;
+    nlohmann::json status(Time now) const;
+
+  private:
+    members::Members& members_;
+    net::Hearer& hearer_;
+    verdicts::HostWords hosts_;
+    verdicts::ListWords lists_;
+    verdicts::CountWords counts_;
+    std::uint64_t passed_on_ = 0, dropped_ = 0;
+    std::map<std::string, Hearsay> told_;  // to the decisions, while it stands
+};
+
+}  // namespace dewweir::peers
--- /dev/null
+++ b/src/policy/beliefs.h
@@ -0,0 +1,74 @@
+// What all parts of the decisions share: records, beliefs of all hosts, alarms and chance. Each part knows
+// those below it and none above: beliefs, hosts, stores, executions, quota; the Choice itself stands on the
+// last.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <random>
+#include <unordered_map>
+#include <utility>
+
+#include "records.h"
+
+namespace dewweir::policy {
+
+inline Time whole(double time) { return std::llround(time); }
+
+enum Alarm : std::uint64_t { beat, limit, count_late, follow, place_free };
+
+struct Beliefs : Readings {
+    Gateway& gateway;
+    std::mt19937 chance;
+    Time now, started, beat_every, beat_at, kept, connection_kept, forgot_at = 0, told_at = 0;
+    double goal;                                            // of the first track
+    std::map<std::uint32_t, Host> hosts;                    // by id
+    std::unordered_map<std::uint64_t, Customer> customers;  // by id, never walked but to forget
+    std::map<std::uint32_t, Submission> submissions;
+    std::deque<std::uint32_t> line;
+    Decided decided{};  // since it was last told
+    // Of all hosts: the usual time of an execution, what it is with little out, how far it swings; what may
+    // be out in all, and what is.
+    double typical, ease, swing = 0, reach = 1;
+    int out_all = 0;
+
+    Beliefs(Gateway& g, const Terms& terms, std::uint64_t seed, Time at)
+        : Readings(terms), gateway(g), chance(static_cast<std::uint32_t>(seed)), now(at), started(at) {
+        goal = static_cast<double>(tracks[0].goal);
+        kept = 4 * warm_after;
+        connection_kept = idle_close * 3 / 4;
+        for (const Plan& p : plans) {
+            const Time refill = p.ceiling_rate > 0 ? whole(p.ceiling_burst / p.ceiling_rate) : 0;
+            kept = std::max({kept, 4 * window_of(p), refill});
+        }
+        beat_every = std::max(step, tracks[0].goal / 50);
+        beat_at = now;
+        typical = ease = goal / 6;
+        arm(beat_every, beat);
+    }
+
+    double since(Time moment) const { return static_cast<double>(now - moment); }
+    double draw() { return std::uniform_real_distribution<>()(chance); }
+    Time jittered(Time about) {
+        return about / 2 + std::uniform_int_distribution<Time>(0, std::max<Time>(1, about))(chance);
+    }
+    static void move(double& belief, double seen, double part) { belief += (seen - belief) / part; }
+    void arm(Time from_now, Alarm alarm, std::uint64_t id = 0) { gateway.arm(from_now, id << 3 | alarm); }
+    // Where alarms can be taken back, one that has lost its use wakes nobody; it does nothing elsewhere.
+    void disarm(Alarm alarm, std::uint64_t id) { gateway.disarm(id << 3 | alarm); }
+    void count(Decision decision) { ++decided[static_cast<std::size_t>(decision)]; }
+
+    Time window_of(const Plan& p) const {
+        return p.rate > 0 ? std::max<Time>(step, whole(p.burst / p.rate)) : 0;
+    }
+    Customer& customer_of(const Submission& s) { return customers.at(s.customer); }
+    // The submission with this id, unless it has had its final answer.
+    Submission* open_one(std::uint32_t id) {
+        const auto found = submissions.find(id);
+        return found == submissions.end() || found->second.stage == Stage::over ? nullptr : &found->second;
+    }
+    Time needed(const Submission& s) const { return std::min(whole(typical + swing), s.track->goal / 2); }
+};
+
+}  // namespace dewweir::policy
--- /dev/null
+++ b/src/policy/choice.cpp
@@ -0,0 +1,86 @@
+// All decisions of the gateway: quotas, the line, which host, health, further executions, the five rules.
+// Here is what can happen, each told to the part that decides on it; the parts are the headers beside this
+// file. Callers own one Choice a gateway, tell it what happens in the order it happens, and do what it calls
+// on the Gateway handed to it; the interface is in include/dewweir/choice.h, the reasons are in
+// docs/design.md.
+#include "dewweir/choice.h"
+
+#include "policy/quota.h"
+
+namespace dewweir {
+
+struct Choice::State : policy::Quota {
+    using Quota::Quota;
+    State& at(Time moment) { return now = moment, *this; }
+};
+
+Choice::Choice(Gateway& gateway, const Terms& terms, std::uint64_t seed, Time now)
+    : state_(std::make_unique<State>(gateway, terms, seed, now)) {}
+Choice::~Choice() = default;
+
+void Choice::list_begins(Time now, bool whole) {
+    state_->at(now).list_whole = whole;
+    ++state_->list_round;
+}
+
+void Choice::host_listed(Time, std::uint32_t id, Standing standing, Time up_since, int zone, int cell) {
+    state_->listed(id, standing, up_since, zone, cell);
+}
+
+void Choice::list_ends(Time now) {
+    State& s = state_->at(now);
+    for (auto& [id, h] : s.hosts) h.listed &= !s.list_whole || h.list_round == s.list_round;
+    s.list_failures = 0;
+    s.place();
+}
+
+void Choice::list_failed(Time now) {
+    state_->at(now).follow_later();
+    ++state_->list_failures;
+}
+
+void Choice::others_found(Time now, std::uint32_t id, const Hearsay& said) {
+    State& s = state_->at(now);
+    if (const auto known = s.hosts.find(id); known != s.hosts.end()) s.others_found(known->second, said);
+    s.place();
+}
+
+void Choice::others_counted(Time now, std::uint64_t name, double total) {
+    state_->at(now).others_counted(name, total);
+}
+
+void Choice::submitted(Time now, std::uint32_t id, int track, int plan, std::uint64_t customer, double units,
+                       int customer_gateways, Time patience_left) {
+    state_->at(now).submitted(id, track, plan, customer, units, customer_gateways, patience_left);
+}
+
+void Choice::execution_ended(Time now, std::uint32_t id, int, std::uint32_t host, Verdict verdict, Time took,
+                             bool settled, double billed) {
+    State& s = state_->at(now);
+    const auto known = s.hosts.find(host);
+    if (known != s.hosts.end()) s.execution_ended(id, known->second, verdict, took, settled, billed);
+}
+
+void Choice::stream_started(Time now, std::uint32_t id, int) {
+    if (policy::Submission* const s = state_->at(now).open_one(id)) s->stream = true;
+}
+
+void Choice::client_gone(Time now, std::uint32_t id) { state_->at(now).end_early(id, true); }
+
+void Choice::counted(Time now, std::uint64_t name, Verdict verdict, double total, Time took) {
+    state_->at(now).counted(name, verdict, total, took);
+}
+
+void Choice::timer(Time now, std::uint64_t token) {
+    State& s = state_->at(now);
+    const auto id = static_cast<std::uint32_t>(token >> 3);
+    switch (token & 7) {
+        case policy::beat: return s.on_beat();
+        case policy::limit: return s.end_early(id, false);
+        case policy::follow: return s.gateway.follow_list();
+        case policy::place_free: return s.free_place(s.hosts.at(id)), s.place();
+        case policy::count_late: return s.on_count_late(id);
+    }
+}
+
+}  // namespace dewweir
--- /dev/null
+++ b/src/readings.h
@@ -0,0 +1,35 @@
+// What a Choice reads at its start: the terms' texts as checked values, and no more. What follows from them
+// is decided under src/policy.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dewweir/choice.h"
+
+namespace dewweir {
+
+struct Track {
+    Time goal, remembered;
+    std::string repeats, scope;
+};
+
+struct Plan {  // units; rates in units a tenth of a millisecond, 0: none
+    double rate, burst, extra_benefit, overrun_cost, ceiling_rate, ceiling_burst, parallel;
+};
+
+struct Readings {
+    // Throws errors::BadSetting naming the term that is missing or unreadable.
+    explicit Readings(const Terms& terms);
+
+    Time step, count_limit, fall, warm_after, longest_advice, idle_close;  // idle_close 0: not told
+    std::optional<Time> ask_within;
+    int gateways, zone, most_executions;
+    double cold_from, fall_multiple;
+    bool may_cancel, has_counter, asks;
+    std::vector<Track> tracks;  // one at least
+    std::vector<Plan> plans;
+};
+
+}  // namespace dewweir
--- /dev/null
+++ b/src/records.h
@@ -0,0 +1,70 @@
+// The records that decisions are made from: one of each host, customer, submission and call. Data alone: what
+// is made of them is decided under src/policy.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "readings.h"
+
+namespace dewweir::policy {
+
+constexpr std::uint32_t nobody = 0xffffffff;
+
+enum class Stage { counting, waiting, out, over };
+enum class Asked { add, previous, back };
+
+struct Host {
+    std::uint32_t id;
+    bool listed = false, trial = false, by_word = false;  // shut by word of others, not by us
+    Time up_since = 0, full_until = 0, shut_until = 0, shut_for = 0, last_word = 0, budget_at = 0,
+         listed_at = 0, connected = 0, kept_off_until = 0, found_failing = 0;
+    int zone = 0, cell = 0, out = 0, failures = 0, list_round = 0;
+    const Plan* full_for = nullptr;
+    double places = 0, slowness = 0, budget = 1, adopted = 1;
+};
+
+// What the counter is told to hold of one window; what is known to be ours; what it was found to have lost;
+// what two other gateways at least were told.
+struct Tally {
+    double total = 0, own = 0, lost = 0, others = 0;
+};
+
+struct Customer {
+    std::uint64_t id;
+    const Plan& plan;
+    Time window_long;
+    int gateways, open = 0;
+    std::int64_t window = -1;
+    Tally current{}, before{};
+    double owed = 0;  // let in while the counter was away, to be added with the next call
+    bool previous_known = false;
+    std::vector<std::uint32_t> readers{};
+    double level = 0, share = 0, ceiling = 0;  // the store replayed; our part of it; of the ceiling
+    Time level_at = 0, share_at = 0, ceiling_at = 0, over_until = 0;
+};
+
+struct Submission {
+    const Track* track;
+    std::uint64_t customer;
+    double units;
+    Time goal_at, limit_at;
+    Stage stage = Stage::counting;
+    int executions = 0, zone = -1, cell = -1;
+    std::uint32_t host = nobody, last_host = nobody;
+    std::int64_t window = -1;
+    double reading = 0;
+    bool call_out = false, on_counter = false, on_share = false;
+    bool may_have_run = false, stream = false, given_up = false;
+    Time sent = 0, first_ran = 0;
+};
+
+struct Call {
+    Asked asked;
+    std::uint32_t submission;
+    std::uint64_t customer;
+    std::int64_t window;
+    double amount;
+};
+
+}  // namespace dewweir::policy
--- a/src/rig/host_service.cpp
+++ b/src/rig/host_service.cpp
@@ -82,7 +82,8 @@
     const net::HttpReader& asked = way.reader;
     way.submission = asked.field("X-Request-Id");
     if (way.submission.empty()) return answer(mark, way, "404 Not Found", {}, {});
-    const std::uint64_t piece = ++taken_;
+    taken_at_.push_back(now);
+    const std::uint64_t piece = taken_at_.size();
     if (referee_) {
         const std::string track(asked.field("X-Class"));
         referee_->executed(now, way.submission, id_, names_ && place_of(names_->binding_tracks, track) >= 0,
--- a/src/rig/host_service.h
+++ b/src/rig/host_service.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "loop.h"
 #include "model/host.h"
@@ -30,7 +31,7 @@
     const tcp::endpoint& address() const { return door_.address(); }
     Time up_since() const { return up_since_; }  // 0: long ago
     bool up() const { return host_.up(); }
-    std::uint64_t taken() const { return taken_; }
+    const std::vector<Time>& taken_at() const { return taken_at_; }  // each piece that came, in order
 
     void die();                               // resets its connections and refuses new ones
     void start();                             // a fresh, cold process at the same address
@@ -64,7 +65,7 @@
     Time up_since_ = 0;
     bool cut_ = false;
     std::size_t connections_;
-    std::uint64_t taken_ = 0;
+    std::vector<Time> taken_at_;
     net::Slots<Way> ways_;
     std::map<std::uint64_t, std::uint32_t> pieces_;  // in hand, and their ways
     net::Deadlines::Key next_{};
--- a/src/rig/load.h
+++ b/src/rig/load.h
@@ -54,6 +54,8 @@
     bool heeds_advice = true;  // else it comes again after its own wait alone
     Time wait = 1000;          // before a retry, jittered by half
     bool keep_alive = true;
+    // Whether a gateway, by its place, was kept from answering at any time from then to then; empty: never.
+    std::function<bool(std::size_t, Time, Time)> excused{};
     std::uint64_t seed = 1;
     Time most_lag = 100;        // a send this far behind its schedule is late ...
     double most_behind = 0.01;  // ... and this part of late ones makes the result invalid
@@ -68,7 +70,7 @@
 
 class Load : net::User {
   public:
-    // Throws std::invalid_argument naming what is out of range. `done` is told once the last submission has
+    // Throws errors::BadCall naming what is out of range. `done` is told once the last submission has
     // ended.
     Load(Loop& loop, const LoadPlan& plan, Referee* referee, std::function<void()> done);
     ~Load() override;
@@ -88,6 +90,12 @@
     struct Second {
         std::uint64_t asked = 0, in_goal = 0, bounced = 0;
     };
+    // Of the tries at each gateway, by its place.
+    struct AtGateway {
+        std::uint64_t tries = 0, delivered = 0, in_goal = 0, bounced = 0, written_off = 0, unanswered = 0,
+                      excused = 0, unconnected = 0;
+    };
+    const std::vector<AtGateway>& gateways() const { return at_; }
     const std::vector<Second>& seconds() const { return seconds_; }
     nlohmann::json report() const;
 
@@ -102,6 +110,7 @@
         Time intended;
         int tries = 0;
         std::size_t gateway = 0;
+        Time sent = 0;  // the last try
         bool resent = false;
         std::string id{};
     };
@@ -124,6 +133,7 @@
     void received(net::Handle, std::uint32_t mark) override;
     void ended(net::Handle, std::uint32_t mark) override;
     void answered(std::uint32_t mark, Way& way);
+    void lost(net::Handle id);
     void again_or(net::Handle id, Time advice, std::uint64_t PlanResult::*otherwise);
     void over(net::Handle id);
     void tell_if_done();
@@ -144,6 +154,7 @@
     net::Slots<Way> ways_;
     std::vector<std::vector<std::uint32_t>> idle_;  // by gateway, the one used last at the end
     std::vector<PlanResult> results_;
+    std::vector<AtGateway> at_;
     std::vector<Second> seconds_;
     std::uint64_t sent_ = 0, behind_ = 0, ids_ = 0;
     std::size_t open_ = 0;
--- a/src/rig/loop.h
+++ b/src/rig/loop.h
@@ -4,6 +4,8 @@
 
 #include <asio/io_context.hpp>
 #include <functional>
+#include <string>
+#include <vector>
 
 #include "net/connections.h"
 #include "net/deadlines.h"
@@ -25,11 +27,13 @@
 // A listening socket on loopback: owns it. Closed, its port refuses; it can be opened there again.
 class Door {
   public:
-    // Port 0: one the system chooses. Throws std::system_error naming the address when it is taken.
+    // Port 0: one the system chooses. Throws errors::CannotListen naming the address when it is taken.
     Door(Loop& loop, const tcp::endpoint& at, std::function<void(tcp::socket)> taken);
     const tcp::endpoint& address() const { return at_; }
     void open();
     void close();
+    // As behind a cut line: no handshake comes to its end, and those that wait are taken in once it is over.
+    void silence(bool on);
 
   private:
     void accept();
@@ -38,6 +42,8 @@
     tcp::endpoint at_;
     tcp::socket holder_;  // bound and never used: a closed door's port goes to nobody else
     tcp::acceptor acceptor_;
+    std::vector<tcp::socket> fillers_;  // what makes the system's line of handshakes full, while silent
+    std::vector<std::uint16_t> filler_ports_;  // so that none of them is taken for a caller
     std::function<void(tcp::socket)> taken_;
 };
 
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <iostream>
 
+#include "errors/errors.h"
 #include "net/node.h"
 #include "operator/settings.h"
 
@@ -17,7 +18,7 @@
 
 using namespace net;
 
-int serve(const OperatorFile* with, LineForm json) {
+int serve(const Extras* extras) {
     std::signal(SIGPIPE, SIG_IGN);
     asio::io_context io(1);  // one thread, and no locks for others
     // Caught from here on: one that comes before the gateway stands is heard once it does.
@@ -26,24 +27,34 @@
     try {
         told = read_configuration();
         // What the environment says holds over the file.
-        if (with && !std::getenv("DEWWEIR_LOG")) told.log_level = level_of(with->log_level);
+        if (extras && !std::getenv("DEWWEIR_LOG")) told.log_level = level_of(extras->with.log_level);
     } catch (const std::exception& fault) {
-        std::cerr << "dewweir: configuration: " << fault.what() << '\n';
-        return 2;
+        std::cerr << errors::told(fault, "configuration: ");
+        return errors::exit_code_of(fault);
     }
     try {
-        const OperatorFile own = with ? *with : OperatorFile{};
+        const OperatorFile own = extras ? extras->with : OperatorFile{};
         Log log(std::clog, STDERR_FILENO, told.log_level, own.log_lines,
-                own.log_format == "json" && json ? json : text_line);
+                own.log_format == "json" && extras->json ? extras->json : text_line);
+        std::unique_ptr<Tallies> tallies;
+        if (own.counts_every > 0 && extras->tallies) tallies = extras->tallies(own.counts_every, told.goals);
         std::unique_ptr<Node> node;
         try {
-            node = std::make_unique<Node>(io, log, told);
-        } catch (const std::invalid_argument& term) {
-            std::cerr << "dewweir: configuration: settings: " << term.what() << '\n';
-            return 2;
+            node = std::make_unique<Node>(io, log, told, tallies.get());
+        } catch (const errors::BadSetting& term) {
+            std::cerr << errors::told(term, "configuration: settings.");
+            return term.exit_code();
         }
+        std::unique_ptr<Company> company;
+        if (extras && extras->company) company = extras->company(node->part(), node->hearer());
+        node->keep(company.get());
+        // Whatever ends this: the company goes before the node, which must not call it then.
+        const auto leaves = [&](Node* of) { of->keep(nullptr); };
+        const std::unique_ptr<Node, decltype(leaves)> kept(node.get(), leaves);
         ends.async_wait([&](const std::error_code& fault, int) {
-            if (!fault) node->stop([&] { io.stop(); });
+            if (fault) return;
+            if (company) company->leave();
+            node->stop([&] { io.stop(); });
         });
         std::function<void(const std::error_code&, int)> reload = [&](const std::error_code& fault, int) {
             if (fault) return;
@@ -57,12 +68,18 @@
             reloads.async_wait(reload);
         };
         reloads.async_wait(reload);
-        log.tell(Event::gateway_ready, "gateway " + told.name + " ready", {{"name", told.name}});
+        if (extras)
+            log.tell(Event::gateway_ready, "gateway " + told.name + " ready",
+                     {{"name", told.name},
+                      {"label", extras->label},
+                      {"version", extras->version},
+                      {"settings", extras->settings}});
+        else log.tell(Event::gateway_ready, "gateway " + told.name + " ready", {{"name", told.name}});
         node->run();
         log.tell(Event::gateway_ended, "gateway " + told.name + " ended", {{"name", told.name}});
     } catch (const std::exception& fault) {
-        std::cerr << "dewweir: " << fault.what() << '\n';
-        return 1;
+        std::cerr << errors::told(fault);
+        return errors::exit_code_of(fault);
     }
     return 0;
 }
--- a/src/serve.h
+++ b/src/serve.h
@@ -2,15 +2,33 @@
 // and whatever is then still to be answered, and ends.
 #pragma once
 
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/company.h"
 #include "net/log.h"
+#include "net/part.h"
+#include "net/tallies.h"
 
 namespace dewweir {
 
 struct OperatorFile;
 
-// `with`: the operator file's settings, or nothing, as on the platform; `json`: how its lines are written
-// where that file asks for JSON. 0 after a clean end, 1 when it cannot listen or finds a fault in itself, 2
-// on a configuration that is bad at start.
-int serve(const OperatorFile* with, net::LineForm json = nullptr);
+// What the sub-commands' program adds to the gateway, so that the platform's carries none of it.
+struct Extras {
+    const OperatorFile& with;
+    net::LineForm json = nullptr;          // how lines are written where the file asks for JSON
+    std::string version, settings, label;  // what it is, told with its readiness; may be empty
+    // Makes what counts, told the goals of the tracks.
+    std::function<std::unique_ptr<net::Tallies>(Time every, std::vector<Time> goals)> tallies{};
+    // Makes the company of the other gateways, where the file asks for it.
+    std::function<std::unique_ptr<net::Company>(const net::Part&, net::Hearer&)> company{};
+};
+
+// `extras`: nothing on the platform. 0 after a clean end, else the exit code of the
+// error that ended it (docs/errors.md).
+int serve(const Extras* extras);
 
 }  // namespace dewweir
--- /dev/null
+++ b/tests/scenario_stage.h
@@ -0,0 +1,45 @@
+// The Gateway of the text scenarios: does nothing but write down what it is asked for.
+#pragma once
+
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "dewweir/choice.h"
+
+namespace dewweir {
+
+struct Stage : Gateway {
+    Time now = 10000000;
+    std::multimap<Time, std::uint64_t> timers;
+    std::vector<std::pair<std::uint64_t, double>> asked;
+    std::map<std::uint64_t, double> counts;
+    std::map<std::uint32_t, int> runs, on;
+    std::vector<std::string> seen;
+    Time last_advice = 0;
+
+    void saw(const std::string& what, std::uint32_t id) { seen.push_back(what + " " + std::to_string(id)); }
+    void execute(std::uint32_t id, std::uint32_t host, Time) override {
+        ++runs[id], on[id] = static_cast<int>(host);
+        seen.push_back("execute " + std::to_string(id) + " on " + std::to_string(host));
+    }
+    void bounce(std::uint32_t id, Time advice) override { saw("bounce", id), last_advice = advice; }
+    void write_off(std::uint32_t id) override { saw("write_off", id); }
+    void cancel(std::uint32_t id, int) override { saw("cancel", id); }
+    void count(std::uint64_t name, double amount, Time) override {
+        asked.emplace_back(name, amount);
+        std::ostringstream text;
+        text << "count " << amount;
+        seen.push_back(text.str());
+    }
+    void arm(Time from_now, std::uint64_t token) override { timers.emplace(now + from_now, token); }
+    void disarm(std::uint64_t token) override {
+        std::erase_if(timers, [&](const auto& timer) { return timer.second == token; });
+    }
+    void follow_list() override { seen.push_back("follow"); }
+    void log(Notice, std::uint32_t, const std::string&) override {}
+    void decided(const Decided&) override {}
+};
+
+}  // namespace dewweir
--- a/tests/stand_ins.h
+++ b/tests/stand_ins.h
@@ -20,6 +20,7 @@
 #include <memory>
 #include <sstream>
 #include <string>
+#include <utility>
 #include <vector>
 
 inline constexpr int patience_ms = 10000;  // what no healthy answer takes
