--- a/src/cli/rollout.cpp
+++ b/src/cli/rollout.cpp
@@ -19,7 +19,7 @@
     bool json = false;
 };
 
-// `do_first`: nothing, or what is done with the position before going on.
+// `do_first`: what is done with the position before going on.
 int carry_out(const fleet::Fleet& fleet, const Options& o,
               const std::function<void(fleet::Controller&)>& do_first) {
     std::signal(SIGINT, leave);
@@ -28,7 +28,7 @@
     std::signal(SIGXFSZ, SIG_IGN);  // a full disk is an error of the call, not our end
     net::Log log(std::clog, -1, net::Level::info, 1000, o.json ? net::json_line : net::text_line);
     fleet::Controller controller(fleet, log);
-    if (do_first) do_first(controller);
+    do_first(controller);
     const fleet::Outcome end = controller.run(told_to_leave);
     static const char* const words[] = {"done: every gateway is new", "taken back: every gateway is old", "",
                                         "", "left as it is; `dewweir rollout go-on` goes on"};
@@ -70,7 +70,9 @@
     add("check", "looks the fleet file over, and what it names; starts nothing",
         [](const fleet::Fleet& fleet, const Options&) { return check(fleet); });
     add("start", "begins; goes on until all are new, or old again",
-        [](const fleet::Fleet& fleet, const Options& on) { return carry_out(fleet, on, nullptr); });
+        [](const fleet::Fleet& fleet, const Options& on) {
+            return carry_out(fleet, on, [](fleet::Controller& controller) { controller.must_be_open(); });
+        });
     add("status", "what it has come to",
         [](const fleet::Fleet& fleet, const Options& on) { return status(fleet, on.json); });
     add("hold", "begins nothing further until go-on",
@@ -78,12 +80,18 @@
     add("go-on", "goes on: after a hold, or where a controller was lost",
         [](const fleet::Fleet& fleet, const Options& on) {
             if (runs(fleet)) return fleet::ask_controller(fleet, "go_on"), fine;
-            return carry_out(fleet, on, [](fleet::Controller& controller) { controller.hold(false); });
+            // A controller may have been lost between the end and telling it: the end is told again.
+            return carry_out(fleet, on, [](fleet::Controller& controller) {
+                if (!controller.over()) controller.hold(false);
+            });
         });
     add("back", "brings every gateway back to the old version",
         [](const fleet::Fleet& fleet, const Options& on) {
             if (runs(fleet)) return fleet::ask_controller(fleet, "back"), fine;
-            return carry_out(fleet, on, [](fleet::Controller& controller) { controller.back("asked for"); });
+            return carry_out(fleet, on, [](fleet::Controller& controller) {
+                controller.must_be_open();
+                controller.back("asked for");
+            });
         });
 }
 
--- a/src/fleet/controller.cpp
+++ b/src/fleet/controller.cpp
@@ -72,12 +72,7 @@
         at = position_of(journal_.lines().back().at("at"));
         const bool same = journal_.lines().front().at("fleet") == digest;
         const bool over = at.phase == Phase::done || at.phase == Phase::taken_back;
-        if (over)
-            throw errors::Refused(
-                fleet.in_folder("journal"),
-                std::string("a rollout of this folder is over: ") + rollout::name_of(at.phase),
-                "for another one name another folder, or put the journal aside");
-        if (!same)
+        if (!same && !over)
             throw errors::Refused(
                 fleet.file, "it, or a file it names, has changed since the rollout began",
                 "put it back as it was and go on or back; or put the journal aside if nothing runs");
@@ -158,6 +153,14 @@
     std::filesystem::remove(file, ignored);
 }
 
+void Controller::must_be_open() const {
+    if (!machine_->over()) return;
+    throw errors::Refused(fleet_.in_folder("journal"),
+                          std::string("a rollout of this folder is over: ") +
+                              rollout::name_of(machine_->position().phase),
+                          "for another one name another folder, or put the journal aside");
+}
+
 void Controller::hold(bool on) { machine_->hold(on), keep(read_clock()); }
 void Controller::back(const std::string& why) { machine_->back(read_clock(), why), keep(read_clock()); }
 
--- a/src/fleet/controller.h
+++ b/src/fleet/controller.h
@@ -22,6 +22,8 @@
     // Takes the lock and reads the journal. Throws errors::Held, errors::StateTorn, errors::StateNewer, and
     // errors::Refused where the fleet file is another than the one that the unfinished rollout began with.
     Controller(const Fleet& fleet, net::Log& log);
+    bool over() const { return machine_->over(); }
+    void must_be_open() const;  // throws errors::Refused where the rollout is over
     // Until the change is done or taken back, or `left` is set (the fleet stays as it is).
     Outcome run(const volatile std::sig_atomic_t& left);
     void hold(bool on);
