A final answer half a second past the limit is late, not lost, in the load's own judgement

Checked: the machine was taken away for 20 to 40% of the time (vmstat), sends were up to 102 ms behind schedule, and the submissions are those whose final answer is due at the limit itself.

At fault: load.cpp called a submission lost 50 ms after its limit. The operators' measure is half a second: until then an answer is worth nothing, later it is lost.

--- a/src/rig/load.h
+++ b/src/rig/load.h
@@ -64,8 +64,9 @@
 struct PlanResult {
     std::string name;
     std::uint64_t asked = 0, tries = 0, delivered = 0, in_goal = 0, bounced_advised = 0, bounced_plain = 0,
-                  written_off = 0, unanswered = 0, refused = 0, unconnected = 0;
-    Latencies latencies;  // of what was delivered, from the intended moment
+                  written_off = 0, unanswered = 0, refused = 0, unconnected = 0,
+                  after_limit = 0;  // final answers of any kind past the client's limit
+    Latencies latencies;            // of what was delivered, from the intended moment
 };
 
 class Load : net::User {
--- a/src/rig/trial_report.cpp
+++ b/src/rig/trial_report.cpp
@@ -102,6 +102,11 @@
                     static_cast<unsigned long long>(one.unanswered + one.unconnected),
                     static_cast<unsigned long long>(one.delivered - one.in_goal), one.latencies.quantile(0.5),
                     one.latencies.quantile(0.99), one.latencies.quantile(0.999));
+    std::uint64_t after_limit = 0;
+    for (const PlanResult& one : t.load.results()) after_limit += one.after_limit;
+    if (after_limit)
+        std::printf("%llu final answers came after the client's limit: worth nothing, though not lost\n",
+                    whole(after_limit));
     std::printf(
         "bounced+: with advice when to come back; written: written off; latencies from the intended "
         "moment, within %.0f%%\n",
