--- a/src/cli/members.cpp
+++ b/src/cli/members.cpp
@@ -9,6 +9,8 @@
 #include "commands.h"
 #include "errors/errors.h"
 #include "fleet/fleet_file.h"
+#include "limits/bounds.h"
+#include "limits/moved.h"
 #include "members/bounds.h"
 #include "operator/operator_file.h"
 #include "peers/peers.h"
@@ -78,13 +80,47 @@
 
 double seconds(Time t) { return static_cast<double>(t) / 10000; }
 
+struct PlanBounds {
+    std::string name;
+    double rate, burst;
+    limits::Bounds is;
+};
+// Of the plans that have a quota, in a gateway's configuration that has been checked.
+std::vector<PlanBounds> plans_of(const std::string& configuration, std::size_t gateways) {
+    std::vector<PlanBounds> all;
+    const json told = json::parse(file_text(configuration));
+    for (const json& plan : told.at("settings").at("contracts"))
+        if (const double rate = plan.value("rate", 0.0), burst = plan.value("mostAtOnce", 0.0);
+            rate > 0 && burst > 0)
+            all.push_back({plan.value("name", ""), rate, burst,
+                           limits::quota_bounds(rate, burst, static_cast<int>(gateways))});
+    return all;
+}
+
+void tell_plans(const std::vector<PlanBounds>& plans) {
+    if (plans.empty()) return;
+    std::printf("units beyond a customer's quota, at the most, its gateways being all of these:\n");
+    std::printf("  %-16s %10s %24s %12s %22s  %s\n", "plan", "part", "counter goes, comes back",
+                "of a minute", "a gateway starts again", "parts move");
+    for (const PlanBounds& one : plans)
+        std::printf("  %-16s %10.3g %18.3g each %11.1f%% %17.3g each  %s\n", one.name.c_str(), one.is.part,
+                    one.is.an_event, 100 * one.is.of_a_minute, one.is.a_restart,
+                    one.is.moves ? "yes" : "no: under a unit");
+    std::printf(
+        "  while the counter stays away: none; what one gateway lends another is over after %.3g s at the "
+        "most\n",
+        seconds(2 * limits::Moved::slot));
+}
+
 // A fleet file says how many there are, an operator file what the terms are.
 int explain_bounds(Options o) {
     std::string with = o.file;
+    std::vector<PlanBounds> plans;
     if (file_text(o.file).find("[[gateway]]") != std::string::npos) {
         const fleet::Fleet fleet = fleet::read_fleet(o.file);
         with = fleet.releases[1].operator_file;
         if (!o.network.members) o.network.members = fleet.members.size();
+        plans = plans_of(fleet.members.front().configuration[1], o.network.members);
     }
     if (!o.network.members)
         throw errors::BadCall(o.file, "it does not say how many members there are", "add --members N");
@@ -96,6 +132,16 @@
     const Time on_ways = b.rounds * o.network.delay;
     const Time orphan = words.life + on_ways, oldest = words.evidence + orphan;
     if (o.json) {
+        json quotas = json::array();
+        for (const PlanBounds& one : plans)
+            quotas.push_back({{"plan", one.name},
+                              {"rate", one.rate},
+                              {"burst", one.burst},
+                              {"part", one.is.part},
+                              {"beyond_an_event", one.is.an_event},
+                              {"beyond_of_a_minute", one.is.of_a_minute},
+                              {"beyond_a_restart", one.is.a_restart},
+                              {"moves", one.is.moves}});
         std::cout << json{{"members", o.network.members},
                           {"loss", o.network.loss},
                           {"probability", o.probability},
@@ -107,7 +153,9 @@
                           {"word_without_origin_s", seconds(orphan)},
                           {"finding_oldest_s", seconds(oldest)},
                           {"bytes_a_second", b.bytes_a_second},
-                          {"packets_a_second", b.packets_a_second}}
+                          {"packets_a_second", b.packets_a_second},
+                          {"loan_s", seconds(2 * limits::Moved::slot)},
+                          {"quotas", quotas}}
                          .dump(1)
                   << '\n';
         return fine;
@@ -125,6 +173,7 @@
     std::printf(
         "  a member sends at the most                         %8.0f bytes a second in %.0f datagrams\n",
         b.bytes_a_second, b.packets_a_second);
+    tell_plans(plans);
     return fine;
 }
 
--- a/tests/limits/moved.cpp
+++ b/tests/limits/moved.cpp
@@ -9,6 +9,8 @@
 #include <boost/random/uniform_real_distribution.hpp>
 #include <vector>
 
+#include "limits/bounds.h"
+
 using namespace dewweir;
 using limits::Moved;
 
@@ -102,3 +104,15 @@
         }
     }
 }
+
+TEST_CASE("bounds: a burst an event, parts under a unit hold one each") {
+    const limits::Bounds wide = limits::quota_bounds(5, 15, 3);
+    CHECK(wide.part == 5);
+    CHECK(wide.an_event == 15);
+    CHECK(wide.of_a_minute == doctest::Approx(0.05));
+    CHECK(wide.moves);
+    const limits::Bounds tiny = limits::quota_bounds(2, 6, 24);
+    CHECK(tiny.an_event == 24);
+    CHECK(tiny.a_restart == 1);
+    CHECK_FALSE(tiny.moves);
+}
