Who is answered by the counter lends nothing of its parts: what it lets in is counted already

Checked in the text: a gateway that counts lets in by the counter and does not use its part; what it lent of that was let in twice over, which is worse than before parts moved. Ruled out: lenders that are cut off themselves, whose parts are all they let in by.

With the counter cut from half, that half alone lends.

--- a/src/limits/rights.cpp
+++ b/src/limits/rights.cpp
@@ -86,7 +86,7 @@
     return word.key.rfind(about_want, 0) == 0 ? came_want(now, word) : came_loan(now, word);
 }
 
-bool Rights::came_want(Time, const Word& word) {
+bool Rights::came_want(Time now, const Word& word) {
     Want want;
     if (!read(word, want) || want.by == self_) return false;
     Word& held = words_[word.key];
@@ -94,7 +94,8 @@
     held = word;
     // So many of all are to lend; who lacks the same has nothing to spare.
     const double others = std::max(1, want.of.gateways - 1), lenders = std::min(others, terms_.lenders);
-    if (!lacks_.contains(want.of.customer) &&
+    const bool counted = counts_ && now < answered_ + terms_.silent;
+    if (!counted && !lacks_.contains(want.of.customer) &&
         std::uniform_real_distribution<>()(chance_) * others < lenders) {
         want.units *= 4 / lenders;
         asked_.push_back(std::move(want));
--- a/src/peers/words.cpp
+++ b/src/peers/words.cpp
@@ -62,7 +62,10 @@
     hosts_.ended(now, host, end, took);
 }
 
-bool Words::total_known(Time now, std::uint64_t name, double total) { return counts_.told(now, name, total); }
+bool Words::total_known(Time now, std::uint64_t name, double total) {
+    rights_.answered(now);
+    return counts_.told(now, name, total);
+}
 
 void Words::list_told(Time now, const net::Listing& listing) {
     std::vector<verdicts::ListedHost> hosts;
--- a/tests/limits/rights.cpp
+++ b/tests/limits/rights.cpp
@@ -89,6 +89,18 @@
     CHECK(tiny.to_tell(100).empty());
 }
 
+TEST_CASE("whom the counter answers lends nothing, until it has been silent for a while") {
+    Rights a(terms, "a", 1000, 1), b(terms, "b", 1000, 2);
+    b.answered(100);
+    a.lacked(100, part, 1);
+    CHECK(b.came(100, a.to_tell(100).at(0)));
+    CHECK(b.asked(100).empty());
+    const Time later = 100 + terms.silent;
+    a.lacked(later, part, 1);
+    CHECK(b.came(later, a.to_tell(later).at(0)));
+    CHECK(b.asked(later).size() == 1);
+}
+
 TEST_CASE("words that are torn or nonsense are dropped") {
     Rights a(terms, "a", 1000, 1), b(terms, "b", 1000, 2);
     members::Word loan = loan_to(a, b, 100, 3);
