--- a/src/limits/rights.cpp
+++ b/src/limits/rights.cpp
@@ -5,9 +5,12 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "members/fields.h"
+
 namespace dewweir::limits {
 namespace {
 
+using members::take;
 using members::Word;
 using nlohmann::json;
 
@@ -21,26 +24,16 @@
     return about_loan + by + "/" + std::to_string(rank);
 }
 
-// Reads one field of the kind it must be; false where it is missing or another.
-bool take(const json& from, const char* name, double& into) {
-    const auto at = from.find(name);
-    return at != from.end() && at->is_number() && (into = at->get<double>(), into >= 0 && into < most_units);
-}
-bool take(const json& from, const char* name, std::uint64_t& into) {
-    const auto at = from.find(name);
-    return at != from.end() && at->is_number_unsigned() && (into = at->get<std::uint64_t>(), true);
-}
-bool take(const json& from, const char* name, std::string& into) {
-    const auto at = from.find(name);
-    return at != from.end() && at->is_string() && (into = at->get<std::string>(), true);
+bool take_amount(const json& from, const char* name, double& into) {
+    return take(from, name, into) && into >= 0 && into < most_units;
 }
 
 bool read(const Word& word, Want& into) {
-    const json told = json::from_cbor(word.bytes, true, false);
+    const json told = members::carried_by(word);
     std::uint64_t plan = 0, gateways = 0;
     if (!told.is_object() || !take(told, "o", into.by) || !take(told, "c", into.of.customer) ||
-        !take(told, "p", plan) || !take(told, "g", gateways) || !take(told, "r", into.of.rate) ||
-        !take(told, "b", into.of.burst) || !take(told, "u", into.units))
+        !take(told, "p", plan) || !take(told, "g", gateways) || !take_amount(told, "r", into.of.rate) ||
+        !take_amount(told, "b", into.of.burst) || !take_amount(told, "u", into.units))
         return false;
     into.of.plan = static_cast<int>(std::min<std::uint64_t>(plan, 1 << 20));
     into.of.gateways = static_cast<int>(std::clamp<std::uint64_t>(gateways, 1, 1 << 20));
@@ -54,11 +47,11 @@
     std::uint64_t want = 0;  // its rank
 };
 bool read(const Word& word, LoanWord& into) {
-    const json told = json::from_cbor(word.bytes, true, false);
+    const json told = members::carried_by(word);
     std::uint64_t until = 0;
     if (!told.is_object() || !take(told, "o", into.by) || !take(told, "t", into.to) ||
         !take(told, "w", into.want) || !take(told, "c", into.loan.customer) ||
-        !take(told, "u", into.loan.units) || !take(told, "e", until))
+        !take_amount(told, "u", into.loan.units) || !take(told, "e", until))
         return false;
     into.loan.until = static_cast<Time>(until);
     return into.loan.units > 0 && word.key == key_of_loan(into.by, word.rank);
@@ -94,10 +87,9 @@
     held = word;
     // So many of all are to lend; who lacks the same has nothing to spare.
     const double others = std::max(1, want.of.gateways - 1), lenders = std::min(others, terms_.lenders);
-    const bool counted = counts_ && now < answered_ + terms_.silent;
-    if (!counted && !lacks_.contains(want.of.customer) &&
+    if (now >= counted_until_ && !lacks_.contains(want.of.customer) &&
         std::uniform_real_distribution<>()(chance_) * others < lenders) {
-        want.units *= 4 / lenders;
+        want.units *= terms_.ample / lenders;
         asked_.push_back(std::move(want));
     }
     return true;
@@ -120,7 +112,7 @@
     return false;  // it has come where it was to come
 }
 
-std::vector<Want> Rights::asked(Time) { return std::exchange(asked_, {}); }
+std::vector<Want> Rights::asked() { return std::exchange(asked_, {}); }
 
 void Rights::lent(Time now, const Want& want, double units, Time until) {
     const std::uint64_t rank = ++rank_;
@@ -154,7 +146,7 @@
 std::vector<Word> Rights::to_tell(Time now) {
     forget(now);
     for (auto& [customer, lack] : lacks_) {
-        if (lack.units <= 0 || (lack.wait > 0 && now < lack.told + lack.wait)) continue;
+        if (lack.units <= 0 || now < lack.told + lack.wait) continue;
         const std::uint64_t rank = ++rank_;
         std::string bytes;
         json::to_cbor({{"o", self_},
@@ -188,7 +180,7 @@
     for (const auto& [customer, lack] : lacks_)
         next = std::min(
             next, lack.units > 0 ? std::max(now + 1, lack.told + lack.wait) : lack.last + terms_.longest + 1);
-    if (!words_.empty() || !lacks_.empty()) next = std::min(next, now + terms_.life);
+    if (!words_.empty()) next = std::min(next, now + terms_.life);
     return next;
 }
 
--- a/src/limits/rights.h
+++ b/src/limits/rights.h
@@ -32,6 +32,7 @@
     Time first = 2500;       // between two wants of one customer, doubled with each that brought nothing ...
     Time longest = 40000;    // ... up to this
     double lenders = 3;      // that are asked for, of all: each lends or not by chance
+    double ample = 4;        // times what is lacking, of all lenders together: a part of it comes too late
     Time silent = 10000;     // who has been answered by the counter since then lends nothing: 1 s
     std::size_t most = 256;  // customers that wants are kept of; more are not told
 };
@@ -44,11 +45,11 @@
     // Our part did not hold so many units of a submission, and the counter was not asked.
     void lacked(Time now, const PartOf& of, double units);
     // The counter has answered us: what is let in here is counted, so that our part is not ours to lend.
-    void answered(Time now) { answered_ = now, counts_ = true; }
+    void answered(Time now) { counted_until_ = now + terms_.silent; }
     // Whether it is new here, and so to be passed on.
     bool came(Time now, const members::Word& word);
     // Others' wants that are for us to lend to, each once.
-    std::vector<Want> asked(Time now);
+    std::vector<Want> asked();
     // So many units have left our part, for that want.
     void lent(Time now, const Want& want, double units, Time until);
     // Loans to us, each once.
@@ -78,8 +79,7 @@
     RightsTerms terms_;
     std::string self_;
     std::uint64_t rank_, first_rank_;
-    Time answered_ = 0;
-    bool counts_ = false;
+    Time counted_until_ = 0;
     std::mt19937_64 chance_;
     std::map<std::uint64_t, Lack> lacks_;            // by customer
     std::map<std::string, members::Word> words_;     // by key: what is passed on, while it lives
--- a/src/net/company.h
+++ b/src/net/company.h
@@ -22,8 +22,8 @@
     virtual void host_ended(const std::string& host, Verdict verdict, Time took) = 0;  // it has ended
     virtual void list_told(const Listing& listing) = 0;
     virtual void total_known(std::uint64_t name, double total) = 0;
-    // What two others at least were told of that name, or more; 0: nothing.
     virtual void lacks(const PartOf& of, double units) = 0;  // our part did, of a customer's quota
+    // What two others at least were told of that name, or more; 0: nothing.
     virtual double others_total(std::uint64_t name) const = 0;
 };
 
--- a/src/peers/words.cpp
+++ b/src/peers/words.cpp
@@ -79,7 +79,7 @@
     for (const Word& one : lists_.to_tell()) members_.tell(one);
     for (const Word& one : counts_.to_tell()) members_.tell(one);
     counts_.forget(now);
-    for (const limits::Want& one : rights_.asked(now))
+    for (const limits::Want& one : rights_.asked())
         if (const double units = hearer_.spare(one.of, one.units); units >= least_loan)
             rights_.lent(now, one, units, limits::Moved::over_at(now));
     for (const limits::Loan& one : rights_.loans()) hearer_.lent(one.customer, one.units, one.until);
--- a/src/verdicts/count_words.cpp
+++ b/src/verdicts/count_words.cpp
@@ -5,9 +5,12 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "members/fields.h"
+
 namespace dewweir::verdicts {
 namespace {
 
+using members::take;
 using nlohmann::json;
 
 const std::string about_count = "count/";
@@ -25,13 +28,10 @@
 };
 
 bool read(const members::Word& word, Read& into) {
-    const json told = json::from_cbor(word.bytes, true, false);
-    if (!told.is_object()) return false;
-    const auto name = told.find("n"), origin = told.find("o"), total = told.find("t");
-    if (name == told.end() || !name->is_number_unsigned() || origin == told.end() || !origin->is_string() ||
-        total == told.end() || !total->is_number())
+    const json told = members::carried_by(word);
+    if (!told.is_object() || !take(told, "n", into.name) || !take(told, "o", into.origin) ||
+        !take(told, "t", into.total))
         return false;
-    into = {name->get<std::uint64_t>(), origin->get<std::string>(), total->get<double>()};
     return into.total > 0 && into.total < most_units && word.key == key_of(into.name, into.origin) &&
            word.rank == static_cast<std::uint64_t>(into.total * ranks_a_unit);
 }
--- a/src/verdicts/list_words.cpp
+++ b/src/verdicts/list_words.cpp
@@ -6,9 +6,12 @@
 #include <set>
 #include <utility>
 
+#include "members/fields.h"
+
 namespace dewweir::verdicts {
 namespace {
 
+using members::take;
 using nlohmann::json;
 
 const std::string about_list = "list/";
@@ -20,13 +23,10 @@
 }
 
 bool read(const members::Word& word, ListedHost& into) {
-    const json told = json::from_cbor(word.bytes, true, false);
-    if (!told.is_object()) return false;
-    const auto host = told.find("h"), ready = told.find("r"), up = told.find("u");
-    if (host == told.end() || !host->is_string() || ready == told.end() || !ready->is_boolean() ||
-        up == told.end() || !up->is_number_integer())
+    const json told = members::carried_by(word);
+    if (!told.is_object() || !take(told, "h", into.host) || !take(told, "r", into.ready) ||
+        !take(told, "u", into.up_since))
         return false;
-    into = {host->get<std::string>(), ready->get<bool>(), up->get<Time>()};
     return word.key == about_list + into.host;
 }
 
--- a/tests/limits/rights.cpp
+++ b/tests/limits/rights.cpp
@@ -24,7 +24,7 @@
     const auto wants = by.to_tell(now);
     REQUIRE(wants.size() == 1);
     CHECK(from.came(now, wants[0]));
-    const auto asked = from.asked(now);
+    const auto asked = from.asked();
     REQUIRE(asked.size() == 1);
     CHECK(asked[0].of == part);
     from.lent(now, asked[0], units, Moved::over_at(now));
@@ -80,7 +80,7 @@
             b.lacked(now, part, 1);
             b.came(now, want);
         }
-        CHECK(b.asked(now).empty());
+        CHECK(b.asked().empty());
     }
     CHECK(told >= 10);
     CHECK(told <= 16);  // at first after 250 ms, then doubled up to 4 s: 40 s hold 14
@@ -94,11 +94,11 @@
     b.answered(100);
     a.lacked(100, part, 1);
     CHECK(b.came(100, a.to_tell(100).at(0)));
-    CHECK(b.asked(100).empty());
+    CHECK(b.asked().empty());
     const Time later = 100 + terms.silent;
     a.lacked(later, part, 1);
     CHECK(b.came(later, a.to_tell(later).at(0)));
-    CHECK(b.asked(later).size() == 1);
+    CHECK(b.asked().size() == 1);
 }
 
 TEST_CASE("words that are torn or nonsense are dropped") {
@@ -147,7 +147,7 @@
         what(then);
         for (const members::Word& word : then.a.to_tell(then.now)) then.flying.push_back(word);
         // Each loan is of another amount, so that it is known again.
-        for (const Want& want : then.b.asked(then.now)) {
+        for (const Want& want : then.b.asked()) {
             then.lent.insert(then.next);
             then.b.lent(then.now, want, then.next++, Moved::over_at(then.now));
         }
