Room for the system's packages: a CMake file of their own, Catch2 for their tests

The global load balancer's packages live beside the in-service program's and are built only with DEWWEIR_SYSTEM, so that the in-service build is what it was.

--- /dev/null
+++ b/cmake/system.cmake
@@ -0,0 +1,32 @@
+# The global load balancer: gateways and control planes. Each package is a folder of its own with its own
+# CMakeLists.txt, lowest first; a package links only packages named above it. The program of deploy/balancer.toml uses
+# none of them, and they are built only where they are asked for.
+option(DEWWEIR_SYSTEM "build the packages of the global load balancer" OFF)
+
+if(DEWWEIR_SYSTEM)
+  # dewweir_package(NAME [SOURCE...]) makes the library dewweir_NAME from files beside the caller's CMakeLists.txt.
+  function(dewweir_package name)
+    add_library(dewweir_${name} STATIC ${ARGN})
+    target_include_directories(dewweir_${name} PUBLIC ${CMAKE_SOURCE_DIR}/src ${CMAKE_SOURCE_DIR}/include)
+    target_compile_options(dewweir_${name} PRIVATE ${WARNINGS} -Werror)
+  endfunction()
+
+  # dewweir_package_tests(NAME SOURCE...) makes the Catch2 program NAME_tests for the package dewweir_NAME and has ctest
+  # run it. Sources are named as in tests/NAME.
+  function(dewweir_package_tests name)
+    if(NOT DEWWEIR_TESTS)
+      return()
+    endif()
+    list(TRANSFORM ARGN PREPEND ${CMAKE_SOURCE_DIR}/tests/${name}/)
+    add_executable(${name}_tests ${CMAKE_SOURCE_DIR}/tests/catch_main.cpp ${ARGN})
+    target_include_directories(${name}_tests PRIVATE ${CMAKE_SOURCE_DIR}/tests)
+    target_link_libraries(${name}_tests PRIVATE dewweir_${name})
+    target_compile_options(${name}_tests PRIVATE ${WARNINGS} -Werror)
+    add_test(NAME ${name} COMMAND ${name}_tests)
+  endfunction()
+
+  if(DEWWEIR_TESTS)
+    enable_testing()
+  endif()
+
+endif()
