--- /dev/null
+++ b/src/control/instance_poller.h
@@ -0,0 +1,40 @@
+// Reads the platform's whole list at an interval, page after page. Owns the connection to the platform. It must never
+// run in more than one process at a time for long: calls are priced and limited for all together.
+#pragma once
+
+#include <functional>
+
+#include "api/client.h"
+#include "control/instance_list.h"
+
+namespace dewweir::control {
+
+class InstancePoller {
+  public:
+    using Read = std::function<void(const Instances&)>;
+
+    InstancePoller(runtime::EventLoop& loop, const asio::ip::tcp::endpoint& platform, Read read);
+
+    void start(runtime::Time interval);
+    void stop();
+    bool running() const { return running_; }
+
+  private:
+    void begin();
+    void ask(const std::string& page_token);
+    void answered(const api::CallResult& result);
+    void failed();
+    void again_later();
+
+    runtime::EventLoop& loop_;
+    Read read_;
+    api::Client client_;
+    runtime::Timer timer_;
+    runtime::Time interval_ = 0;
+    bool running_ = false;
+    std::uint64_t round_ = 0;  // answers of an earlier round don't count
+    Instances gathered_;
+    runtime::Time begun_at_ = 0;
+};
+
+}  // namespace dewweir::control
--- /dev/null
+++ b/src/control/member_table.cpp
@@ -0,0 +1,57 @@
+#include "control/member_table.h"
+
+#include <algorithm>
+
+namespace dewweir::control {
+
+void MemberTable::report(Clock::time_point now, const std::string& reporter,
+                         const std::vector<wire::Member>& members) {
+    std::set<std::string> reported;
+    for (const wire::Member& member : members) {
+        reported.insert(member.node);
+        entries_[member.node] = {member, reporter, std::nullopt};
+    }
+    for (auto& [node, entry] : entries_) {
+        if (entry.reporter == reporter && !reported.contains(node)) unreport(now, entry);
+    }
+}
+
+void MemberTable::reporter_lost(Clock::time_point now, const std::string& reporter) {
+    for (auto& [node, entry] : entries_) {
+        if (entry.reporter == reporter) unreport(now, entry);
+    }
+}
+
+void MemberTable::unreport(Clock::time_point now, Entry& entry) {
+    entry.reporter.clear();
+    entry.expires_at = now + options_.reconnect_grace;
+}
+
+void MemberTable::adopt(Clock::time_point now, const std::vector<wire::Member>& members) {
+    for (const wire::Member& member : members) {
+        entries_.try_emplace(member.node, Entry{member, {}, now + options_.adoption_grace});
+    }
+}
+
+void MemberTable::expire(Clock::time_point now) {
+    std::erase_if(entries_, [&](const auto& item) {
+        const std::optional<Clock::time_point>& expires_at = item.second.expires_at;
+        return expires_at && *expires_at <= now;
+    });
+}
+
+std::optional<Clock::time_point> MemberTable::next_expiry() const {
+    std::optional<Clock::time_point> next;
+    for (const auto& [node, entry] : entries_) {
+        if (entry.expires_at && (!next || *entry.expires_at < *next)) next = entry.expires_at;
+    }
+    return next;
+}
+
+std::vector<wire::Member> MemberTable::members() const {
+    std::vector<wire::Member> members;
+    for (const auto& [node, entry] : entries_) members.push_back(entry.member);
+    return members;
+}
+
+}  // namespace dewweir::control
--- /dev/null
+++ b/src/control/state_machine.cpp
@@ -0,0 +1,105 @@
+#include "control/state_machine.h"
+
+#include <xxhash.h>
+
+#include <vector>
+
+namespace dewweir::control {
+namespace {
+
+// So many versions are remembered, so that a repeated call gets its answer again.
+constexpr std::size_t most_accepted = 1024;
+
+std::uint64_t hash_of(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
+
+// What a snapshot holds.
+struct SnapshotContent {
+    wire::ConfigurationUpdate configuration;
+    std::map<std::uint32_t, std::uint64_t> accepted;
+    std::vector<std::string> evacuated;
+    std::uint64_t evacuations_index = 0;
+    MSGPACK_DEFINE(configuration, accepted, evacuated, evacuations_index);
+};
+
+template <class Content> std::string pack(const Content& content) {
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, content);
+    return std::string(buffer.data(), buffer.size());
+}
+
+}  // namespace
+
+std::string encode_command(const Command& command) {
+    msgpack::sbuffer buffer;
+    msgpack::packer packer(buffer);
+    packer.pack_array(2);
+    packer.pack(command.index());
+    std::visit([&](const auto& fields) { packer.pack(fields); }, command);
+    return std::string(buffer.data(), buffer.size());
+}
+
+std::optional<Command> decode_command(std::string_view bytes) {
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        const msgpack::object& command = handle.get();
+        if (command.type != msgpack::type::ARRAY || command.via.array.size != 2) return std::nullopt;
+        const auto kind = command.via.array.ptr[0].as<std::size_t>();
+        if (kind == 0) return command.via.array.ptr[1].as<PutConfiguration>();
+        if (kind == 1) return command.via.array.ptr[1].as<SetEvacuation>();
+    } catch (const std::exception&) {
+        // Falls through: unreadable.
+    }
+    return std::nullopt;
+}
+
+Outcome StateMachine::apply(std::uint64_t index, const Command& command) {
+    if (const auto* const configuration = std::get_if<PutConfiguration>(&command)) return put(*configuration);
+    const auto& evacuation = std::get<SetEvacuation>(command);
+    if (evacuation.evacuated) {
+        evacuated_.insert(evacuation.zone);
+    } else {
+        evacuated_.erase(evacuation.zone);
+    }
+    evacuations_index_ = index;
+    return Outcome::accepted;
+}
+
+Outcome StateMachine::put(const PutConfiguration& command) {
+    if (has_accepted(command.version, command.text)) return Outcome::accepted;
+    if (command.base != configuration_.version) return Outcome::version_conflict;
+    if (command.version <= configuration_.version) return Outcome::not_newer;
+    configuration_ = {command.version, command.text};
+    accepted_[command.version] = hash_of(command.text);
+    if (accepted_.size() > most_accepted) accepted_.erase(accepted_.begin());
+    return Outcome::accepted;
+}
+
+wire::EvacuationsUpdate StateMachine::evacuations() const {
+    return {evacuations_index_, std::vector<std::string>(evacuated_.begin(), evacuated_.end())};
+}
+
+bool StateMachine::has_accepted(std::uint32_t version, std::string_view text) const {
+    const auto found = accepted_.find(version);
+    return found != accepted_.end() && found->second == hash_of(text);
+}
+
+std::string StateMachine::snapshot() const {
+    const std::vector<std::string> evacuated(evacuated_.begin(), evacuated_.end());
+    return pack(SnapshotContent{configuration_, accepted_, evacuated, evacuations_index_});
+}
+
+bool StateMachine::restore(std::string_view bytes) {
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        const auto content = handle.get().as<SnapshotContent>();
+        configuration_ = content.configuration;
+        accepted_ = content.accepted;
+        evacuated_ = {content.evacuated.begin(), content.evacuated.end()};
+        evacuations_index_ = content.evacuations_index;
+        return true;
+    } catch (const std::exception&) {
+        return false;
+    }
+}
+
+}  // namespace dewweir::control
--- /dev/null
+++ b/src/control_plane/fleet_server.cpp
@@ -0,0 +1,243 @@
+#include "control_plane/fleet_server.h"
+
+#include "distribution/intervals.h"
+#include "logging/log.h"
+#include "transport/addresses.h"
+
+namespace dewweir::control_plane {
+
+using distribution::heartbeat_interval;
+using logging::Event;
+using logging::Level;
+
+FleetServer::FleetServer(runtime::EventLoop& loop, transport::Sessions& sessions, const wire::Member& self,
+                         const ReplicatedLog& log)
+    : loop_(loop),
+      sessions_(sessions),
+      self_(self),
+      log_(log),
+      heartbeat_(loop),
+      expiry_(loop),
+      reconnect_(loop) {
+    heartbeat_.start(heartbeat_interval, [this] { beat(); });
+}
+
+std::optional<std::string> FleetServer::listen(const asio::ip::tcp::endpoint& address) {
+    return sessions_.listen(address, *this);
+}
+
+std::optional<std::string> FleetServer::leader_control() const {
+    if (log_.leads()) return self_.control;
+    const std::optional<std::string> address = log_.leader_address();
+    if (!address) return std::nullopt;
+    for (const auto& [node, member] : view_.members()) {
+        if (member.internal == *address) return member.control;
+    }
+    return std::nullopt;
+}
+
+// ---- what this process publishes ----
+
+void FleetServer::publish_state() {
+    const control::StateMachine& state = log_.state();
+    if (view_.apply(state.configuration()).any()) broadcast(state.configuration());
+    const wire::EvacuationsUpdate evacuations = state.evacuations();
+    const std::uint64_t before = view_.evacuations().index;
+    view_.apply(evacuations);
+    if (view_.evacuations().index != before) broadcast(evacuations);
+}
+
+void FleetServer::instances_read(const control::Instances& instances) {
+    if (!log_.leads()) return;
+    wire::InstancesUpdate update = control::Instances(view_.instances()).empty()
+                                       ? wire::InstancesUpdate{}
+                                       : distribution::instances_difference(view_.instances(), instances);
+    if (view_.instances_revision() == wire::Revision{}) {
+        update = distribution::instances_difference({}, instances);
+        update.whole = true;
+    }
+    if (!update.whole && update.changed.empty() && update.gone.empty()) return;
+    update.revision = next_revision();
+    view_.apply(update);
+    broadcast(update);
+}
+
+wire::Revision FleetServer::next_revision() { return {log_.term(), ++published_}; }
+
+void FleetServer::broadcast(const wire::Message& message) {
+    const std::string frame = wire::frame(message);
+    for (const auto& [session, peer] : peers_) {
+        if (peer.greeted) sessions_.send_frame(session, frame);
+    }
+}
+
+// ---- members ----
+
+std::vector<wire::Member> FleetServer::direct_members() const {
+    std::vector<wire::Member> members{self_};
+    for (const auto& [session, peer] : peers_) {
+        if (peer.greeted) members.push_back(peer.member);
+    }
+    return members;
+}
+
+void FleetServer::members_changed() {
+    if (log_.leads()) {
+        members_.report(loop_.steady_now(), self_.node, direct_members());
+        publish_members();
+    } else {
+        report_members();
+    }
+}
+
+void FleetServer::report_members() {
+    if (to_leader_) sessions_.send(to_leader_, wire::MembersReport{direct_members()});
+}
+
+void FleetServer::publish_members() {
+    wire::MembersUpdate update{next_revision(), members_.members()};
+    if (view_.apply(update).members) broadcast(update);
+    expire_members();
+}
+
+void FleetServer::expire_members() {
+    const auto next = members_.next_expiry();
+    if (!next) return expiry_.cancel();
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(*next - loop_.steady_now());
+    expiry_.start(runtime::tenths(std::max(wait, std::chrono::milliseconds(1))), [this] {
+        if (!log_.leads()) return;
+        members_.expire(loop_.steady_now());
+        publish_members();
+    });
+}
+
+// ---- leadership ----
+
+void FleetServer::leadership_changed() {
+    if (log_.leads() && !led_) {
+        published_ = 0;
+        std::vector<wire::Member> known;
+        for (const auto& [node, member] : view_.members()) known.push_back(member);
+        members_ = control::MemberTable();
+        members_.adopt(loop_.steady_now(), known);
+        members_changed();
+    }
+    led_ = log_.leads();
+    connect_to_leader();
+}
+
+void FleetServer::connect_to_leader() {
+    const std::optional<std::string> leader = log_.leads() ? std::nullopt : log_.leader_address();
+    if (to_leader_ && leader == leader_address_) return;
+    if (to_leader_) {
+        sessions_.close(std::exchange(to_leader_, 0));
+    }
+    leader_address_.clear();
+    reconnect_.cancel();
+    if (!leader) return;
+    const auto address = transport::parse_tcp_endpoint(*leader);
+    if (!address) return;
+    leader_address_ = *leader;
+    to_leader_ = sessions_.open(*address, *this, distribution::connect_limit);
+}
+
+void FleetServer::session_opened(transport::SessionId session) {
+    if (session != to_leader_) return;
+    sessions_.send(session, wire::Hello{wire::protocol_version, self_});
+    peers_[session] = {false, {}, loop_.now()};
+    report_members();
+}
+
+// ---- sessions ----
+
+void FleetServer::session_received(transport::SessionId session, wire::Message&& message) {
+    Peer& peer = peers_[session];
+    peer.heard_at = loop_.now();
+    if (session == to_leader_) return from_leader(message);
+    if (const auto* const hello = std::get_if<wire::Hello>(&message)) return greeted(session, peer, *hello);
+    if (const auto* const changed = std::get_if<wire::MemberChanged>(&message)) {
+        return member_changed(peer, changed->self);
+    }
+    if (const auto* const report = std::get_if<wire::MembersReport>(&message)) {
+        if (!log_.leads()) return;
+        members_.report(loop_.steady_now(), peer.member.node, report->members);
+        publish_members();
+    }
+}
+
+void FleetServer::from_leader(const wire::Message& message) {
+    distribution::Changes changes;
+    if (const auto* const instances = std::get_if<wire::InstancesUpdate>(&message)) {
+        changes = view_.apply(*instances);
+    } else if (const auto* const members = std::get_if<wire::MembersUpdate>(&message)) {
+        changes = view_.apply(*members);
+    } else if (const auto* const configuration = std::get_if<wire::ConfigurationUpdate>(&message)) {
+        changes = view_.apply(*configuration);
+    } else if (const auto* const evacuations = std::get_if<wire::EvacuationsUpdate>(&message)) {
+        const std::uint64_t before = view_.evacuations().index;
+        view_.apply(*evacuations);
+        changes.evacuations = view_.evacuations().index != before;
+    }
+    if (changes.any()) broadcast(message);
+}
+
+void FleetServer::greeted(transport::SessionId session, Peer& peer, const wire::Hello& hello) {
+    if (hello.protocol != wire::protocol_version) {
+        sessions_.close(session);
+        peers_.erase(session);
+        return;
+    }
+    peer.greeted = true;
+    peer.member = hello.self;
+    logging::log(Level::info, Event::member_joined, {{"member", std::string_view(hello.self.node)}});
+    for (const wire::Message& message : view_.whole()) sessions_.send(session, message);
+    members_changed();
+}
+
+void FleetServer::member_changed(Peer& peer, const wire::Member& member) {
+    if (!peer.greeted) return;
+    peer.member = member;
+    members_changed();
+}
+
+void FleetServer::session_closed(transport::SessionId session) {
+    const auto found = peers_.find(session);
+    if (session == to_leader_) {
+        to_leader_ = 0;
+        if (found != peers_.end()) peers_.erase(found);
+        reconnect_.start(distribution::reconnect_pause, [this] { connect_to_leader(); });
+        return;
+    }
+    if (found == peers_.end()) return;
+    const Peer peer = found->second;
+    peers_.erase(found);
+    if (!peer.greeted) return;
+    logging::log(Level::info, Event::member_left, {{"member", std::string_view(peer.member.node)}});
+    if (log_.leads() && peer.member.role == wire::Role::control_plane) {
+        members_.reporter_lost(loop_.steady_now(), peer.member.node);
+    }
+    members_changed();
+}
+
+void FleetServer::beat() {
+    heartbeat_.start(heartbeat_interval, [this] { beat(); });
+    drop_silent();
+    wire::Heartbeat heartbeat;
+    heartbeat.configuration = view_.configuration().version;
+    heartbeat.leader_control = leader_control().value_or("");
+    const std::string frame = wire::frame(heartbeat);
+    for (const auto& [session, peer] : peers_) sessions_.send_frame(session, frame);
+}
+
+void FleetServer::drop_silent() {
+    std::vector<transport::SessionId> silent;
+    for (const auto& [session, peer] : peers_) {
+        if (loop_.now() - peer.heard_at > distribution::silence_limit) silent.push_back(session);
+    }
+    for (const transport::SessionId session : silent) {
+        sessions_.close(session);
+        session_closed(session);
+    }
+}
+
+}  // namespace dewweir::control_plane
--- /dev/null
+++ b/src/control_plane/fleet_server.h
@@ -0,0 +1,75 @@
+// Serves the view of the whole to gateways and to other control planes, and keeps it: at the leader members and instances
+// come from reports and from the platform's list; elsewhere they are relayed from the leader. Owns all sessions.
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "control/instance_list.h"
+#include "control/member_table.h"
+#include "control_plane/replicated_log.h"
+#include "distribution/view.h"
+#include "transport/sessions.h"
+
+namespace dewweir::control_plane {
+
+class FleetServer : transport::SessionUser {
+  public:
+    FleetServer(runtime::EventLoop& loop, transport::Sessions& sessions, const wire::Member& self,
+                const ReplicatedLog& log);
+
+    // Returns why the address can't be listened on, else nothing.
+    std::optional<std::string> listen(const asio::ip::tcp::endpoint& address);
+    // What the log has applied is passed on.
+    void publish_state();
+    // This process leads now, or no longer, or another leader is known.
+    void leadership_changed();
+    // The platform's list as just read; at the leader alone.
+    void instances_read(const control::Instances& instances);
+
+    const distribution::View& view() const { return view_; }
+    // Where the leader takes operators' calls; nothing while it is not known.
+    std::optional<std::string> leader_control() const;
+
+  private:
+    struct Peer {
+        bool greeted = false;
+        wire::Member member{};
+        runtime::Time heard_at = 0;
+    };
+
+    void session_opened(transport::SessionId session) override;
+    void session_received(transport::SessionId session, wire::Message&& message) override;
+    void session_closed(transport::SessionId session) override;
+
+    void greeted(transport::SessionId session, Peer& peer, const wire::Hello& hello);
+    void member_changed(Peer& peer, const wire::Member& member);
+    void from_leader(const wire::Message& message);
+    void members_changed();
+    void publish_members();
+    void report_members();
+    std::vector<wire::Member> direct_members() const;
+    void broadcast(const wire::Message& message);
+    void beat();
+    void drop_silent();
+    void connect_to_leader();
+    void expire_members();
+    wire::Revision next_revision();
+
+    runtime::EventLoop& loop_;
+    transport::Sessions& sessions_;
+    wire::Member self_;
+    const ReplicatedLog& log_;
+    distribution::View view_;
+    std::map<transport::SessionId, Peer> peers_;
+    control::MemberTable members_;
+    std::uint64_t published_ = 0;  // updates in this term
+    transport::SessionId to_leader_ = 0;
+    std::string leader_address_;  // that `to_leader_` goes to
+    bool led_ = false;
+    runtime::Timer heartbeat_;
+    runtime::Timer expiry_;
+    runtime::Timer reconnect_;
+};
+
+}  // namespace dewweir::control_plane
--- /dev/null
+++ b/src/control_plane/replicated_log.h
@@ -0,0 +1,49 @@
+// The replicated log as the rest of a control plane sees it: who leads, commands proposed and applied, and barriers for
+// reads. Who implements it decides how agreement is reached.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "control/state_machine.h"
+
+namespace dewweir::control_plane {
+
+enum class ProposalError : std::uint8_t {
+    none,
+    not_leader,   // nothing was proposed
+    unavailable,  // may or may not be applied later
+};
+
+struct ProposalResult {
+    ProposalError error = ProposalError::none;
+    control::Outcome outcome = control::Outcome::accepted;
+};
+
+class LogUser {
+  public:
+    virtual ~LogUser() = default;
+    // The state machine has moved on.
+    virtual void state_changed() = 0;
+    // Who leads has changed, here or elsewhere.
+    virtual void leadership_changed() = 0;
+};
+
+class ReplicatedLog {
+  public:
+    virtual ~ReplicatedLog() = default;
+
+    virtual bool leads() const = 0;
+    // Grows with every leader.
+    virtual std::uint64_t term() const = 0;
+    // The leader's address for the system's own messages; nothing while none is known.
+    virtual std::optional<std::string> leader_address() const = 0;
+    virtual const control::StateMachine& state() const = 0;
+
+    virtual void propose(const control::Command& command, std::function<void(const ProposalResult&)> done) = 0;
+    // Calls `done` once the state holds everything acknowledged before this call, or with an error.
+    virtual void read_barrier(std::function<void(ProposalError)> done) = 0;
+};
+
+}  // namespace dewweir::control_plane
--- /dev/null
+++ b/src/distribution/intervals.h
@@ -0,0 +1,14 @@
+// How often processes tell each other that they live, and when they are taken for gone.
+#pragma once
+
+#include "runtime/event_loop.h"
+
+namespace dewweir::distribution {
+
+constexpr runtime::Time heartbeat_interval = 700 * runtime::tenths_per_millisecond;
+// A peer that has said nothing for so long is taken for gone.
+constexpr runtime::Time silence_limit = 2200 * runtime::tenths_per_millisecond;
+constexpr runtime::Time connect_limit = 700 * runtime::tenths_per_millisecond;
+constexpr runtime::Time reconnect_pause = 150 * runtime::tenths_per_millisecond;
+
+}  // namespace dewweir::distribution
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -47,15 +47,17 @@
         r.head_read_ = true;
         p->upgrade = 0;  // offers of other protocols are not taken up
         // A request's body comes with its length: what names a coding too may hide another request.
-        const auto coded = [&](const Field& f) { return same_word(r.name(f), "Transfer-Encoding"); };
-        if (p->type == HTTP_REQUEST && std::any_of(r.index_.begin(), r.index_.end(), coded))
+        if (p->type == HTTP_REQUEST && !r.limits_.chunked_requests && r.has_field("Transfer-Encoding"))
             return r.stop(411);
         const bool sized = (p->flags & F_CONTENTLENGTH) && p->content_length != ULLONG_MAX;
-        return sized && p->content_length > r.body_limit_ ? r.stop(413) : 0;
+        if (sized) r.body_length_ = p->content_length;
+        if (sized && p->content_length > r.limits_.body) return r.stop(413);
+        return r.no_body_ ? 1 : 0;
     };
     c.on_body = [](http_parser* p, const char* at, std::size_t n) {
         HttpReader& r = of(p);
-        if (r.body_.size() + n > r.body_limit_) return r.stop(413);
+        if (r.body_read_ + n > r.limits_.body) return r.stop(413);
+        r.body_read_ += n;
         r.body_.append(at, n);
         return 0;
     };
@@ -68,19 +70,22 @@
     return c;
 }();
 
-HttpReader::HttpReader(http_parser_type kind, std::size_t body_limit) : body_limit_(body_limit) {
+HttpReader::HttpReader(http_parser_type kind, std::size_t body_limit)
+    : HttpReader(kind, HttpLimits{.body = body_limit}) {}
+
+HttpReader::HttpReader(http_parser_type kind, const HttpLimits& limits) : limits_(limits) {
     http_parser_init(&parser_, kind);
     parser_.data = this;
 }
 
 int HttpReader::grow(std::string& what, const char* at, std::size_t n) {
-    if (target_.size() + fields_.size() + n > most_head) return stop(431);
+    if (target_.size() + fields_.size() + n > limits_.head) return stop(431);
     what.append(at, n);
     return 0;
 }
 
 HttpReader::State HttpReader::read(Ring& ring) {
-    while (!whole_ && !fault_ && !ring.empty()) {
+    while (!whole_ && !fault_ && !ring.empty() && body_.size() < limits_.window) {
         const std::string_view part = ring.filled()[0];
         const std::size_t n = http_parser_execute(&parser_, &calls, part.data(), part.size());
         ring.consume(std::min(n, part.size()));
@@ -92,7 +97,8 @@
 }
 
 void HttpReader::next() {
-    begun_ = head_read_ = whole_ = in_value_ = false;
+    begun_ = head_read_ = whole_ = in_value_ = no_body_ = false;
+    body_length_ = body_read_ = 0;
     for (std::string* const part : {&target_, &fields_, &body_}) {
         if (part->capacity() > 2048) *part = {};  // what is idle holds little
         part->clear();
@@ -100,6 +106,11 @@
     index_.clear();
 }
 
+bool HttpReader::has_field(std::string_view wanted) const {
+    return std::any_of(index_.begin(), index_.end(),
+                       [&](const Field& f) { return same_word(name(f), wanted); });
+}
+
 std::string_view HttpReader::field(std::string_view wanted) const {
     const Field* found = nullptr;
     for (const Field& f : index_) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -4,6 +4,8 @@
 
 #include <http_parser.h>
 
+#include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,11 +18,20 @@
 
 bool same_word(std::string_view a, std::string_view b);  // as HTTP compares names: case does not count
 
+// In bytes. `window`: how much of a body may wait to be taken before reading stops.
+struct HttpLimits {
+    std::size_t head = most_head;
+    std::uint64_t body = most_body;
+    std::size_t window = std::numeric_limits<std::size_t>::max();
+    bool chunked_requests = false;
+};
+
 class HttpReader {
   public:
     enum class State { more, whole, bad };
 
     explicit HttpReader(http_parser_type kind, std::size_t body_limit = most_body);
+    HttpReader(http_parser_type kind, const HttpLimits& limits);
     HttpReader(const HttpReader&) = delete;
 
     // Reads on; after `whole`, `next` must come before the next read.
@@ -31,6 +42,16 @@
     bool begun() const { return begun_; }
     bool head_read() const { return head_read_; }
     bool whole() const { return whole_; }
+    // The message's body comes in chunks; else its length is told, 0 where it has none.
+    bool chunked() const { return (parser_.flags & F_CHUNKED) != 0; }
+    std::uint64_t body_length() const { return body_length_; }
+    // An answer whose body only ends with the connection: that it is whole can't be told.
+    bool ends_with_connection() const { return http_message_needs_eof(&parser_) != 0; }
+    // Of a body read so far, taken or not.
+    std::uint64_t body_read() const { return body_read_; }
+    // The answer to be read next belongs to a HEAD request and has no body.
+    void expect_no_body() { no_body_ = true; }
+    void set_limits(const HttpLimits& limits) { limits_ = limits; }
     // What a bad message is answered with.
     int fault() const { return fault_; }
     unsigned status() const { return parser_.status_code; }
@@ -38,6 +59,7 @@
     bool keep_alive() const { return keep_alive_; }
     const std::string& target() const { return target_; }
     std::string& body() { return body_; }
+    bool has_field(std::string_view name) const;
     // The value of a field, empty where there is none, or more than one.
     std::string_view field(std::string_view name) const;
     // Appends the fields that pass through a gateway, but those it is told to leave out.
@@ -56,7 +78,9 @@
     static const http_parser_settings calls;
 
     http_parser parser_;
-    std::size_t body_limit_;
+    HttpLimits limits_;
+    std::uint64_t body_length_ = 0, body_read_ = 0;
+    bool no_body_ = false;
     bool begun_ = false, head_read_ = false, whole_ = false, in_value_ = false, keep_alive_ = true;
     int fault_ = 0;
     std::string target_, fields_, body_;
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,57 @@
+#include "wire/codec.h"
+
+namespace dewweir::wire {
+namespace {
+
+template <std::size_t kind> std::optional<Message> decode_kind(std::size_t wanted, const msgpack::object& fields) {
+    if constexpr (kind < std::variant_size_v<Message>) {
+        if (wanted != kind) return decode_kind<kind + 1>(wanted, fields);
+        std::variant_alternative_t<kind, Message> message;
+        fields.convert(message);
+        return message;
+    } else {
+        return std::nullopt;
+    }
+}
+
+}  // namespace
+
+std::string encode(const Message& message) {
+    msgpack::sbuffer buffer;
+    msgpack::packer packer(buffer);
+    packer.pack_array(2);
+    packer.pack(message.index());
+    std::visit([&](const auto& fields) { packer.pack(fields); }, message);
+    return std::string(buffer.data(), buffer.size());
+}
+
+std::optional<Message> decode(std::string_view bytes) {
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        const msgpack::object& message = handle.get();
+        if (message.type != msgpack::type::ARRAY || message.via.array.size != 2) return std::nullopt;
+        const auto kind = message.via.array.ptr[0].as<std::size_t>();
+        return decode_kind<0>(kind, message.via.array.ptr[1]);
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string frame(const Message& message) {
+    const std::string bytes = encode(message);
+    std::string framed;
+    framed.reserve(frame_header_bytes + bytes.size());
+    for (int shift = 24; shift >= 0; shift -= 8) framed.push_back(static_cast<char>(bytes.size() >> shift & 0xff));
+    framed += bytes;
+    return framed;
+}
+
+std::size_t frame_length(std::string_view bytes) {
+    std::size_t length = 0;
+    for (std::size_t n = 0; n < frame_header_bytes; ++n) {
+        length = length << 8 | static_cast<unsigned char>(bytes[n]);
+    }
+    return length;
+}
+
+}  // namespace dewweir::wire
--- /dev/null
+++ b/src/wire/messages.h
@@ -0,0 +1,136 @@
+// What the system's processes say to each other, as typed messages with msgpack encoding. Data alone. The version of
+// the protocol stands in every session's first message; later versions add fields at the end.
+#pragma once
+
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace dewweir::wire {
+
+constexpr std::uint32_t protocol_version = 1;
+
+enum class Role : std::uint8_t { gateway, control_plane };
+enum class InstanceState : std::uint8_t { ready, draining };
+
+// One process of the system, as others know it.
+struct Member {
+    std::string node;         // the machine's name
+    std::uint64_t life = 0;   // drawn anew at every start
+    Role role = Role::gateway;
+    std::string zone;
+    std::string region;
+    std::string internal;   // "IPv4:port" for messages of the system
+    std::string front;      // where clients connect; empty for none
+    std::string control;    // where operators call; empty for none
+    bool ready = false;     // takes new clients
+    MSGPACK_DEFINE(node, life, role, zone, region, internal, front, control, ready);
+    bool operator==(const Member&) const = default;
+};
+
+// One life of a host, as the platform's list has it.
+struct Instance {
+    std::string id;
+    std::string service;
+    std::string address;
+    std::string zone;
+    std::uint32_t capacity = 0;
+    InstanceState state = InstanceState::ready;
+    std::uint32_t cold_left_ms = 0;  // when it was read
+    MSGPACK_DEFINE(id, service, address, zone, capacity, state, cold_left_ms);
+    bool operator==(const Instance&) const = default;
+};
+
+// Orders what leaders publish: by the leader's term, then by its own count.
+struct Revision {
+    std::uint64_t term = 0;
+    std::uint64_t number = 0;
+    MSGPACK_DEFINE(term, number);
+    auto operator<=>(const Revision&) const = default;
+};
+
+// A session's first message, from the process that connects.
+struct Hello {
+    std::uint32_t protocol = protocol_version;
+    Member self;
+    MSGPACK_DEFINE(protocol, self);
+};
+
+// Tells the receiver that the sender lives and what it has; sent by both ends at every heartbeat interval.
+struct Heartbeat {
+    std::uint32_t configuration = 0;   // the version in force at the sender, 0 for none
+    std::uint64_t leader_contact_ms = 0;  // age of the sender's last contact with the leader
+    std::string leader_control;        // where the leader's operator calls go, if known
+    MSGPACK_DEFINE(configuration, leader_contact_ms, leader_control);
+};
+
+// The whole configuration as the operator sent it.
+struct ConfigurationUpdate {
+    std::uint32_t version = 0;
+    std::string text;
+    MSGPACK_DEFINE(version, text);
+};
+
+// All zones that are evacuated, as of this index of the replicated log.
+struct EvacuationsUpdate {
+    std::uint64_t index = 0;
+    std::vector<std::string> zones;
+    MSGPACK_DEFINE(index, zones);
+};
+
+// Replaces what was known of these instances; `whole` replaces the whole list.
+struct InstancesUpdate {
+    Revision revision;
+    bool whole = false;
+    std::vector<Instance> changed;
+    std::vector<std::string> gone;
+    MSGPACK_DEFINE(revision, whole, changed, gone);
+};
+
+// All members there are.
+struct MembersUpdate {
+    Revision revision;
+    std::vector<Member> members;
+    MSGPACK_DEFINE(revision, members);
+};
+
+// The sender's own entry has changed.
+struct MemberChanged {
+    Member self;
+    MSGPACK_DEFINE(self);
+};
+
+// All members that have a session with the sender, itself included.
+struct MembersReport {
+    std::vector<Member> members;
+    MSGPACK_DEFINE(members);
+};
+
+// Adds units to a tenant's count in a window and asks for the total (the paper's check). `age` counts windows back
+// from the holder's current one.
+struct CountRequest {
+    std::uint64_t sequence = 0;
+    std::uint32_t life = 0;  // of the sender's process, so that sequences of two lives differ
+    std::uint64_t tenant = 0;
+    std::uint32_t window_ms = 0;
+    std::uint32_t age = 0;
+    double units = 0;
+    MSGPACK_DEFINE(sequence, life, tenant, window_ms, age, units);
+};
+
+struct CountReply {
+    std::uint64_t sequence = 0;
+    std::uint32_t life = 0;
+    double total = 0;
+    MSGPACK_DEFINE(sequence, life, total);
+};
+
+using Message = std::variant<Hello, Heartbeat, ConfigurationUpdate, EvacuationsUpdate, InstancesUpdate, MembersUpdate,
+                             MemberChanged, MembersReport, CountRequest, CountReply>;
+
+}  // namespace dewweir::wire
+
+MSGPACK_ADD_ENUM(dewweir::wire::Role);
+MSGPACK_ADD_ENUM(dewweir::wire::InstanceState);
