Settings file and operator's configuration: types, readers and the route table

Need: every process of the load balancer has to know who it is and which configuration is in force. Change: src/settings reads a settings file by a table of its keys, src/configuration reads, checks and looks up the operator's configuration.

--- a/cmake/system.cmake
+++ b/cmake/system.cmake
@@ -29,4 +29,6 @@
     enable_testing()
   endif()
 
+  add_subdirectory(src/settings)
+  add_subdirectory(src/configuration)
 endif()
