--- a/src/control/instance_list.cpp
+++ b/src/control/instance_list.cpp
@@ -3,7 +3,7 @@
 #include <rapidjson/document.h>
 #include <rapidjson/pointer.h>
 
-#include "configuration/duration.h"
+#include "settings/duration.h"
 
 namespace dewweir::control {
 namespace {
@@ -24,8 +24,8 @@
 std::uint32_t milliseconds_at(const Value& entry, const char* pointer) {
     const std::optional<std::string> text = text_at(entry, pointer);
     if (!text) return 0;
-    const auto duration = configuration::parse_duration(*text);
-    return duration ? static_cast<std::uint32_t>(duration->count()) : 0;
+    const settings::ParsedDuration duration = settings::parse_duration(*text);
+    return duration.fault ? 0 : static_cast<std::uint32_t>(duration.value.count());
 }
 
 std::optional<wire::Instance> parse_instance(const Value& entry, const std::string& zone) {
--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -49,14 +49,12 @@
 
 void FleetServer::instances_read(const control::Instances& instances) {
     if (!log_.leads()) return;
-    wire::InstancesUpdate update = control::Instances(view_.instances()).empty()
-                                       ? wire::InstancesUpdate{}
-                                       : distribution::instances_difference(view_.instances(), instances);
-    if (view_.instances_revision() == wire::Revision{}) {
-        update = distribution::instances_difference({}, instances);
-        update.whole = true;
-    }
-    if (!update.whole && update.changed.empty() && update.gone.empty()) return;
+    // A leader's first list is whole: others may hold what this process never knew.
+    const bool whole = view_.instances_revision().term != log_.term();
+    wire::InstancesUpdate update =
+        distribution::instances_difference(whole ? control::Instances() : view_.instances(), instances);
+    update.whole = whole;
+    if (!whole && update.changed.empty() && update.gone.empty()) return;
     update.revision = next_revision();
     view_.apply(update);
     broadcast(update);
--- /dev/null
+++ b/src/gateway/process.cpp
@@ -0,0 +1,198 @@
+#include "gateway/process.h"
+
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+#include "api/server.h"
+#include "configuration/parser.h"
+#include "gateway/control_session.h"
+#include "gateway/directory.h"
+#include "gateway/proxy.h"
+#include "logging/log.h"
+#include "transport/addresses.h"
+
+namespace dewweir::gateway {
+namespace {
+
+using logging::Event;
+using logging::Level;
+
+constexpr std::size_t most_call_bytes = 16u << 10;
+constexpr std::size_t reserved_descriptors = 250;
+constexpr int exit_cannot_listen = 1;
+// How long a call to a tenant's counter may take before the local bucket decides.
+constexpr runtime::Time count_limit = 250 * runtime::tenths_per_millisecond;
+// After SIGTERM clients that still hold this address are taken for so long, as a part of `grace`.
+constexpr double accepting_part = 0.5;
+// Before the end of `grace` the process must have ended by itself.
+constexpr runtime::Time end_margin = 400 * runtime::tenths_per_millisecond;
+constexpr runtime::Time drain_check = 50 * runtime::tenths_per_millisecond;
+constexpr std::string_view directory_ttl = "2s";
+
+wire::Member describe_self(const settings::Settings& settings) {
+    wire::Member self;
+    self.node = settings.self.node;
+    self.life = std::random_device{}();
+    self.role = wire::Role::gateway;
+    self.zone = settings.self.zone;
+    self.region = settings.self.region;
+    self.internal = to_string(settings::Endpoint{settings.self.ip, settings.network.ephemeral_ports.first});
+    if (settings.network.bind.front) self.front = to_string(*settings.network.bind.front);
+    return self;
+}
+
+Locality locality_of(const settings::Settings& settings) {
+    return {settings.self.zone, settings.self.region, settings.network.zones};
+}
+
+std::string resolve_body(const std::vector<std::string>& addresses) {
+    rapidjson::StringBuffer buffer;
+    rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
+    writer.StartObject();
+    writer.Key("addresses");
+    writer.StartArray();
+    for (const std::string& address : addresses) writer.String(address.c_str());
+    writer.EndArray();
+    writer.Key("ttl");
+    writer.String(directory_ttl.data(), static_cast<rapidjson::SizeType>(directory_ttl.size()));
+    writer.EndObject();
+    return buffer.GetString();
+}
+
+class Process {
+  public:
+    Process(const settings::Settings& settings, const std::string& path)
+        : settings_(settings),
+          path_(path),
+          loop_(settings.self.limits.max_fds - reserved_descriptors),
+          sessions_(loop_),
+          control_(loop_, sessions_, settings, describe_self(settings),
+                   [this](const distribution::Changes& changes) { view_changed(changes); }),
+          counters_(loop_, settings.self.node, count_limit),
+          proxy_(loop_, locality_of(settings), counters_, count_limit),
+          readiness_(loop_, most_call_bytes),
+          directory_(loop_, most_call_bytes),
+          end_(loop_) {
+        declare_calls();
+    }
+
+    int run() {
+        if (!listen()) return exit_cannot_listen;
+        loop_.on_signals([this] { terminate(); }, [this] { reload(); });
+        control_.start();
+        logging::log(Level::info, Event::started, {});
+        loop_.run();
+        return 0;
+    }
+
+  private:
+    void declare_calls() {
+        readiness_.declare("GET", "/v1/ready", [this](const api::Request&, const api::Respond& respond) {
+            respond({ready() ? api::Status::ok : api::Status::service_unavailable});
+        });
+        directory_.declare("GET", "/v1/resolve", [this](const api::Request& request, const api::Respond& respond) {
+            const ClientPlace place{api::query_field(request.query, "region").value_or(""),
+                                    api::query_field(request.query, "zone").value_or("")};
+            const std::vector<std::string> addresses = resolve(control_.view().members(), place);
+            if (addresses.empty()) return respond({api::Status::service_unavailable});
+            respond({api::Status::ok, resolve_body(addresses)});
+        });
+    }
+
+    std::optional<std::string> listen_all() {
+        const settings::Bind& bind = settings_.network.bind;
+        const settings::Endpoint internal{settings_.self.ip, settings_.network.ephemeral_ports.first};
+        std::optional<std::string> fault = counters_.bind(transport::udp_endpoint(internal));
+        if (!fault && bind.front) fault = proxy_.front().listen(transport::tcp_endpoint(*bind.front));
+        if (!fault && bind.readiness) fault = readiness_.listen(transport::tcp_endpoint(*bind.readiness));
+        if (!fault && bind.directory) fault = directory_.listen(transport::tcp_endpoint(*bind.directory));
+        return fault;
+    }
+
+    bool listen() {
+        const std::optional<std::string> fault = listen_all();
+        if (!fault) return true;
+        logging::log(Level::error, Event::address_unavailable, {{"reason", std::string_view(*fault)}});
+        return false;
+    }
+
+    bool ready() const { return proxy_.has_configuration() && !terminating_; }
+
+    void view_changed(const distribution::Changes& changes) {
+        if (changes.configuration) take_configuration(control_.view().configuration());
+        if (changes.members) counters_.members_changed(control_.view().members());
+        proxy_.view_changed(control_.view(), changes);
+        control_.set_ready(ready());
+    }
+
+    void take_configuration(const wire::ConfigurationUpdate& update) {
+        configuration::ParseResult parsed = configuration::parse_configuration(update.text);
+        auto* const configuration = std::get_if<configuration::Configuration>(&parsed);
+        if (!configuration) {
+            logging::log(Level::error, Event::configuration_refused,
+                         {{"version", static_cast<std::int64_t>(update.version)}});
+            return;
+        }
+        proxy_.configure(std::make_shared<const configuration::Configuration>(std::move(*configuration)));
+        logging::log(Level::info, Event::configuration_applied,
+                     {{"version", static_cast<std::int64_t>(update.version)}});
+    }
+
+    void reload() {
+        std::ifstream file(path_);
+        std::stringstream text;
+        text << file.rdbuf();
+        const settings::SettingsResult read = settings::read_settings(text.str());
+        if (const auto* const error = std::get_if<settings::SettingsError>(&read)) {
+            logging::log(Level::error, Event::settings_refused, {{"key", std::string_view(error->key)}});
+            return;
+        }
+        control_.set_seeds(std::get<settings::Settings>(read).network.seed_nodes);
+        logging::log(Level::info, Event::settings_reloaded, {});
+    }
+
+    void terminate() {
+        if (terminating_) return;
+        terminating_ = true;
+        logging::log(Level::info, Event::stopping, {});
+        control_.set_ready(false);
+        proxy_.front().drain();
+        const runtime::Time grace = runtime::tenths(settings_.invariants.bounds.grace);
+        accept_until_ = loop_.now() + static_cast<runtime::Time>(accepting_part * static_cast<double>(grace));
+        end_at_ = loop_.now() + grace - end_margin;
+        check_drained();
+    }
+
+    void check_drained() {
+        const bool accepting = loop_.now() < accept_until_;
+        if (!accepting) proxy_.front().stop_listening();
+        const bool empty = proxy_.open_requests() == 0 && proxy_.front().connections() == 0;
+        if ((!accepting && empty) || loop_.now() >= end_at_) return loop_.stop();
+        end_.start(drain_check, [this] { check_drained(); });
+    }
+
+    const settings::Settings settings_;
+    const std::string path_;
+    runtime::EventLoop loop_;
+    transport::Sessions sessions_;
+    ControlSession control_;
+    Counters counters_;
+    Proxy proxy_;
+    api::Server readiness_;
+    api::Server directory_;
+    runtime::Timer end_;
+    bool terminating_ = false;
+    runtime::Time accept_until_ = 0;
+    runtime::Time end_at_ = 0;
+};
+
+}  // namespace
+
+int run(const settings::Settings& settings, const std::string& path) { return Process(settings, path).run(); }
+
+}  // namespace dewweir::gateway
--- /dev/null
+++ b/src/gateway/proxy.h
@@ -0,0 +1,109 @@
+// Requests on their way: ties clients' connections, the configuration in force, the pools' decisions and the connections to
+// hosts together. Owns every request from its head to the end of its answer. It carries out and reports; which host,
+// whether again and whether to refuse is decided by the pools.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include "gateway/counters.h"
+#include "gateway/endpoints.h"
+#include "gateway/front.h"
+#include "gateway/routing.h"
+#include "gateway/service_pool.h"
+#include "gateway/upstreams.h"
+
+namespace dewweir::gateway {
+
+class Proxy : RequestUser, AttemptUser, PoolUser {
+  public:
+    Proxy(runtime::EventLoop& loop, Locality locality, Counters& counters, runtime::Time count_limit);
+
+    Front& front() { return front_; }
+    bool has_configuration() const { return table_ != nullptr; }
+    std::size_t open_requests() const { return requests_.size(); }
+
+    // A later configuration is in force from now on; requests that were routed keep their routes.
+    void configure(std::shared_ptr<const configuration::Configuration> configuration);
+    void view_changed(const distribution::View& view, const distribution::Changes& changes);
+
+  private:
+    struct Request {
+        ClientId client = 0;  // 0 once it has its answer or has left
+        std::shared_ptr<const configuration::RouteTable> table;
+        Routed routed;
+        ServicePool* pool = nullptr;  // of the configuration that it was routed by
+        bool submitted = false;       // the pool decides on it
+        std::string attempt_id;
+        std::string method;
+        std::string target;
+        std::string fields;  // to pass on, each line with its end
+        std::string body;    // what may still have to be sent
+        bool chunked = false;
+        bool complete = false;  // all of the body has come
+        bool streaming_up = false;    // parts of the body were sent and are not kept
+        bool streaming_down = false;  // parts of the answer were passed on
+        runtime::Time begun = 0;
+        runtime::Time expires = 0;  // when the client gives up
+        AttemptId attempt = 0;      // while one is out
+        EndpointId endpoint = 0;    // of the latest attempt
+        int untold = 0;             // attempts whose end the pool is still to hear of
+        std::optional<HostAnswer> held;  // a host's answer that is passed on if nothing better comes
+        AttemptOutcome last_outcome = AttemptOutcome::not_sent;
+    };
+    // A pool and the requests that need it; one with earlier settings goes once it has none.
+    struct PoolEntry {
+        std::unique_ptr<ServicePool> pool;
+        bool retired = false;
+        std::size_t requests = 0;
+    };
+
+    // RequestUser
+    void request_begun(ClientId client, net::HttpReader& reader) override;
+    void request_body(ClientId client, net::HttpReader& reader) override;
+    void client_left(ClientId client) override;
+    void client_writable(ClientId client) override;
+    // AttemptUser
+    void attempt_over(RequestId request, EndpointId endpoint, AttemptResult&& result) override;
+    void attempt_streams(RequestId request, HostAnswer&& answer) override;
+    void attempt_continues(RequestId request, std::string&& body) override;
+    void attempt_writable(RequestId request) override;
+    // PoolUser
+    void send(RequestId request, EndpointId endpoint, runtime::Time within) override;
+    void refuse(RequestId request, runtime::Time retry_after) override;
+    void fail(RequestId request) override;
+    void cancel(RequestId request) override;
+    void count(ServicePool& pool, std::uint64_t name, double units, runtime::Time window) override;
+
+    void submit(RequestId id, Request& request);
+    void forward_body(Request& request);
+    void attempt_dropped(RequestId id, Request& request, Verdict verdict);
+    void answer(RequestId id, Request& request, const AnswerHead& head, std::string_view body);
+    void answer_error(ClientId client, int status, std::string_view fields);
+    void forget_if_over(RequestId id);
+    std::string request_head(const Request& request, EndpointId endpoint, runtime::Time time_left) const;
+
+    PoolEntry& pool_for(const PoolKey& key);
+    PoolSettings settings_for(const PoolKey& key) const;
+    void refresh_pools();
+    void refresh_endpoints();
+    void drop_retired();
+    int gateways_nearby() const;
+
+    runtime::EventLoop& loop_;
+    Locality locality_;
+    Counters& counters_;
+    runtime::Time count_limit_;
+    Front front_;
+    Upstreams upstreams_;
+    EndpointTable endpoints_;
+    std::map<std::string, wire::Member> members_;
+    std::shared_ptr<const configuration::RouteTable> table_;
+    std::map<PoolKey, ServicePool*> pools_;  // in force
+    std::map<ServicePool*, PoolEntry> pool_entries_;
+    net::Slots<Request> requests_;
+    std::map<ClientId, RequestId> by_client_;
+};
+
+}  // namespace dewweir::gateway
--- /dev/null
+++ b/src/gateway/routing.cpp
@@ -0,0 +1,75 @@
+#include "gateway/routing.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace dewweir::gateway {
+namespace {
+
+constexpr std::string_view bearer = "Bearer ";
+
+std::string_view key_in(std::string_view authorization) {
+    if (!authorization.starts_with(bearer)) return {};
+    authorization.remove_prefix(bearer.size());
+    while (authorization.starts_with(' ')) authorization.remove_prefix(1);
+    return authorization;
+}
+
+// A number from 0 up to 1 that is the same for every gateway.
+double draw_from(std::string_view attempt_id) {
+    constexpr double buckets = 1u << 24;
+    return static_cast<double>(XXH3_64bits(attempt_id.data(), attempt_id.size()) >> 40) / buckets;
+}
+
+const std::string& choose_service(const configuration::Route& route, std::string_view attempt_id) {
+    double sum = 0;
+    for (const configuration::WeightedBackend& backend : route.backends) sum += backend.weight;
+    double at = draw_from(attempt_id) * sum;
+    for (const configuration::WeightedBackend& backend : route.backends) {
+        if (backend.weight <= 0) continue;
+        if (at < backend.weight) return backend.service;
+        at -= backend.weight;
+    }
+    const auto last = std::find_if(route.backends.rbegin(), route.backends.rend(),
+                                   [](const auto& backend) { return backend.weight > 0; });
+    return last->service;
+}
+
+std::vector<std::string> sorted(std::vector<std::string> names) {
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+}  // namespace
+
+std::optional<std::vector<std::string>> allowed_regions(const configuration::Route& route,
+                                                        const configuration::Tenant* tenant) {
+    std::vector<std::string> of_route = sorted(route.home_regions);
+    if (!tenant || tenant->home_regions.empty()) return of_route;
+    std::vector<std::string> of_tenant = sorted(tenant->home_regions);
+    if (of_route.empty()) return of_tenant;
+    std::vector<std::string> both;
+    std::set_intersection(of_route.begin(), of_route.end(), of_tenant.begin(), of_tenant.end(),
+                          std::back_inserter(both));
+    if (both.empty()) return std::nullopt;
+    return both;
+}
+
+RoutingResult route_request(const configuration::RouteTable* table, const RequestAddress& address) {
+    if (!table) return RoutingError::no_configuration;
+    Routed routed;
+    const std::string_view path = address.target.substr(0, address.target.find('?'));
+    routed.route = table->find(address.host, path);
+    if (!routed.route) return RoutingError::no_route;
+    const std::string_view key = key_in(address.authorization);
+    if (!key.empty()) routed.tenant = table->find_tenant(key);
+    const bool needs_key = table->configuration().has_tenants && !routed.route->anonymous;
+    if (needs_key && !routed.tenant) return RoutingError::unknown_key;
+    auto regions = allowed_regions(*routed.route, routed.tenant);
+    if (!regions) return RoutingError::no_home;
+    routed.pool = {choose_service(*routed.route, address.attempt_id), std::move(*regions)};
+    return routed;
+}
+
+}  // namespace dewweir::gateway
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -106,6 +106,14 @@
     index_.clear();
 }
 
+bool HttpReader::ends_with_connection() const {
+    constexpr unsigned no_content = 204, not_modified = 304;
+    const unsigned answered = parser_.status_code;
+    const bool bodiless = no_body_ || answered < 200 || answered == no_content || answered == not_modified;
+    const bool delimited = chunked() || (parser_.flags & F_CONTENTLENGTH) != 0;
+    return parser_.type == HTTP_RESPONSE && !bodiless && !delimited;
+}
+
 bool HttpReader::has_field(std::string_view wanted) const {
     return std::any_of(index_.begin(), index_.end(),
                        [&](const Field& f) { return same_word(name(f), wanted); });
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -46,7 +46,7 @@
     bool chunked() const { return (parser_.flags & F_CHUNKED) != 0; }
     std::uint64_t body_length() const { return body_length_; }
     // An answer whose body only ends with the connection: that it is whole can't be told.
-    bool ends_with_connection() const { return http_message_needs_eof(&parser_) != 0; }
+    bool ends_with_connection() const;
     // Of a body read so far, taken or not.
     std::uint64_t body_read() const { return body_read_; }
     // The answer to be read next belongs to a HEAD request and has no body.
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -13,7 +13,7 @@
 
 namespace dewweir::runtime {
 
-using net::Time;  // tenths of a millisecond
+using dewweir::Time;  // tenths of a millisecond
 
 constexpr Time tenths_per_millisecond = 10;
 constexpr Time tenths_per_second = 10000;
