--- a/src/gateway/service_pool.cpp
+++ b/src/gateway/service_pool.cpp
@@ -9,6 +9,9 @@
 
 // The decision module's step: how exact its own alarms are, in milliseconds.
 constexpr int decision_step_ms = 10;
+// What a host in another zone of this region, and one in another region, weighs against one in this zone.
+constexpr double next_zone_weight = 3;
+constexpr double other_region_weight = 12;
 
 // The decision module's settings, under the names it reads.
 Terms terms_of(const PoolSettings& settings) {
@@ -18,6 +21,8 @@
     put("gateways", settings.gateways_nearby);
     put("zone", static_cast<int>(Distance::same_zone));
     put("limits.executions", settings.max_tries);
+    put("limits.next_zone", next_zone_weight);
+    put("limits.other_zone", other_region_weight);
     terms["limits.cancel"] = "false";
     terms["limits.advice"] = "true";
     put("limits.longest_advice", 10000);
--- a/src/policy/hosts.h
+++ b/src/policy/hosts.h
@@ -133,7 +133,7 @@
             // with. Cold hosts have their budget, and are needed most when many have been replaced.
             if (few_places() && connection_kept > 0 && now >= h.connected && warm >= 1)
                 score = (h.last_word ? std::max(h.slowness, ease) : ease) * std::max(1, hosts_open);
-            if (h.zone != zone) score *= 1.1;
+            if (h.zone != zone) score *= h.zone == zone + 1 ? next_zone : other_zone;
             // Guards against hosts that turn away what one plan sends, though others still get in.
             const bool full = now < h.full_until && h.full_for == &customer_of(s).plan;
             if (host == s.last_host || full) score *= 8;
--- a/src/readings.cpp
+++ b/src/readings.cpp
@@ -59,6 +59,8 @@
     fall = read.time("rules.fall");
     fall_multiple = read.number("rules.fall_multiple");
     cold_from = read.number("rules.cold_from");
+    next_zone = read.number("limits.next_zone", 1.1);
+    other_zone = read.number("limits.other_zone", 1.1);
     warm_after = std::max<Time>(1, read.time("rules.warm_after"));
     idle_close = read.term("limits.idle_close") ? read.time("limits.idle_close") : 0;
     for (int n = 0; n < read.number("tracks.count"); ++n)
