Agreement: Raft with pre-vote, check-quorum, learners and disks off the path

The configuration and the members need one order that survives crashes, lost disks and one-way cuts. What a disk must hold before it is said is held back until the write is reported synced.

--- /dev/null
+++ b/src/consensus/election.cpp
@@ -0,0 +1,119 @@
+// Elections (thesis 3.4, 3.6.1), pre-votes (9.6) and voters that hear a leader (4.2.3).
+#include "consensus/raft.h"
+
+namespace dewweir::consensus {
+
+void Raft::start_pre_vote() {
+    become_follower(term_);
+    role_ = Role::pre_candidate;
+    votes_.insert(self_.id);
+    timer_.restart(now_);
+    if (has_vote_majority()) {
+        start_election(false);
+        return;
+    }
+    for (const Replica& voter : log_.membership().voters) {
+        if (voter.id == self_.id) continue;
+        send(voter, PreVoteRequest{term_, term_ + 1, log_.last_index(), log_.last_term()});
+    }
+}
+
+// Requests wait for the own vote and for the log that they claim to be synced: an election by a replica that
+// then forgets what it said could be won twice, or with a log it no longer has.
+void Raft::start_election(bool leadership_transfer) {
+    become_follower(term_);
+    set_term(term_ + 1);
+    role_ = Role::candidate;
+    vote_ = self_.id;
+    timer_.restart(now_);
+    for (const Replica& voter : log_.membership().voters) {
+        if (voter.id == self_.id) continue;
+        hold_until_persisted(voter,
+                             VoteRequest{term_, log_.last_index(), log_.last_term(), leadership_transfer});
+    }
+    hold_until_persisted(self_, VoteResponse{term_, true});
+}
+
+void Raft::become_leader() {
+    role_ = Role::leader;
+    leader_ = self_;
+    votes_.clear();
+    round_ = 0;
+    progress_.clear();
+    set_membership(log_.membership());
+    append(EntryKind::no_op, {}, {});
+    start_heartbeat_round();
+}
+
+bool Raft::hears_leader() const {
+    if (role_ == Role::leader) return true;
+    return leader_ && now_ - leader_heard_at_ < timer_.shortest();
+}
+
+bool Raft::has_vote_majority() const {
+    auto agrees = [this](ReplicaId id) { return votes_.contains(id); };
+    return has_majority(log_.membership(), agrees);
+}
+
+bool Raft::is_up_to_date(Index last_index, Term last_term) const {
+    if (last_term != log_.last_term()) return last_term > log_.last_term();
+    return last_index >= log_.last_index();
+}
+
+void Raft::on(const Replica& from, const PreVoteRequest& request) {
+    if (removed_.contains(from.id)) return;
+    const bool newer = request.campaign_term > term_;
+    const bool up_to_date = is_up_to_date(request.last_index, request.last_term);
+    const bool granted = newer && up_to_date && !hears_leader();
+    send(from, PreVoteResponse{term_, request.campaign_term, granted});
+}
+
+void Raft::on(const Replica& from, const PreVoteResponse& response) {
+    if (response.term > term_) {
+        become_follower(response.term);
+        return;
+    }
+    const bool counts =
+        role_ == Role::pre_candidate && response.campaign_term == term_ + 1 && response.granted;
+    if (!counts) return;
+    votes_.insert(from.id);
+    if (has_vote_majority()) start_election(false);
+}
+
+void Raft::on(const Replica& from, const VoteRequest& request) {
+    if (removed_.contains(from.id)) return;
+    const bool disturbs = request.term > term_ && hears_leader() && !request.leadership_transfer;
+    if (disturbs) return;
+    if (request.term > term_) become_follower(request.term);
+    const bool current = request.term == term_;
+    const bool free = vote_ == from.id || (vote_ == 0 && !leader_);
+    if (!current || !free || !is_up_to_date(request.last_index, request.last_term)) {
+        send(from, VoteResponse{term_, false});
+        return;
+    }
+    if (vote_ == 0) {
+        vote_ = from.id;
+        writes_.hard_state_changed();
+    }
+    timer_.restart(now_);
+    hold_until_persisted(from, VoteResponse{term_, true});
+}
+
+void Raft::on(const Replica& from, const VoteResponse& response) {
+    if (response.term > term_) {
+        become_follower(response.term);
+        return;
+    }
+    const bool counts = role_ == Role::candidate && response.term == term_ && response.granted;
+    if (!counts) return;
+    votes_.insert(from.id);
+    if (has_vote_majority()) become_leader();
+}
+
+void Raft::on(const Replica& from, const TimeoutNow& request) {
+    const bool from_leader = request.term == term_ && leader_ && leader_->id == from.id;
+    if (!from_leader || role_ != Role::follower || !is_voter()) return;
+    start_election(true);
+}
+
+}  // namespace dewweir::consensus
--- /dev/null
+++ b/src/consensus/progress.cpp
@@ -0,0 +1,107 @@
+#include "consensus/progress.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dewweir::consensus {
+namespace {
+
+constexpr int round_trip_memory = 8;  // a shorter sample moves the estimate by this part of the difference
+
+}  // namespace
+
+Progress::Progress(Replica replica, Index next, TimePoint now)
+    : replica_(std::move(replica)), next_(next), last_heard_(now) {}
+
+bool Progress::may_send(std::size_t max_inflight) const {
+    switch (state_) {
+        case ReplicationState::probe: return !probe_sent_;
+        case ReplicationState::replicate: return inflight_.size() < max_inflight;
+        case ReplicationState::snapshot: return false;
+    }
+    return false;
+}
+
+void Progress::sent(Index last, bool empty, TimePoint now) {
+    last_sent_ = now;
+    if (state_ == ReplicationState::probe) {
+        probe_sent_ = true;
+        return;
+    }
+    if (empty) return;
+    next_ = last + 1;
+    inflight_.push_back(last);
+}
+
+void Progress::accepted(Index synced) {
+    match_ = std::max(match_, synced);
+    next_ = std::max(next_, match_ + 1);
+    while (!inflight_.empty() && inflight_.front() <= match_) inflight_.pop_front();
+    const bool snapshot_unfinished = transfer_ && transfer_->snapshot->index > match_;
+    if (snapshot_unfinished) return;
+    transfer_.reset();
+    const bool agrees_up_to_next = match_ + 1 >= next_;
+    if (state_ == ReplicationState::snapshot || agrees_up_to_next) state_ = ReplicationState::replicate;
+    probe_sent_ = false;
+}
+
+void Progress::rejected(Index previous_index, Index hint) {
+    const bool outdated = previous_index <= match_ || state_ == ReplicationState::snapshot;
+    if (outdated) return;
+    const bool other_probe = state_ == ReplicationState::probe && previous_index != next_ - 1;
+    if (other_probe) return;
+    probe_from(std::max(match_ + 1, std::min(previous_index, hint + 1)));
+}
+
+void Progress::heartbeat_answered(const HeartbeatResponse& response, TimePoint now,
+                                  microseconds resend_after) {
+    answered_round_ = std::max(answered_round_, response.round);
+    if (response.synced > match_) accepted(response.synced);
+    if (state_ == ReplicationState::snapshot) return;
+    const bool lacks_entries = response.received + 1 < next_;
+    if (!lacks_entries) {
+        state_ = ReplicationState::replicate;
+        return;
+    }
+    const bool may_be_on_the_way = now - last_sent_ < resend_after;
+    if (may_be_on_the_way) return;
+    if (state_ == ReplicationState::probe) {
+        probe_sent_ = false;
+        return;
+    }
+    probe_from(std::max(match_, response.received) + 1);
+}
+
+void Progress::begin_snapshot(std::shared_ptr<const Snapshot> snapshot) {
+    state_ = ReplicationState::snapshot;
+    inflight_.clear();
+    transfer_ = SnapshotTransfer{};
+    transfer_->snapshot = std::move(snapshot);
+}
+
+void Progress::add_round_trip(microseconds sample) {
+    const microseconds lowered = round_trip_ - (round_trip_ - sample) / round_trip_memory;
+    round_trip_ = std::max(sample, lowered);
+}
+
+void Progress::measure_catch_up(Index last_index, TimePoint now, microseconds limit) {
+    if (caught_up_) return;
+    const bool first_round = catch_up_target_ == 0;
+    const bool round_done = !first_round && match_ >= catch_up_target_;
+    if (round_done && now - catch_up_started_ < limit) {
+        caught_up_ = true;
+        return;
+    }
+    if (!first_round && !round_done) return;
+    catch_up_target_ = last_index;
+    catch_up_started_ = now;
+}
+
+void Progress::probe_from(Index next) {
+    state_ = ReplicationState::probe;
+    next_ = next;
+    probe_sent_ = false;
+    inflight_.clear();
+}
+
+}  // namespace dewweir::consensus
--- /dev/null
+++ b/src/consensus/raft.cpp
@@ -0,0 +1,217 @@
+#include "consensus/raft.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dewweir::consensus {
+namespace {
+
+// The snapshot that all replicas of a new group start from. A replica that joins lacks it, and so is sent a
+// snapshot that names the members.
+constexpr Index first_index = 1;
+constexpr Term first_term = 1;
+
+bool is_first_start(const PersistentState& state, const Membership& initial) {
+    const bool has_log = state.snapshot.has_value() || !state.entries.empty();
+    return !has_log && !initial.voters.empty();
+}
+
+std::optional<Snapshot> first_snapshot(const PersistentState& state, const Membership& initial) {
+    if (!is_first_start(state, initial)) return state.snapshot;
+    Snapshot snapshot;
+    snapshot.index = first_index;
+    snapshot.term = first_term;
+    snapshot.membership = initial;
+    return snapshot;
+}
+
+}  // namespace
+
+Raft::Raft(const Options& options, PersistentState state, const Membership& initial, std::uint64_t seed,
+           TimePoint now)
+    : options_(options),
+      self_(state.self),
+      now_(now),
+      timer_(options, seed),
+      log_(first_snapshot(state, initial), state.entries),
+      writes_(log_.last_index()) {
+    // Entries may have been written by a Write whose hard state was an earlier one.
+    term_ = std::max(state.hard_state.term, log_.last_term());
+    vote_ = term_ == state.hard_state.term ? state.hard_state.vote : 0;
+    const Index known_commit = std::max(state.hard_state.commit, log_.snapshot_index());
+    commit_ = std::min(known_commit, log_.last_index());
+    durable_commit_ = state.hard_state.commit;
+    applied_ = log_.snapshot_index();
+    committed_membership_ = log_.membership_at(applied_);
+    if (is_first_start(state, initial)) writes_.snapshot_changed();
+    timer_.restart(now_);
+}
+
+void Raft::tick(TimePoint now) {
+    advance_clock(now);
+    if (role_ != Role::leader) {
+        if (now_ < timer_.deadline()) return;
+        if (is_voter()) {
+            start_pre_vote();
+        } else {
+            timer_.restart(now_);
+        }
+        return;
+    }
+    if (now_ < heartbeat_due_) return;
+    check_quorum();
+    if (role_ != Role::leader) return;
+    maintain_membership();
+    continue_transfer();
+    resend_snapshot_chunks();
+    start_heartbeat_round();
+}
+
+TimePoint Raft::next_deadline() const { return role_ == Role::leader ? heartbeat_due_ : timer_.deadline(); }
+
+void Raft::receive(TimePoint now, const Envelope& envelope) {
+    advance_clock(now);
+    if (envelope.to.id != self_.id) return;
+    std::visit([this, &envelope](const auto& message) { on(envelope.from, message); }, envelope.message);
+}
+
+void Raft::persisted(TimePoint now, WriteSequence sequence) {
+    advance_clock(now);
+    writes_.persisted(sequence);
+    for (Envelope& envelope : writes_.release()) {
+        if (envelope.to.id == self_.id) {
+            receive(now_, envelope);
+        } else {
+            messages_.push_back(std::move(envelope));
+        }
+    }
+    if (role_ == Role::leader) {
+        update_commit();
+    } else {
+        acknowledge();
+    }
+}
+
+ProposeResult Raft::propose(TimePoint now, std::string payload) {
+    advance_clock(now);
+    if (role_ != Role::leader) return refused(Refusal::not_leader);
+    if (transfer_) return refused(Refusal::leadership_transfer_pending);
+    append(EntryKind::command, std::move(payload), {});
+    return Accepted{log_.last_index(), term_};
+}
+
+std::optional<Refused> Raft::read_index(TimePoint now, ReadToken token) {
+    advance_clock(now);
+    if (role_ != Role::leader) return refused(Refusal::not_leader);
+    read_queue_.add(token);
+    return std::nullopt;
+}
+
+void Raft::compact(Index index, std::string data) {
+    const bool possible = index > log_.snapshot_index() && index <= applied_;
+    if (!possible) return;
+    log_.compact(index, std::move(data));
+    writes_.snapshot_changed();
+}
+
+Ready Raft::take() {
+    if (role_ == Role::leader) {
+        const bool reads_wait = read_queue_.wants_round() && has_committed_in_term();
+        if (reads_wait) start_heartbeat_round();
+        send_appends();
+    }
+    Ready ready;
+    ready.write = collect_write();
+    ready.messages = std::exchange(messages_, {});
+    ready.restore = std::exchange(restore_, nullptr);
+    ready.committed = collect_committed();
+    ready.reads = std::exchange(safe_reads_, {});
+    ready.failed_reads = std::exchange(failed_reads_, {});
+    const RoleChange current{role_, term_, leader_};
+    if (current != reported_) ready.role_change = current;
+    reported_ = current;
+    return ready;
+}
+
+std::optional<Replica> Raft::leader() const { return leader_; }
+
+void Raft::advance_clock(TimePoint now) { now_ = std::max(now_, now); }
+
+void Raft::send(const Replica& to, Message message) { messages_.push_back({self_, to, std::move(message)}); }
+
+void Raft::hold_until_persisted(const Replica& to, Message message) {
+    if (writes_.all_stable() && to.id != self_.id) {
+        send(to, std::move(message));
+        return;
+    }
+    writes_.hold({self_, to, std::move(message)});
+}
+
+// Follower of a leader not yet known, in `term`.
+void Raft::become_follower(Term term) {
+    if (term > term_) set_term(term);
+    const bool led = role_ == Role::leader;
+    const bool was_follower = role_ == Role::follower;
+    role_ = Role::follower;
+    leader_.reset();
+    votes_.clear();
+    if (!was_follower) timer_.restart(now_);
+    if (!led) return;
+    progress_.clear();
+    rounds_.clear();
+    transfer_.reset();
+    const std::vector<ReadToken> failed = read_queue_.clear();
+    failed_reads_.insert(failed_reads_.end(), failed.begin(), failed.end());
+}
+
+void Raft::set_term(Term term) {
+    term_ = term;
+    vote_ = 0;
+    matched_.reset();
+    incoming_snapshot_.reset();
+    writes_.drop_held();
+    writes_.hard_state_changed();
+    term_write_ = writes_.covering_sequence();
+}
+
+void Raft::advance_commit_to(Index index) { commit_ = std::max(commit_, std::min(index, log_.last_index())); }
+
+std::optional<Write> Raft::collect_write() {
+    if (!writes_.pending()) return std::nullopt;
+    Write write;
+    if (writes_.snapshot_pending()) write.snapshot = log_.snapshot();
+    if (writes_.entries_from()) {
+        const Index from = std::max(*writes_.entries_from(), log_.snapshot_index() + 1);
+        write.entries = EntriesWrite{from, log_.range(from, log_.last_index())};
+    }
+    // Never above what is synced: a restart must not take other entries for committed.
+    durable_commit_ = std::max(durable_commit_, std::min(commit_, writes_.stable_index()));
+    write.hard_state = HardState{term_, vote_, durable_commit_};
+    write.sequence = writes_.begin_batch(log_.last_index());
+    return write;
+}
+
+std::vector<Entry> Raft::collect_committed() {
+    std::vector<Entry> committed;
+    if (applied_ < commit_) committed = log_.range(applied_ + 1, commit_);
+    applied_ = commit_;
+    for (const Entry& entry : committed) {
+        if (entry.kind == EntryKind::membership) note_removed(entry.membership);
+    }
+    return committed;
+}
+
+void Raft::note_removed(const Membership& membership) {
+    auto note = [this, &membership](const Replica& replica) {
+        const bool stays = find_voter(membership, replica.id) || find_learner(membership, replica.id);
+        if (!stays) removed_.insert(replica.id);
+    };
+    auto forget = [this](const Replica& replica) { removed_.erase(replica.id); };
+    std::for_each(committed_membership_.voters.begin(), committed_membership_.voters.end(), note);
+    std::for_each(committed_membership_.learners.begin(), committed_membership_.learners.end(), note);
+    std::for_each(membership.voters.begin(), membership.voters.end(), forget);
+    std::for_each(membership.learners.begin(), membership.learners.end(), forget);
+    committed_membership_ = membership;
+}
+
+}  // namespace dewweir::consensus
