--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -86,7 +86,8 @@
   public:
     // `state.self` names this replica. `initial` is the membership of a group that starts for the first time,
     // the same at all its replicas; it is empty for every later start and for a replica that joins. The state
-    // machine starts from state.snapshot, and entries after it are given out again.
+    // machine starts from state.snapshot, and entries after it are given out again. A snapshot without data
+    // is the state machine's first state.
     Raft(const Options& options, PersistentState state, const Membership& initial, std::uint64_t seed,
          TimePoint now);
 
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -142,7 +142,8 @@
 void Raft::on(const Replica& from, const HeartbeatResponse& response) {
     Progress* progress = progress_of(from, response.term);
     if (!progress) return;
-    measure_round_trip(*progress, response.round);
+    const bool first_answer = response.round > progress->answered_round();
+    if (first_answer) measure_round_trip(*progress, response.round);
     const microseconds interval = options_.heartbeat_interval;
     const microseconds resend_after = std::max(interval, progress->round_trip() * resend_round_trips);
     progress->heartbeat_answered(response, now_, resend_after);
