Agreement: histories in virtual time; rounds for reads no longer put off the quorum check

Raft had no test. A world in virtual time plays loss, delay, doubles, cuts, stops between two writes, lost power, lost disks, frozen machines, hung disks and machines replaced, one seed a history, and checks Raft's safety properties and a register's linearizability. Its first run showed that under steady reads a leader never looked for its quorum nor for learners: the round of a read moved the heartbeat's due time. Now only the tick moves it.

--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -42,6 +42,7 @@
     progress_.clear();
     set_membership(log_.membership());
     append(EntryKind::no_op, {}, {});
+    heartbeat_due_ = now_ + options_.heartbeat_interval;
     start_heartbeat_round();
 }
 
--- a/src/consensus/raft.cpp
+++ b/src/consensus/raft.cpp
@@ -59,6 +59,8 @@
         return;
     }
     if (now_ < heartbeat_due_) return;
+    // Rounds for reads do not put this off: under steady reads the leader would never look for its quorum.
+    heartbeat_due_ = now_ + options_.heartbeat_interval;
     check_quorum();
     if (role_ != Role::leader) return;
     maintain_membership();
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -28,7 +28,6 @@
     ++round_;
     rounds_.push_back({round_, now_});
     if (rounds_.size() > max_remembered_rounds) rounds_.pop_front();
-    heartbeat_due_ = now_ + options_.heartbeat_interval;
     if (has_committed_in_term()) read_queue_.assign(round_, commit_);
     for (auto& [id, progress] : progress_) {
         const Index commit = std::min(commit_, progress.match());
--- /dev/null
+++ b/tests/consensus/checker.cpp
@@ -0,0 +1,68 @@
+#include "consensus/checker.h"
+
+#include <algorithm>
+
+namespace dewweir::consensus::testing {
+
+void Checker::leader_elected(Term term, ReplicaId leader) {
+    const auto [found, added] = leaders_.try_emplace(term, leader);
+    if (!added && found->second != leader) {
+        violated(Property::election_safety, "two leaders in term " + std::to_string(term));
+    }
+}
+
+void Checker::leader_elected(const Raft& raft) {
+    leader_elected(raft.term(), raft.self().id);
+    for (const auto& [index, committed] : committed_) {
+        const bool must_have = committed.by < raft.term() && index > raft.log().snapshot_index();
+        if (!must_have || raft.log().matches(index, committed.entry.term)) continue;
+        violated(Property::leader_completeness, "a leader lacks entry " + std::to_string(index));
+        return;
+    }
+}
+
+void Checker::entry_written(const Entry& entry, Term previous_term) {
+    const auto [found, added] =
+        written_.try_emplace({entry.index, entry.term}, Written{entry, previous_term});
+    if (added) return;
+    const bool same = found->second.entry == entry && found->second.previous_term == previous_term;
+    if (!same) violated(Property::log_matching, "two entries at " + std::to_string(entry.index));
+}
+
+void Checker::entry_applied(const Entry& entry, Term term) {
+    const auto [found, added] = committed_.try_emplace(entry.index, Committed{entry, term});
+    if (added && entry.kind == EntryKind::membership) membership_ = entry.membership;
+    if (!added && found->second.entry != entry) {
+        violated(Property::state_machine_safety, "two entries applied at " + std::to_string(entry.index));
+    }
+}
+
+void Checker::change_acknowledged(Version version, Value value, Version known_at_start) {
+    const auto [found, added] = acknowledged_.try_emplace(version, value);
+    if (!added && found->second != value) {
+        violated(Property::one_change_per_version, "two changes to version " + std::to_string(version));
+    }
+    if (version <= known_at_start) {
+        violated(Property::no_stale_read, "a change on top of an old version " + std::to_string(version));
+    }
+    value_seen(version, value);
+}
+
+void Checker::read_answered(Version version, Value value, Version known_at_start) {
+    ++reads_;
+    if (version < known_at_start) {
+        const std::string text = std::to_string(version) + " after " + std::to_string(known_at_start);
+        violated(Property::no_stale_read, "read " + text);
+    }
+    value_seen(version, value);
+}
+
+void Checker::value_seen(Version version, Value value) {
+    known_ = std::max(known_, version);
+    const auto [found, added] = seen_.try_emplace(version, value);
+    if (!added && found->second != value) {
+        violated(Property::no_lost_change, "version " + std::to_string(version) + " has two values");
+    }
+}
+
+}  // namespace dewweir::consensus::testing
--- /dev/null
+++ b/tests/consensus/disk.h
@@ -0,0 +1,37 @@
+// A replica's disk in virtual time: writes wait in order until they are synced; a stop may keep any first
+// part of what waits, a loss of power drops it.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+
+#include "consensus/raft.h"
+
+namespace dewweir::consensus::testing {
+
+class Disk {
+  public:
+    void set_self(const Replica& self) { state_.self = self; }
+    void submit(const Write& write);
+    void sync_through(WriteSequence sequence);
+    std::size_t unsynced() const { return waiting_.size(); }
+    // The process or machine stops: the first `kept` of the waiting operations reach the disk.
+    void stop(std::size_t kept);
+    void wipe();
+    const PersistentState& state() const { return state_; }
+
+  private:
+    using Operation = std::function<void(PersistentState&)>;
+    struct Waiting {
+        WriteSequence sequence;
+        Operation operation;
+    };
+
+    void add(WriteSequence sequence, Operation operation);
+
+    PersistentState state_;
+    std::deque<Waiting> waiting_;
+};
+
+}  // namespace dewweir::consensus::testing
--- /dev/null
+++ b/tests/consensus/histories.cpp
@@ -0,0 +1,50 @@
+// Random histories of a whole group; DEWWEIR_HISTORIES sets how many (300 unless told otherwise).
+#include <catch2/catch.hpp>
+#include <cstdlib>
+
+#include "consensus/history.h"
+
+namespace dewweir::consensus::testing {
+namespace {
+
+std::uint64_t wanted_histories() {
+    const char* text = std::getenv("DEWWEIR_HISTORIES");
+    return text ? std::strtoull(text, nullptr, 10) : 300;
+}
+
+bool some_history_violates(Sabotage sabotage, std::uint64_t most) {
+    for (std::uint64_t seed = 0; seed < most; ++seed) {
+        if (!run_history(seed, sabotage).violations.empty()) return true;
+    }
+    return false;
+}
+
+TEST_CASE("no history breaks a property, and each recovers") {
+    std::size_t changes = 0;
+    std::size_t reads = 0;
+    for (std::uint64_t seed = 0; seed < wanted_histories(); ++seed) {
+        const HistoryResult result = run_history(seed);
+        INFO("seed " << seed << ", machines " << result.machines);
+        for (const Violation& violation : result.violations) FAIL_CHECK(violation.text);
+        CHECK(result.recovered);
+        changes += result.changes;
+        reads += result.reads;
+    }
+    CHECK(changes > 10 * wanted_histories());
+    CHECK(reads > 10 * wanted_histories());
+}
+
+TEST_CASE("the checker sees an owner that keeps the old id after a lost disk") {
+    CHECK(some_history_violates(Sabotage::old_id_after_wipe, 200));
+}
+
+TEST_CASE("the checker sees an owner that reports writes before they are synced") {
+    CHECK(some_history_violates(Sabotage::persisted_before_sync, 200));
+}
+
+TEST_CASE("the checker sees a leader that answers reads without its quorum") {
+    CHECK(some_history_violates(Sabotage::read_without_quorum, 200));
+}
+
+}  // namespace
+}  // namespace dewweir::consensus::testing
--- /dev/null
+++ b/tests/consensus/history.cpp
@@ -0,0 +1,170 @@
+#include "consensus/history.h"
+
+#include <array>
+
+namespace dewweir::consensus::testing {
+namespace {
+
+constexpr std::array<std::size_t, 3> sizes{3, 5, 7};
+constexpr int steps = 300;
+constexpr milliseconds step_length{50};
+constexpr double fault_chance = 0.12;   // a step
+constexpr double repair_chance = 0.25;  // of a fault, a step
+
+class History {
+  public:
+    History(std::uint64_t seed, Sabotage sabotage) : world_(sizes[seed % sizes.size()], seed, sabotage) {
+        result_.machines = sizes[seed % sizes.size()];
+    }
+
+    HistoryResult run() {
+        for (int step = 0; step < steps; ++step) {
+            if (world_.chance(fault_chance)) add_fault();
+            if (world_.chance(repair_chance)) restart_one();
+            if (world_.chance(repair_chance)) world_.network().cuts.clear();
+            ask();
+            world_.repair_membership();
+            world_.run_for(step_length);
+        }
+        close();
+        calm_down();
+        result_.violations = world_.checker().violations();
+        result_.changes = world_.checker().acknowledged();
+        result_.reads = world_.checker().reads();
+        result_.committed = world_.checker().last_committed();
+        return result_;
+    }
+
+  private:
+    MachineIndex any() { return world_.draw(world_.machines().size()); }
+    milliseconds up_to(std::uint64_t most) { return milliseconds(world_.draw(most) + 1); }
+
+    // Several proposers at once, also at replicas that lead no longer.
+    void ask() {
+        for (MachineIndex index = 0; index < world_.machines().size(); ++index) {
+            world_.propose(index);
+            world_.read(index);
+            if (world_.chance(0.3)) world_.propose(index);
+        }
+    }
+
+    void add_fault() {
+        ++result_.faults;
+        const MachineIndex one = any();
+        const MachineIndex other = any();
+        switch (world_.draw(14)) {
+            case 0: world_.stop(one); break;
+            case 1: world_.lose_power(one); break;
+            case 2: all_lose_power(); break;
+            case 3: world_.freeze(one, up_to(3000)); break;
+            case 4: world_.hang_disk(one, up_to(4000)); break;
+            case 5: world_.cut(one, other); break;
+            case 6: cut_off(one); break;
+            case 7: spoil_network(); break;
+            case 8: world_.network() = Network{}; break;
+            case 9: lose_a_disk(one, false); break;
+            case 10: lose_a_disk(one, true); break;
+            case 11: hand_over(one); break;
+            case 12: step_down(one); break;
+            case 13: stop_and_start(one); break;
+        }
+    }
+
+    void all_lose_power() {
+        for (MachineIndex index = 0; index < world_.machines().size(); ++index) world_.lose_power(index);
+    }
+
+    void cut_off(MachineIndex one) {
+        const std::uint64_t ways = world_.draw(3);
+        for (MachineIndex index = 0; index < world_.machines().size(); ++index) {
+            if (ways != 0) world_.cut(one, index);
+            if (ways != 1) world_.cut(index, one);
+        }
+    }
+
+    void spoil_network() {
+        Network& network = world_.network();
+        network.loss = 0.01 * double(world_.draw(30));
+        network.duplication = 0.01 * double(world_.draw(20));
+        network.longest_delay = up_to(200);
+    }
+
+    // One machine's disk at a time, as the budget allows: only while all others have theirs and take part.
+    void lose_a_disk(MachineIndex one, bool for_good) {
+        if (!world_.may_lose_disk() || world_.machines()[one].gone) return;
+        ++result_.lost_disks;
+        if (world_.chance(0.5)) all_lose_power();
+        if (for_good) {
+            world_.replace(one);
+        } else {
+            world_.wipe(one);
+        }
+    }
+
+    void hand_over(MachineIndex to) {
+        const std::optional<MachineIndex> leader = world_.leader();
+        if (!leader) return;
+        const ReplicaId id = world_.machines()[to].replica.id;
+        world_.with(*leader, [&](Raft& raft) { raft.transfer_leadership(world_.now(), id); });
+    }
+
+    void step_down(MachineIndex one) {
+        if (!world_.machines()[one].raft) return;
+        world_.with(one, [&](Raft& raft) { raft.step_down(world_.now()); });
+    }
+
+    void stop_and_start(MachineIndex one) {
+        world_.stop(one);
+        world_.start(one);
+    }
+
+    void restart_one() {
+        const MachineIndex first = any();
+        const std::size_t count = world_.machines().size();
+        for (std::size_t offset = 0; offset < count; ++offset) {
+            const MachineIndex index = (first + offset) % count;
+            const Machine& machine = world_.machines()[index];
+            if (machine.raft || machine.gone) continue;
+            world_.start(index);
+            return;
+        }
+    }
+
+    // The last fault, right after whatever was acknowledged.
+    void close() {
+        all_lose_power();
+        lose_a_disk(any(), false);
+    }
+
+    void calm_down() {
+        world_.network() = Network{};
+        for (MachineIndex index = 0; index < world_.machines().size(); ++index) {
+            world_.machines()[index].frozen_until = world_.now();
+            world_.machines()[index].disk_hangs_until = world_.now();
+            world_.start(index);
+        }
+        const TimePoint from = world_.now();
+        while (world_.now() - from < recovery_bound && !result_.recovered) {
+            world_.repair_membership();
+            world_.run_for(step_length);
+            if (world_.whole()) result_.recovered = commits_and_reads();
+        }
+        result_.recovery = std::chrono::duration_cast<milliseconds>(world_.now() - from);
+    }
+
+    bool commits_and_reads() {
+        const std::size_t reads = world_.checker().reads();
+        const std::optional<MachineIndex> leader = world_.leader();
+        if (!leader || !world_.propose(*leader) || !world_.read(*leader)) return false;
+        return world_.run_until(step_length, [&] { return world_.checker().reads() > reads; });
+    }
+
+    World world_;
+    HistoryResult result_;
+};
+
+}  // namespace
+
+HistoryResult run_history(std::uint64_t seed, Sabotage sabotage) { return History(seed, sabotage).run(); }
+
+}  // namespace dewweir::consensus::testing
--- /dev/null
+++ b/tests/consensus/world.cpp
@@ -0,0 +1,351 @@
+#include "consensus/world.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace dewweir::consensus::testing {
+namespace {
+
+constexpr Index entries_between_snapshots = 25;
+constexpr milliseconds longest_sync{12};
+
+std::string encode(std::uint64_t first, std::uint64_t second) {
+    return std::to_string(first) + " " + std::to_string(second);
+}
+
+Register decode_register(const std::string& text) {
+    Register result;
+    std::istringstream(text) >> result.version >> result.value;
+    return result;
+}
+
+Change decode_change(const std::string& text) {
+    Change result;
+    std::istringstream(text) >> result.expected >> result.value;
+    return result;
+}
+
+}  // namespace
+
+World::World(std::size_t machines, std::uint64_t seed, Sabotage sabotage)
+    : random_(seed), sabotage_(sabotage) {
+    options_.max_append_bytes = 64;
+    options_.max_inflight_appends = 4;
+    options_.max_snapshot_chunk_bytes = 3;
+    machines_.reserve(machines + 64);
+    for (std::size_t count = 0; count < machines; ++count) {
+        Machine& machine = machines_.emplace_back();
+        machine.replica = new_replica("10.0.0." + std::to_string(count + 1) + ":7000");
+        first_membership_.voters.push_back(machine.replica);
+        by_address_[machine.replica.address] = count;
+    }
+    for (MachineIndex index = 0; index < machines; ++index) start(index);
+}
+
+Replica World::new_replica(const std::string& address) { return {next_id_++, address}; }
+
+void World::post(TimePoint at, std::function<void()> run) {
+    events_.push({at, next_order_++, std::move(run)});
+}
+
+void World::run_for(milliseconds span) {
+    run_until(span, [] { return false; });
+}
+
+bool World::run_until(milliseconds span, const std::function<bool()>& holds) {
+    const TimePoint end = now_ + span;
+    while (!events_.empty() && events_.top().at <= end) {
+        const Event event = events_.top();
+        events_.pop();
+        now_ = std::max(now_, event.at);
+        event.run();
+        if (holds()) return true;
+    }
+    now_ = end;
+    return holds();
+}
+
+// Runs something for the replica that was running at `life`; later, if the machine is frozen.
+void World::on_machine(MachineIndex index, std::uint64_t life, std::function<void(Raft&)> run) {
+    const Machine& machine = machines_[index];
+    if (!machine.raft || machine.life != life) return;
+    if (now_ < machine.frozen_until) {
+        post(machine.frozen_until, [this, index, life, run] { on_machine(index, life, run); });
+        return;
+    }
+    with(index, run);
+}
+
+void World::with(MachineIndex index, const std::function<void(Raft&)>& call) {
+    call(*machines_[index].raft);
+    drain(index);
+}
+
+void World::start(MachineIndex index) {
+    Machine& machine = machines_[index];
+    if (machine.raft || machine.gone) return;
+    const bool empty_disk = machine.disk.state().self.id == 0;
+    const bool has_lived = machine.life > 0;
+    const bool takes_old_id = sabotage_ == Sabotage::old_id_after_wipe;
+    if (empty_disk && has_lived && !takes_old_id) {
+        machine.replica = new_replica(machine.replica.address);
+        machine.joins = true;
+    }
+    machine.disk.set_self(machine.replica);
+    ++machine.life;
+    machine.frozen_until = now_;
+    const PersistentState& state = machine.disk.state();
+    const Membership initial = machine.joins ? Membership{} : first_membership_;
+    machine.raft = std::make_unique<Raft>(options_, state, initial, random_(), now_);
+    machine.state = state.snapshot ? decode_register(state.snapshot->data) : Register{};
+    machine.applied = machine.raft->log().snapshot_index();
+    machine.tick_at = TimePoint::max();
+    drain(index);
+}
+
+void World::stop(MachineIndex index) {
+    Machine& machine = machines_[index];
+    machine.raft.reset();
+    machine.changes.clear();
+    machine.reads.clear();
+    machine.disk.stop(draw(machine.disk.unsynced() + 1));
+}
+
+void World::lose_power(MachineIndex index) {
+    machines_[index].disk.stop(0);
+    stop(index);
+}
+
+void World::wipe(MachineIndex index) {
+    stop(index);
+    machines_[index].disk.wipe();
+}
+
+void World::freeze(MachineIndex index, milliseconds span) { machines_[index].frozen_until = now_ + span; }
+
+void World::hang_disk(MachineIndex index, milliseconds span) {
+    machines_[index].disk_hangs_until = now_ + span;
+}
+
+void World::replace(MachineIndex index) {
+    wipe(index);
+    machines_[index].gone = true;
+    const MachineIndex added = machines_.size();
+    Machine& machine = machines_.emplace_back();
+    machine.replica = new_replica("10.0.1." + std::to_string(added) + ":7000");
+    machine.joins = true;
+    by_address_[machine.replica.address] = added;
+    start(added);
+}
+
+void World::cut(MachineIndex from, MachineIndex to) {
+    network_.cuts.insert({machines_[from].replica.address, machines_[to].replica.address});
+}
+
+void World::drain(MachineIndex index) {
+    Machine& machine = machines_[index];
+    Raft& raft = *machine.raft;
+    Ready ready = raft.take();
+    if (ready.role_change && ready.role_change->role == Role::leader) checker_.leader_elected(raft);
+    for (const Envelope& envelope : ready.messages) transmit(envelope);
+    if (ready.restore) {
+        machine.state = decode_register(ready.restore->data);
+        machine.applied = ready.restore->index;
+        machine.changes.clear();
+    }
+    for (const Entry& entry : ready.committed) {
+        checker_.entry_applied(entry, raft.term());
+        apply(machine, entry);
+    }
+    for (const SafeRead& safe : ready.reads) {
+        machine.reads[safe.token].index = safe.index;
+        machine.reads[safe.token].safe = true;
+    }
+    for (const ReadToken token : ready.failed_reads) machine.reads.erase(token);
+    answer_reads(machine);
+    if (ready.write) write(index, *ready.write);
+    if (machine.applied >= raft.log().snapshot_index() + entries_between_snapshots) {
+        raft.compact(machine.applied, encode(machine.state.version, machine.state.value));
+        drain(index);
+        return;
+    }
+    schedule_tick(index);
+}
+
+void World::schedule_tick(MachineIndex index) {
+    Machine& machine = machines_[index];
+    const TimePoint deadline = machine.raft->next_deadline();
+    if (machine.tick_at <= deadline) return;
+    machine.tick_at = deadline;
+    const std::uint64_t life = machine.life;
+    auto tick = [this, index](Raft& raft) {
+        machines_[index].tick_at = TimePoint::max();
+        raft.tick(now_);
+    };
+    post(deadline, [this, index, life, tick] { on_machine(index, life, tick); });
+}
+
+void World::transmit(const Envelope& envelope) {
+    const auto found = by_address_.find(envelope.to.address);
+    if (found == by_address_.end()) return;
+    const MachineIndex to = found->second;
+    const int copies = chance(network_.duplication) ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        if (chance(network_.loss)) continue;
+        const auto spread = std::uint64_t((network_.longest_delay - network_.shortest_delay).count()) + 1;
+        const milliseconds delay = network_.shortest_delay + milliseconds(draw(spread));
+        post(now_ + delay, [this, to, envelope] {
+            if (network_.cuts.contains({envelope.from.address, envelope.to.address})) return;
+            const auto receive = [this, envelope](Raft& raft) { raft.receive(now_, envelope); };
+            on_machine(to, machines_[to].life, receive);
+        });
+    }
+}
+
+void World::write(MachineIndex index, const Write& write) {
+    Machine& machine = machines_[index];
+    if (write.entries) {
+        for (const Entry& entry : write.entries->entries) {
+            const std::optional<Term> previous_term = machine.raft->log().term_at(entry.index - 1);
+            if (previous_term) checker_.entry_written(entry, *previous_term);
+        }
+    }
+    machine.disk.submit(write);
+    const WriteSequence sequence = write.sequence;
+    const std::uint64_t life = machine.life;
+    const TimePoint usual = now_ + milliseconds(1 + draw(longest_sync.count()));
+    const TimePoint done = std::max(usual, machine.disk_hangs_until);
+    auto report = [this, sequence](Raft& raft) { raft.persisted(now_, sequence); };
+    post(done, [this, index, life, sequence, report] {
+        Machine& owner = machines_[index];
+        if (owner.life != life || !owner.raft) return;
+        owner.disk.sync_through(sequence);
+        on_machine(index, life, report);
+    });
+    if (sabotage_ != Sabotage::persisted_before_sync) return;
+    post(now_, [this, index, life, report] { on_machine(index, life, report); });
+}
+
+void World::apply(Machine& machine, const Entry& entry) {
+    machine.applied = entry.index;
+    bool changed = false;
+    if (entry.kind == EntryKind::command) {
+        const Change change = decode_change(entry.payload);
+        changed = change.expected == machine.state.version;
+        if (changed) machine.state = Register{change.expected + 1, change.value};
+    }
+    const auto pending = machine.changes.find(entry.index);
+    if (pending == machine.changes.end()) return;
+    const PendingChange change = pending->second;
+    machine.changes.erase(pending);
+    const bool own = entry.term == change.term;
+    if (!own) return;
+    if (changed) {
+        checker_.change_acknowledged(machine.state.version, change.value, change.known_at_start);
+    } else {
+        checker_.read_answered(machine.state.version, machine.state.value, change.known_at_start);
+    }
+}
+
+void World::answer_reads(Machine& machine) {
+    auto answer = [this, &machine](const auto& item) {
+        const PendingRead& read = item.second;
+        if (!read.safe || machine.applied < read.index) return false;
+        checker_.read_answered(machine.state.version, machine.state.value, read.known_at_start);
+        return true;
+    };
+    std::erase_if(machine.reads, answer);
+}
+
+bool World::propose(MachineIndex index) {
+    Machine& machine = machines_[index];
+    if (!machine.raft || now_ < machine.frozen_until) return false;
+    const Value value = next_value_++;
+    const Version expected = chance(0.8) ? std::max(checker_.known(), machine.state.version) : draw(4);
+    bool taken = false;
+    with(index, [&](Raft& raft) {
+        const ProposeResult result = raft.propose(now_, encode(expected, value));
+        const auto* accepted = std::get_if<Accepted>(&result);
+        if (!accepted) return;
+        machine.changes[accepted->index] = {accepted->term, value, checker_.known()};
+        taken = true;
+    });
+    return taken;
+}
+
+bool World::read(MachineIndex index) {
+    Machine& machine = machines_[index];
+    if (!machine.raft || now_ < machine.frozen_until) return false;
+    if (sabotage_ == Sabotage::read_without_quorum && machine.raft->role() == Role::leader) {
+        checker_.read_answered(machine.state.version, machine.state.value, checker_.known());
+        return true;
+    }
+    const ReadToken token = next_token_++;
+    machine.reads[token].known_at_start = checker_.known();
+    bool taken = false;
+    with(index, [&](Raft& raft) {
+        const std::optional<Refused> refused = raft.read_index(now_, token);
+        if (refused) machine.reads.erase(token);
+        taken = !refused;
+    });
+    return taken;
+}
+
+std::optional<MachineIndex> World::leader() const {
+    std::optional<MachineIndex> best;
+    for (MachineIndex index = 0; index < machines_.size(); ++index) {
+        const Raft* raft = machines_[index].raft.get();
+        if (!raft || raft->role() != Role::leader) continue;
+        if (!best || raft->term() > machines_[*best].raft->term()) best = index;
+    }
+    return best;
+}
+
+bool World::whole() const {
+    const std::optional<MachineIndex> at = leader();
+    if (!at) return false;
+    const Machine& leading = machines_[*at];
+    const Membership& membership = leading.raft->membership();
+    if (leading.raft->commit_index() < leading.raft->log().membership_index()) return false;
+    std::size_t running = 0;
+    for (const Machine& machine : machines_) {
+        if (machine.gone) continue;
+        ++running;
+        const bool in_step = machine.raft && machine.applied >= leading.applied;
+        if (!in_step || !find_voter(membership, machine.replica.id)) return false;
+    }
+    return membership.voters.size() == running && membership.learners.empty();
+}
+
+bool World::may_lose_disk() const {
+    const Membership& newest = checker_.membership();
+    const Membership& membership = newest.voters.empty() ? first_membership_ : newest;
+    std::size_t machines = 0;
+    for (const Machine& machine : machines_) {
+        if (machine.gone) continue;
+        ++machines;
+        const bool has_disk = machine.disk.state().self.id == machine.replica.id;
+        if (!has_disk || !find_voter(membership, machine.replica.id)) return false;
+    }
+    return membership.voters.size() == machines && membership.learners.empty();
+}
+
+// Brings replicas of empty disks in as learners and has those of machines gone for good removed.
+void World::repair_membership() {
+    const std::optional<MachineIndex> at = leader();
+    if (!at || now_ < machines_[*at].frozen_until) return;
+    const Membership membership = machines_[*at].raft->membership();
+    for (const Machine& machine : machines_) {
+        const ReplicaId id = machine.replica.id;
+        const bool member = find_voter(membership, id) || find_learner(membership, id);
+        if (machine.gone == member) {
+            const MembershipChange change = machine.gone ? MembershipChange(RemoveReplica{id})
+                                                         : MembershipChange(AddLearner{machine.replica});
+            with(*at, [&](Raft& raft) { raft.propose_membership(now_, change); });
+            return;
+        }
+    }
+}
+
+}  // namespace dewweir::consensus::testing
