--- a/tests/consensus/history.cpp
+++ b/tests/consensus/history.cpp
@@ -45,6 +45,7 @@
             world_.propose(index);
             world_.read(index);
             if (world_.chance(0.3)) world_.propose(index);
+            if (world_.chance(0.2)) world_.propose(index, world_.draw(4));
         }
     }
 
--- a/tests/consensus/world.cpp
+++ b/tests/consensus/world.cpp
@@ -259,10 +259,13 @@
 }
 
 bool World::propose(MachineIndex index) {
+    return propose(index, std::max(checker_.known(), machines_[index].state.version));
+}
+
+bool World::propose(MachineIndex index, Version expected) {
     Machine& machine = machines_[index];
     if (!machine.raft || now_ < machine.frozen_until) return false;
     const Value value = next_value_++;
-    const Version expected = chance(0.8) ? std::max(checker_.known(), machine.state.version) : draw(4);
     bool taken = false;
     with(index, [&](Raft& raft) {
         const ProposeResult result = raft.propose(now_, encode(expected, value));
--- a/tests/consensus/world.h
+++ b/tests/consensus/world.h
@@ -93,7 +93,8 @@
 
     // The operator's and the clients' calls.
     void repair_membership();
-    bool propose(MachineIndex index);
+    bool propose(MachineIndex index);  // on top of the newest version known
+    bool propose(MachineIndex index, Version expected);
     bool read(MachineIndex index);
 
     std::optional<MachineIndex> leader() const;  // of the highest term
