--- a/cmake/system.cmake
+++ b/cmake/system.cmake
@@ -29,4 +29,5 @@
     enable_testing()
   endif()
 
+  add_subdirectory(src/storage)
 endif()
--- /dev/null
+++ b/src/storage/log_format.cpp
@@ -0,0 +1,100 @@
+#include "storage/log_format.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+
+namespace dewweir::storage {
+
+namespace {
+
+constexpr std::size_t block_bytes = 32768;
+constexpr std::size_t header_bytes = 7;  // checksum of 4, length of 2, type
+constexpr std::size_t length_at = 4;
+constexpr std::size_t type_at = 6;
+constexpr std::uint32_t polynomial = 0x82f63b78;  // of CRC-32C, bits reversed
+constexpr std::uint32_t mask_delta = 0xa282ead8;
+
+enum class RecordType : std::uint8_t { full = 1, first = 2, middle = 3, last = 4 };
+
+struct PhysicalRecord {
+    RecordType type = RecordType::full;
+    std::string_view payload;
+    std::size_t end = 0;
+};
+
+std::uint32_t crc32c(std::string_view bytes) {
+    std::uint32_t crc = 0xffffffff;
+    for (const char byte : bytes) {
+        crc ^= static_cast<std::uint8_t>(byte);
+        for (int bit = 0; bit < 8; ++bit) crc = (crc >> 1) ^ ((crc & 1) != 0 ? polynomial : 0);
+    }
+    return ~crc;
+}
+
+std::uint32_t masked(std::uint32_t crc) { return ((crc >> 15) | (crc << 17)) + mask_delta; }
+
+std::uint32_t number_at(std::string_view bytes, std::size_t offset, std::size_t size) {
+    std::uint32_t number = 0;
+    for (std::size_t i = size; i > 0; --i)
+        number = (number << 8) | static_cast<std::uint8_t>(bytes[offset + i - 1]);
+    return number;
+}
+
+// The record at `offset`, where it is whole.
+std::optional<PhysicalRecord> record_at(std::string_view bytes, std::size_t offset) {
+    const std::size_t block_end = std::min(bytes.size(), (offset / block_bytes + 1) * block_bytes);
+    if (offset + header_bytes > block_end) return std::nullopt;
+    const std::size_t length = number_at(bytes, offset + length_at, 2);
+    const std::size_t end = offset + header_bytes + length;
+    const auto type = static_cast<RecordType>(bytes[offset + type_at]);
+    if (end > block_end) return std::nullopt;
+    if (type < RecordType::full || type > RecordType::last) return std::nullopt;
+    const std::string_view checked = bytes.substr(offset + type_at, 1 + length);
+    if (masked(crc32c(checked)) != number_at(bytes, offset, length_at)) return std::nullopt;
+    return PhysicalRecord{type, checked.substr(1), end};
+}
+
+bool begins(const PhysicalRecord& record) {
+    return record.type == RecordType::full || record.type == RecordType::first;
+}
+
+bool ends(const PhysicalRecord& record) {
+    return record.type == RecordType::full || record.type == RecordType::last;
+}
+
+// A block's last bytes are left empty where they are too few for a header.
+std::size_t skip_trailer(std::size_t offset) {
+    const std::size_t left = block_bytes - offset % block_bytes;
+    return left < header_bytes ? offset + left : offset;
+}
+
+}  // namespace
+
+LogContent read_log(std::string_view bytes) {
+    LogContent content;
+    std::string parts;
+    bool within = false;
+    std::size_t offset = 0;
+    while (const auto record = record_at(bytes, offset)) {
+        if (begins(*record) == within) break;  // a part of a record is missing
+        parts += record->payload;
+        within = !ends(*record);
+        offset = skip_trailer(record->end);
+        if (within) continue;
+        content.records.push_back(std::move(parts));
+        content.end = record->end;
+        parts.clear();
+    }
+    return content;
+}
+
+bool record_begins_after(std::string_view bytes, std::size_t offset) {
+    for (; offset < bytes.size(); ++offset) {
+        const auto record = record_at(bytes, offset);
+        if (record && begins(*record)) return true;
+    }
+    return false;
+}
+
+}  // namespace dewweir::storage
