Storage: the log is checked for altered records before LevelDB drops them silently

Cause: LevelDB drops a record that is not whole and the rest of its block; a flipped bit in the middle lost acknowledged writes unseen.

--- a/src/storage/log_format.cpp
+++ b/src/storage/log_format.cpp
@@ -1,6 +1,7 @@
 #include "storage/log_format.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <optional>
 
@@ -23,12 +24,22 @@
     std::size_t end = 0;
 };
 
-std::uint32_t crc32c(std::string_view bytes) {
-    std::uint32_t crc = 0xffffffff;
-    for (const char byte : bytes) {
-        crc ^= static_cast<std::uint8_t>(byte);
+constexpr std::array<std::uint32_t, 256> make_crc_table() {
+    std::array<std::uint32_t, 256> table{};
+    for (std::uint32_t byte = 0; byte < table.size(); ++byte) {
+        std::uint32_t crc = byte;
         for (int bit = 0; bit < 8; ++bit) crc = (crc >> 1) ^ ((crc & 1) != 0 ? polynomial : 0);
+        table[byte] = crc;
     }
+    return table;
+}
+
+constexpr std::array<std::uint32_t, 256> crc_table = make_crc_table();
+
+std::uint32_t crc32c(std::string_view bytes) {
+    std::uint32_t crc = 0xffffffff;
+    for (const char byte : bytes)
+        crc = (crc >> 8) ^ crc_table[(crc ^ static_cast<std::uint8_t>(byte)) & 0xff];
     return ~crc;
 }
 
@@ -84,13 +95,15 @@
         if (within) continue;
         content.records.push_back(std::move(parts));
         content.end = record->end;
+        content.next = offset;
         parts.clear();
     }
     return content;
 }
 
-bool record_begins_after(std::string_view bytes, std::size_t offset) {
-    for (; offset < bytes.size(); ++offset) {
+bool altered_within(std::string_view bytes, const LogContent& content) {
+    // A record, or its first part, anywhere behind the start of the one that is not whole.
+    for (std::size_t offset = content.next + 1; offset < bytes.size(); ++offset) {
         const auto record = record_at(bytes, offset);
         if (record && begins(*record)) return true;
     }
--- a/src/storage/log_format.h
+++ b/src/storage/log_format.h
@@ -12,11 +12,13 @@
 struct LogContent {
     std::vector<std::string> records;  // whole ones, up to the first that is not
     std::size_t end = 0;               // where the last of them ends
+    std::size_t next = 0;              // where the one after it begins
 };
 
 LogContent read_log(std::string_view bytes);
 
-// Whether a whole record, or the first part of one, begins anywhere from `offset` on.
-bool record_begins_after(std::string_view bytes, std::size_t offset);
+// Whether a record that is not whole is followed by another. A loss of power leaves none such, since each
+// record is synced before the next one is written: something that was synced has been altered.
+bool altered_within(std::string_view bytes, const LogContent& content);
 
 }  // namespace dewweir::storage
--- a/src/storage/manifest_tail.cpp
+++ b/src/storage/manifest_tail.cpp
@@ -145,7 +145,7 @@
     if (!status.ok()) return status;
     const LogContent content = read_log(bytes);
     if (content.end == bytes.size()) return Status::OK();
-    if (record_begins_after(bytes, content.end + 1)) return Status::OK();
+    if (altered_within(bytes, content)) return Status::OK();
     if (!latest_log_exists(env, folder, content)) return Status::OK();
     return replace_file(env, folder, *manifest, std::string_view(bytes).substr(0, content.end));
 }
--- a/src/storage/replica_store.cpp
+++ b/src/storage/replica_store.cpp
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "storage/keys.h"
+#include "storage/log_format.h"
 #include "storage/manifest_tail.h"
 #include "storage/values.h"
 
@@ -18,6 +19,9 @@
 constexpr std::size_t table_bytes = 1024 * 1024;  // the least that LevelDB takes
 constexpr int open_files = 30;                    // LevelDB takes 74 or more
 
+constexpr std::string_view log_suffix = ".log";
+constexpr std::string_view table_suffix = ".ldb";
+
 // LevelDB would write its doings to a file of its own, which costs writes.
 class SilentLogger : public leveldb::Logger {
   public:
@@ -40,7 +44,9 @@
 
 WriteResult invalid(std::string what) { return WriteError{WriteFault::invalid_batch, std::move(what)}; }
 
-bool is_database_file(const std::string& name) { return name.ends_with(".log") || name.ends_with(".ldb"); }
+bool is_database_file(const std::string& name) {
+    return name.ends_with(log_suffix) || name.ends_with(table_suffix);
+}
 
 }  // namespace
 
@@ -98,15 +104,29 @@
     return std::nullopt;
 }
 
-// LevelDB would start anew over the files of a database that has lost its CURRENT.
+// What LevelDB would pass over.
 std::optional<NoState> ReplicaStore::check_files() {
-    const std::string current = folder_ + "/CURRENT";
-    if (env_.FileExists(current)) return std::nullopt;
     std::vector<std::string> names;
     const leveldb::Status listed = env_.GetChildren(folder_, &names);
     if (!listed.ok()) return NoState{NoStateReason::io_error, folder_, listed.ToString()};
-    if (std::none_of(names.begin(), names.end(), is_database_file)) return std::nullopt;
-    return NoState{NoStateReason::corrupt, current, "missing"};
+    const std::string current = folder_ + "/CURRENT";
+    const bool has_files = std::any_of(names.begin(), names.end(), is_database_file);
+    // LevelDB would start anew over the files.
+    if (has_files && !env_.FileExists(current)) return NoState{NoStateReason::corrupt, current, "missing"};
+    for (const std::string& name : names) {
+        if (!name.ends_with(log_suffix)) continue;
+        if (auto reason = check_log(folder_ + "/" + name)) return reason;
+    }
+    return std::nullopt;
+}
+
+// LevelDB drops a record that is not whole with all that follows it in its block.
+std::optional<NoState> ReplicaStore::check_log(const std::string& name) {
+    std::string bytes;
+    const leveldb::Status status = leveldb::ReadFileToString(&env_, name, &bytes);
+    if (!status.ok()) return no_state_of(status, name);
+    if (!altered_within(bytes, read_log(bytes))) return std::nullopt;
+    return NoState{NoStateReason::corrupt, name, "a record that was synced is not whole"};
 }
 
 WriteResult ReplicaStore::write(const WriteBatch& batch) {
--- a/src/storage/replica_store.h
+++ b/src/storage/replica_store.h
@@ -7,9 +7,11 @@
 // disk:
 // - Each LevelDB write is synced, so only the last one, not yet acknowledged, can be torn; it is there whole
 // or not at
-//   all. LevelDB drops a torn end of its log silently. It drops a torn record anywhere else as silently:
-//   therefore each write leaves a marker with its number and deletes the marker of the write before. If one
-//   in the middle is lost, its own deletion is too, two markers remain, and the store is refused.
+//   all. LevelDB drops a torn end of its log silently. It drops a record altered anywhere else as silently,
+//   with what follows it: therefore the log is checked before LevelDB reads it, and each write leaves a
+//   marker with its number and deletes the marker of the write before. If one in the middle is lost, its own
+//   deletion is too, two markers remain, and the store is refused. The last write, altered, can't be told
+//   from one that was torn.
 // - LevelDB renames CURRENT without a sync of the folder. Its own environment alone loses acknowledged writes
 // here, or
 //   no longer opens; see durable_env.h, which syncs the folder after each rename.
@@ -91,6 +93,7 @@
     OpenResult refuse(NoState reason);
     std::optional<NoState> open_database();
     std::optional<NoState> check_files();
+    std::optional<NoState> check_log(const std::string& name);
     WriteResult check(const WriteBatch& batch) const;
     WriteResult write_chunks(const consensus::Snapshot& snapshot, std::uint64_t generation);
     WriteResult commit(leveldb::WriteBatch& batch);
--- a/src/storage/write_batch.cpp
+++ b/src/storage/write_batch.cpp
@@ -15,6 +15,12 @@
     batch.truncate_from = std::min(batch.truncate_from.value_or(from), from);
 }
 
+void replace_snapshot(WriteBatch& batch, consensus::Snapshot snapshot) {
+    const consensus::Index covered = snapshot.index;
+    std::erase_if(batch.append, [covered](const consensus::Entry& entry) { return entry.index <= covered; });
+    batch.snapshot = std::move(snapshot);
+}
+
 }  // namespace
 
 std::size_t approximate_size(const WriteBatch& batch) {
@@ -28,7 +34,7 @@
     if (second.self) first.self = std::move(second.self);
     if (second.hard_state) first.hard_state = second.hard_state;
     if (second.truncate_from) truncate(first, *second.truncate_from);
-    if (second.snapshot) first.snapshot = std::move(second.snapshot);
+    if (second.snapshot) replace_snapshot(first, std::move(*second.snapshot));
     std::move(second.append.begin(), second.append.end(), std::back_inserter(first.append));
 }
 
--- a/tests/storage/memory_disk.cpp
+++ b/tests/storage/memory_disk.cpp
@@ -117,6 +117,11 @@
     unsynced_names_.clear();
 }
 
+bool MemoryDisk::all_synced() const {
+    const auto dirty = [](const auto& numbered) { return !numbered.second.unsynced.empty(); };
+    return unsynced_names_.empty() && std::none_of(files_.begin(), files_.end(), dirty);
+}
+
 MemoryDisk MemoryDisk::after_power_loss(Survival survival, std::uint64_t seed) const {
     Fate fate(survival, seed);
     MemoryDisk after;
--- a/tests/storage/memory_disk.h
+++ b/tests/storage/memory_disk.h
@@ -60,6 +60,8 @@
     bool remove(const std::string& name);
     void sync_names();  // of the one folder
 
+    bool all_synced() const;  // a loss of power changes nothing
+
     // The disk after a loss of power.
     MemoryDisk after_power_loss(Survival survival, std::uint64_t seed) const;
     // With one bit of a file the other way.
