--- a/cmake/system.cmake
+++ b/cmake/system.cmake
@@ -29,6 +29,7 @@
     enable_testing()
   endif()
 
+  add_subdirectory(src/storage)
   add_subdirectory(src/consensus)
   add_subdirectory(src/settings)
   add_subdirectory(src/configuration)
