--- a/src/configuration/parser.cpp
+++ b/src/configuration/parser.cpp
@@ -17,7 +17,7 @@
 // Iterative, so that no depth of nesting can use up the stack.
 constexpr unsigned kParseFlags = rapidjson::kParseIterativeFlag | rapidjson::kParseValidateEncodingFlag;
 
-// Reads every element of a list that may be missing.
+// Reads every element of a list, which must be there.
 template <typename Element>
 std::vector<Element> read_list(JsonReader& reader, std::string_view name, Element (*read)(JsonReader&)) {
     std::vector<Element> elements;
@@ -51,6 +51,7 @@
     return backend;
 }
 
+// Where a route has both, `backend` counts only if `weighted_backends` is empty.
 std::vector<WeightedBackend> read_backends(JsonReader& reader) {
     constexpr std::string_view kWeighted = "weighted_backends";
     if (reader.find(kWeighted) == nullptr) return {WeightedBackend{reader.text("backend")}};
--- a/src/settings/document.cpp
+++ b/src/settings/document.cpp
@@ -2,9 +2,12 @@
 
 #include <rapidjson/pointer.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
+#include "settings/fields.h"
+
 namespace dewweir::settings {
 namespace {
 
@@ -12,7 +15,7 @@
 
 std::string_view trimmed(std::string_view text) {
     const std::size_t first = text.find_first_not_of(kBlanks);
-    if (first == std::string_view::npos) return {};
+    if (first == std::string_view::npos) return "";  // never null, which RapidJSON does not take
     const std::size_t last = text.find_last_not_of(kBlanks);
     return text.substr(first, last - first + 1);
 }
@@ -29,24 +32,29 @@
     return key.size() > kZonesKey.size() && key.starts_with(kZonesKey) && key[kZonesKey.size()] == '.';
 }
 
-std::vector<std::string_view> split_key(std::string_view key) {
-    std::vector<std::string_view> parts;
+bool is_known(std::string_view key) {
+    const auto has_key = [key](const Field& field) { return field.key == key; };
+    return is_zone(key) || std::any_of(fields().begin(), fields().end(), has_key);
+}
+
+std::vector<std::string> split_key(std::string_view key) {
+    std::vector<std::string> parts;
     const std::size_t name = is_zone(key) ? kZonesKey.size() + 1 : key.size();
     std::size_t start = 0;
     while (start < name) {
         const std::size_t dot = key.find('.', start);
         const std::size_t end = dot < name ? dot : key.size();
-        parts.push_back(key.substr(start, end - start));
+        parts.emplace_back(key.substr(start, end - start));
         start = end + 1;
     }
-    if (name < key.size()) parts.push_back(key.substr(name));
+    if (name < key.size()) parts.emplace_back(key.substr(name));
     return parts;
 }
 
 void set_text(rapidjson::Document& document, std::string_view key, std::string_view value) {
-    const std::vector<std::string_view> parts = split_key(key);
+    const std::vector<std::string> parts = split_key(key);  // RapidJSON needs the zero at the end of each
     std::vector<rapidjson::Pointer::Token> tokens;
-    for (const std::string_view part : parts) {
+    for (const std::string& part : parts) {
         const auto length = static_cast<rapidjson::SizeType>(part.size());
         // Never an index of an array: a zone may be called 7.
         tokens.push_back({part.data(), length, rapidjson::kPointerInvalidIndex});
@@ -69,7 +77,8 @@
         if (equals == std::string_view::npos || key.empty()) {
             return SettingsError{std::string(line), SettingsFault::malformed, "a line is key=value"};
         }
-        set_text(document, key, trimmed(line.substr(equals + 1)));
+        // An unknown key must not put a table in the place of a known key's value.
+        if (is_known(key)) set_text(document, key, trimmed(line.substr(equals + 1)));
     }
     return document;
 }
