--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -30,10 +30,11 @@
     if (log_.leads()) return self_.control;
     const std::optional<std::string> address = log_.leader_address();
     if (!address) return std::nullopt;
-    for (const auto& [node, member] : view_.members()) {
-        if (member.internal == *address) return member.control;
-    }
-    return std::nullopt;
+    // Every control plane takes operators' calls at the same port.
+    const auto leader = settings::parse_endpoint(*address);
+    const auto own = settings::parse_endpoint(self_.control);
+    if (!leader || !own) return std::nullopt;
+    return settings::to_string({leader->ip, own->port});
 }
 
 // ---- what this process publishes ----
@@ -152,6 +153,10 @@
     Peer& peer = peers_[session];
     peer.heard_at = loop_.now();
     if (session == to_leader_) return from_leader(message);
+    if (const auto* const consensus = std::get_if<wire::ConsensusMessage>(&message)) {
+        if (consensus_) consensus_(*consensus);
+        return;
+    }
     if (const auto* const hello = std::get_if<wire::Hello>(&message)) return greeted(session, peer, *hello);
     if (const auto* const changed = std::get_if<wire::MemberChanged>(&message)) {
         return member_changed(peer, changed->self);
--- a/src/control_plane/fleet_server.h
+++ b/src/control_plane/fleet_server.h
@@ -2,6 +2,7 @@
 // come from reports and from the platform's list; elsewhere they are relayed from the leader. Owns all sessions.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <set>
 
@@ -20,6 +21,8 @@
 
     // Returns why the address can't be listened on, else nothing.
     std::optional<std::string> listen(const asio::ip::tcp::endpoint& address);
+    // Consensus messages that come over the sessions.
+    void on_consensus(std::function<void(const wire::ConsensusMessage&)> take) { consensus_ = std::move(take); }
     // What the log has applied is passed on.
     void publish_state();
     // This process leads now, or no longer, or another leader is known.
@@ -62,6 +65,7 @@
     const ReplicatedLog& log_;
     distribution::View view_;
     std::map<transport::SessionId, Peer> peers_;
+    std::function<void(const wire::ConsensusMessage&)> consensus_;
     control::MemberTable members_;
     std::uint64_t published_ = 0;  // updates in this term
     transport::SessionId to_leader_ = 0;
--- a/src/control_plane/process.cpp
+++ b/src/control_plane/process.cpp
@@ -4,9 +4,9 @@
 #include <random>
 
 #include "control/instance_poller.h"
-#include "control_plane/fixed_leader_log.h"
 #include "control_plane/fleet_server.h"
 #include "control_plane/operator_api.h"
+#include "control_plane/raft_log.h"
 #include "logging/log.h"
 #include "transport/addresses.h"
 
@@ -16,6 +16,8 @@
 constexpr std::size_t most_call_bytes = 32u << 20;
 constexpr std::size_t reserved_descriptors = 250;
 constexpr runtime::Time poll_interval = 700 * runtime::tenths_per_millisecond;
+// After SIGTERM, for what is on its way.
+constexpr runtime::Time end_delay = 300 * runtime::tenths_per_millisecond;
 constexpr int exit_cannot_listen = 1;
 
 settings::Endpoint internal_endpoint(const settings::Settings& settings, std::uint32_t ip) {
@@ -34,10 +36,15 @@
     return self;
 }
 
-std::string lowest_seed(const settings::Settings& settings) {
-    std::uint32_t lowest = settings.self.ip;
-    for (const settings::Endpoint& seed : settings.network.seed_nodes) lowest = std::min(lowest, seed.ip);
-    return to_string(internal_endpoint(settings, lowest));
+RaftLogOptions log_options(const settings::Settings& settings) {
+    RaftLogOptions options;
+    options.folder = settings.self.state_dir.value_or(".") + "/replica";
+    options.address = to_string(internal_endpoint(settings, settings.self.ip));
+    options.bootstrap = settings.self.bootstrap;
+    for (const settings::Endpoint& seed : settings.network.seed_nodes) {
+        options.seeds.push_back(to_string(internal_endpoint(settings, seed.ip)));
+    }
+    return options;
 }
 
 class Process : LogUser {
@@ -47,17 +54,22 @@
           loop_(settings.self.limits.max_fds - reserved_descriptors),
           sessions_(loop_),
           self_(describe_self(settings)),
-          log_(*this, self_.internal, lowest_seed(settings)),
+          links_(
+              loop_, sessions_, [this](const consensus::Envelope& envelope) { log_.received(envelope); },
+              [this](const consensus::Replica& replica) { log_.joining(replica); }),
+          log_(loop_, links_, *this, log_options(settings)),
           fleet_(loop_, sessions_, self_, log_),
           server_(loop_, most_call_bytes),
           api_(server_, log_, fleet_),
           poller_(loop_, transport::tcp_endpoint(settings.substrate.cloud_api.address),
-                  [this](const control::Instances& instances) { fleet_.instances_read(instances); }) {}
+                  [this](const control::Instances& instances) { fleet_.instances_read(instances); }),
+          end_(loop_) {}
 
     int run() {
         if (!listen()) return exit_cannot_listen;
-        loop_.on_signals([this] { loop_.stop(); }, [] {});
-        leadership_changed();
+        fleet_.on_consensus([this](const wire::ConsensusMessage& message) { links_.take(message); });
+        loop_.on_signals([this] { terminate(); }, [] {});
+        log_.start();
         logging::log(logging::Level::info, logging::Event::started, {});
         loop_.run();
         return 0;
@@ -67,6 +79,7 @@
     bool listen() {
         const auto internal = internal_endpoint(settings_, settings_.self.ip);
         std::optional<std::string> fault = fleet_.listen(transport::tcp_endpoint(internal));
+        if (!fault) fault = links_.bind(transport::udp_endpoint(internal));
         if (!fault && settings_.network.bind.control) {
             fault = server_.listen(transport::tcp_endpoint(*settings_.network.bind.control));
         }
@@ -76,6 +89,14 @@
         return false;
     }
 
+    // Leadership goes to another at once; what was asked here is repeated there.
+    void terminate() {
+        logging::log(logging::Level::info, logging::Event::stopping, {});
+        server_.stop_listening();
+        log_.leave();
+        end_.start(end_delay, [this] { loop_.stop(); });
+    }
+
     void state_changed() override {
         fleet_.publish_state();
         logging::log(logging::Level::info, logging::Event::configuration_accepted,
@@ -95,11 +116,13 @@
     runtime::EventLoop loop_;
     transport::Sessions sessions_;
     wire::Member self_;
-    FixedLeaderLog log_;
+    ConsensusLinks links_;
+    RaftLog log_;
     FleetServer fleet_;
     api::Server server_;
     OperatorApi api_;
     control::InstancePoller poller_;
+    runtime::Timer end_;
 };
 
 }  // namespace
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -3,12 +3,14 @@
 namespace dewweir::wire {
 namespace {
 
-template <std::size_t kind> std::optional<Message> decode_kind(std::size_t wanted, const msgpack::object& fields) {
-    if constexpr (kind < std::variant_size_v<Message>) {
-        if (wanted != kind) return decode_kind<kind + 1>(wanted, fields);
-        std::variant_alternative_t<kind, Message> message;
+// Reads the alternative number `wanted` of a variant.
+template <class Variant, std::size_t kind = 0>
+std::optional<Variant> decode_kind(std::size_t wanted, const msgpack::object& fields) {
+    if constexpr (kind < std::variant_size_v<Variant>) {
+        if (wanted != kind) return decode_kind<Variant, kind + 1>(wanted, fields);
+        std::variant_alternative_t<kind, Variant> message;
         fields.convert(message);
-        return message;
+        return Variant(std::move(message));
     } else {
         return std::nullopt;
     }
@@ -31,7 +33,29 @@
         const msgpack::object& message = handle.get();
         if (message.type != msgpack::type::ARRAY || message.via.array.size != 2) return std::nullopt;
         const auto kind = message.via.array.ptr[0].as<std::size_t>();
-        return decode_kind<0>(kind, message.via.array.ptr[1]);
+        return decode_kind<Message>(kind, message.via.array.ptr[1]);
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+ConsensusMessage wrap(const consensus::Envelope& envelope) {
+    msgpack::sbuffer buffer;
+    std::visit([&](const auto& fields) { msgpack::pack(buffer, fields); }, envelope.message);
+    ConsensusMessage message;
+    message.from = envelope.from;
+    message.to = envelope.to;
+    message.kind = static_cast<std::uint32_t>(envelope.message.index());
+    message.body.assign(buffer.data(), buffer.size());
+    return message;
+}
+
+std::optional<consensus::Envelope> unwrap(const ConsensusMessage& message) {
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(message.body.data(), message.body.size());
+        auto body = decode_kind<consensus::Message>(message.kind, handle.get());
+        if (!body) return std::nullopt;
+        return consensus::Envelope{message.from, message.to, std::move(*body)};
     } catch (const std::exception&) {
         return std::nullopt;
     }
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -15,6 +15,10 @@
 // Nothing where the bytes are no message of this version.
 std::optional<Message> decode(std::string_view bytes);
 
+ConsensusMessage wrap(const consensus::Envelope& envelope);
+// Nothing where the body is no message of the stated kind.
+std::optional<consensus::Envelope> unwrap(const ConsensusMessage& message);
+
 // A message on a stream: its length in four bytes, highest first, then its bytes.
 constexpr std::size_t frame_header_bytes = 4;
 constexpr std::size_t most_frame_bytes = 64u << 20;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -8,6 +8,8 @@
 #include <variant>
 #include <vector>
 
+#include "wire/consensus_messages.h"
+
 namespace dewweir::wire {
 
 constexpr std::uint32_t protocol_version = 1;
@@ -108,6 +110,21 @@
     MSGPACK_DEFINE(members);
 };
 
+// A consensus message; `body` is one of the consensus package's messages, `kind` its place in their variant.
+struct ConsensusMessage {
+    consensus::Replica from;
+    consensus::Replica to;
+    std::uint32_t kind = 0;
+    std::string body;
+    MSGPACK_DEFINE(from, to, kind, body);
+};
+
+// A replica that is no member asks to become one; sent to any control plane, which passes it on to the leader.
+struct JoinRequest {
+    consensus::Replica replica;
+    MSGPACK_DEFINE(replica);
+};
+
 // Adds units to a tenant's count in a window and asks for the total (the paper's check). `age` counts windows back
 // from the holder's current one.
 struct CountRequest {
@@ -128,7 +145,8 @@
 };
 
 using Message = std::variant<Hello, Heartbeat, ConfigurationUpdate, EvacuationsUpdate, InstancesUpdate, MembersUpdate,
-                             MemberChanged, MembersReport, CountRequest, CountReply>;
+                             MemberChanged, MembersReport, ConsensusMessage, JoinRequest,
+                             CountRequest, CountReply>;
 
 }  // namespace dewweir::wire
 
