Gateways leave a control plane that lacks news; cold hosts get one owner's budget; no 4xx without homes in common

Changes: heartbeats say how long the leader has been silent, and a gateway moves on after 1.2 s; one gateway owns a cold host's budget by rendezvous hash, at a rate that two owners together keep within the bound; such requests get 503, since they have not run and can't.

--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -227,6 +227,7 @@
     drop_silent();
     wire::Heartbeat heartbeat;
     heartbeat.configuration = view_.configuration().version;
+    heartbeat.leader_contact_ms = static_cast<std::uint64_t>(log_.leader_silence() / runtime::tenths_per_millisecond);
     heartbeat.leader_control = leader_control().value_or("");
     const std::string frame = wire::frame(heartbeat);
     for (const auto& [session, peer] : peers_) sessions_.send_frame(session, frame);
--- a/src/control_plane/raft_log.cpp
+++ b/src/control_plane/raft_log.cpp
@@ -96,6 +96,8 @@
 void RaftLog::received(const consensus::Envelope& envelope) {
     if (!raft_) return;
     raft_->receive(loop_.steady_now(), envelope);
+    const std::optional<consensus::Replica> leader = raft_->leader();
+    if (leader && leader->id == envelope.from.id) leader_heard_at_ = loop_.now();
     process();
 }
 
@@ -245,6 +247,8 @@
 
 std::uint64_t RaftLog::term() const { return raft_ ? raft_->term() : 0; }
 
+runtime::Time RaftLog::leader_silence() const { return leads() ? 0 : loop_.now() - leader_heard_at_; }
+
 std::optional<std::string> RaftLog::leader_address() const {
     if (!raft_ || !raft_->leader()) return std::nullopt;
     return raft_->leader()->address;
--- a/src/control_plane/raft_log.h
+++ b/src/control_plane/raft_log.h
@@ -36,6 +36,7 @@
 
     bool leads() const override;
     std::uint64_t term() const override;
+    runtime::Time leader_silence() const override;
     std::optional<std::string> leader_address() const override;
     const control::StateMachine& state() const override { return state_; }
     void propose(const control::Command& command, std::function<void(const ProposalResult&)> done) override;
@@ -78,6 +79,7 @@
     std::map<consensus::ReadToken, consensus::Index> safe_reads_;  // wait for this index to be applied
     consensus::ReadToken last_read_ = 0;
     bool processing_ = false;
+    runtime::Time leader_heard_at_ = 0;
     runtime::Timer tick_;
     runtime::Timer join_;
 };
--- a/src/control_plane/replicated_log.h
+++ b/src/control_plane/replicated_log.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "control/state_machine.h"
+#include "runtime/event_loop.h"
 
 namespace dewweir::control_plane {
 
@@ -37,6 +38,8 @@
     virtual bool leads() const = 0;
     // Grows with every leader.
     virtual std::uint64_t term() const = 0;
+    // How long ago the leader was last heard, 0 at the leader itself.
+    virtual runtime::Time leader_silence() const = 0;
     // The leader's address for the system's own messages; nothing while none is known.
     virtual std::optional<std::string> leader_address() const = 0;
     virtual const control::StateMachine& state() const = 0;
--- a/src/distribution/intervals.h
+++ b/src/distribution/intervals.h
@@ -8,6 +8,8 @@
 constexpr runtime::Time heartbeat_interval = 700 * runtime::tenths_per_millisecond;
 // A peer that has said nothing for so long is taken for gone.
 constexpr runtime::Time silence_limit = 2200 * runtime::tenths_per_millisecond;
+// A control plane that has not heard the leader for so long may lag behind: its gateways look for another.
+constexpr runtime::Time leader_silence_limit = 1200 * runtime::tenths_per_millisecond;
 constexpr runtime::Time connect_limit = 700 * runtime::tenths_per_millisecond;
 constexpr runtime::Time reconnect_pause = 150 * runtime::tenths_per_millisecond;
 
--- a/src/gateway/control_session.cpp
+++ b/src/gateway/control_session.cpp
@@ -83,10 +83,20 @@
         changes = view_.apply(*evacuations);
     } else if (const auto* const configuration = std::get_if<wire::ConfigurationUpdate>(&message)) {
         changes = view_.apply(*configuration);
+    } else if (const auto* const heartbeat = std::get_if<wire::Heartbeat>(&message)) {
+        return leave_if_stale(*heartbeat);
     }
     if (changes.any()) changed_(changes);
 }
 
+// The control plane itself lacks news: another may have it. Where all lack it, each is tried in turn.
+void ControlSession::leave_if_stale(const wire::Heartbeat& heartbeat) {
+    const auto silence = static_cast<runtime::Time>(heartbeat.leader_contact_ms) * runtime::tenths_per_millisecond;
+    if (silence < distribution::leader_silence_limit) return;
+    sessions_.close(session_);
+    session_closed(session_);
+}
+
 void ControlSession::session_closed(transport::SessionId session) {
     if (session != session_) return;
     session_ = 0;
--- a/src/gateway/control_session.h
+++ b/src/gateway/control_session.h
@@ -34,6 +34,7 @@
     void session_opened(transport::SessionId session) override;
     void session_received(transport::SessionId session, wire::Message&& message) override;
     void session_closed(transport::SessionId session) override;
+    void leave_if_stale(const wire::Heartbeat& heartbeat);
     void beat();
 
     runtime::EventLoop& loop_;
--- a/src/gateway/endpoints.cpp
+++ b/src/gateway/endpoints.cpp
@@ -1,5 +1,7 @@
 #include "gateway/endpoints.h"
 
+#include <algorithm>
+
 namespace dewweir::gateway {
 
 std::string EndpointTable::region_of(const std::string& zone) const {
@@ -38,7 +40,12 @@
         endpoint.instance = instance;
         endpoint.region = region_of(instance.zone);
         endpoint.distance = distance_to(instance.zone, endpoint.region);
-        endpoint.usable = instance.state == wire::InstanceState::ready && !view.evacuated(instance.zone);
+        const bool evacuated = view.evacuated(instance.zone);
+        // It may have turned cold shortly before its zone was taken back; the list does not say so yet.
+        const bool taken_back = endpoint.evacuated && !evacuated;
+        if (taken_back) endpoint.cold_until = std::max(endpoint.cold_until, now + list_lag_);
+        endpoint.evacuated = evacuated;
+        endpoint.usable = instance.state == wire::InstanceState::ready && !evacuated;
     }
     return gone;
 }
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -20,6 +20,7 @@
     std::string region;
     Distance distance = Distance::other_region;
     bool usable = false;             // ready, and its zone is not evacuated
+    bool evacuated = false;
     runtime::Time cold_until = 0;    // may be sent little before
 };
 
@@ -33,6 +34,8 @@
   public:
     explicit EndpointTable(Locality locality) : locality_(std::move(locality)) {}
 
+    // How long the list may lag behind a host that has turned cold while its zone was evacuated.
+    void set_list_lag(runtime::Time lag) { list_lag_ = lag; }
     // Takes over the view's instances and evacuations. Endpoints that are gone are returned.
     std::vector<EndpointId> update(const distribution::View& view, runtime::Time now);
 
@@ -44,6 +47,7 @@
     std::string region_of(const std::string& zone) const;
 
     Locality locality_;
+    runtime::Time list_lag_ = 0;
     std::map<EndpointId, Endpoint> endpoints_;
     std::map<std::string, EndpointId> by_instance_;
     EndpointId last_ = 0;
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -27,6 +27,8 @@
 constexpr int exit_cannot_listen = 1;
 // How long a call to a tenant's counter may take before the local bucket decides.
 constexpr runtime::Time count_limit = 250 * runtime::tenths_per_millisecond;
+// From the platform's list to here: its reading interval and the way, with a margin.
+constexpr runtime::Time list_margin = 1500 * runtime::tenths_per_millisecond;
 // After SIGTERM clients that still hold this address are taken for so long, as a part of `grace`.
 constexpr double accepting_part = 0.5;
 // Before the end of `grace` the process must have ended by itself.
@@ -46,8 +48,15 @@
     return self;
 }
 
-Locality locality_of(const settings::Settings& settings) {
-    return {settings.self.zone, settings.self.region, settings.network.zones};
+Proxy::Options proxy_options(const settings::Settings& settings) {
+    const settings::Bounds& bounds = settings.invariants.bounds;
+    Proxy::Options options;
+    options.node = settings.self.node;
+    options.locality = {settings.self.zone, settings.self.region, settings.network.zones};
+    options.cold_bound = {bounds.cold_overshoot, bounds.cold_slack};
+    options.list_lag = runtime::tenths(settings.substrate.cloud_api.max_lag) + list_margin;
+    options.count_limit = count_limit;
+    return options;
 }
 
 std::string resolve_body(const std::vector<std::string>& addresses) {
@@ -74,7 +83,7 @@
           control_(loop_, sessions_, settings, describe_self(settings),
                    [this](const distribution::Changes& changes) { view_changed(changes); }),
           counters_(loop_, settings.self.node, count_limit),
-          proxy_(loop_, locality_of(settings), counters_, count_limit),
+          proxy_(loop_, counters_, proxy_options(settings)),
           readiness_(loop_, most_call_bytes),
           directory_(loop_, most_call_bytes),
           end_(loop_) {
--- a/src/gateway/proxy.cpp
+++ b/src/gateway/proxy.cpp
@@ -57,14 +57,17 @@
 
 }  // namespace
 
-Proxy::Proxy(runtime::EventLoop& loop, Locality locality, Counters& counters, runtime::Time count_limit)
+Proxy::Proxy(runtime::EventLoop& loop, Counters& counters, const Options& options)
     : loop_(loop),
-      locality_(locality),
+      locality_(options.locality),
       counters_(counters),
-      count_limit_(count_limit),
+      count_limit_(options.count_limit),
+      cold_(options.node, options.cold_bound),
       front_(loop, *this),
       upstreams_(loop, *this),
-      endpoints_(std::move(locality)) {}
+      endpoints_(options.locality) {
+    endpoints_.set_list_lag(options.list_lag);
+}
 
 // ---- requests of clients ----
 
@@ -79,7 +82,8 @@
             case RoutingError::no_configuration: return answer_error(client, 503, retry_without_configuration);
             case RoutingError::no_route: return answer_error(client, 404, {});
             case RoutingError::unknown_key: return answer_error(client, 401, {});
-            case RoutingError::no_home: return answer_error(client, 403, {});
+            // Nothing is wrong with the request, so this is no 4xx; it can't run anywhere.
+            case RoutingError::no_home: return answer_error(client, 503, {});
         }
     }
     const RequestId id = requests_.add();
@@ -184,7 +188,9 @@
     Request* const request = requests_.find(id);
     if (!request) return;
     request->endpoint = endpoint;
-    if (!request->client || request->streaming_up) return attempt_dropped(id, *request, Verdict::not_sent);
+    if (!request->client || request->streaming_up || !admit(endpoint)) {
+        return attempt_dropped(id, *request, Verdict::not_sent);
+    }
     const std::string head = request_head(*request, endpoint, std::min(within, request->expires - loop_.now()));
     AttemptRequest sent;
     sent.head = head;
--- a/src/gateway/proxy.h
+++ b/src/gateway/proxy.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <set>
 
+#include "gateway/cold_budget.h"
 #include "gateway/counters.h"
 #include "gateway/endpoints.h"
 #include "gateway/front.h"
@@ -18,7 +19,15 @@
 
 class Proxy : RequestUser, AttemptUser, PoolUser {
   public:
-    Proxy(runtime::EventLoop& loop, Locality locality, Counters& counters, runtime::Time count_limit);
+    struct Options {
+        std::string node;
+        Locality locality;
+        ColdBound cold_bound;
+        runtime::Time list_lag = 0;     // of the platform's list, until it has come here
+        runtime::Time count_limit = 0;  // for a call to a tenant's counter
+    };
+
+    Proxy(runtime::EventLoop& loop, Counters& counters, const Options& options);
 
     Front& front() { return front_; }
     bool has_configuration() const { return table_ != nullptr; }
@@ -90,11 +99,20 @@
     void refresh_endpoints();
     void drop_retired();
     int gateways_nearby() const;
+    double cold_rate_of(const std::string& service) const;
+    bool is_cold(const Endpoint& endpoint) const { return endpoint.cold_until > loop_.now(); }
+    // Whether a request may go there now; a cold endpoint's budget is spent by it.
+    bool admit(EndpointId endpoint);
+    std::set<EndpointId> withheld_endpoints();
+    void watch_cold(EndpointId endpoint);
+    void review_cold(EndpointId endpoint);
 
     runtime::EventLoop& loop_;
     Locality locality_;
     Counters& counters_;
     runtime::Time count_limit_;
+    ColdBudget cold_;
+    std::map<EndpointId, std::unique_ptr<runtime::Timer>> cold_reviews_;
     Front front_;
     Upstreams upstreams_;
     EndpointTable endpoints_;
--- a/src/gateway/proxy_pools.cpp
+++ b/src/gateway/proxy_pools.cpp
@@ -44,10 +44,15 @@
 void Proxy::view_changed(const distribution::View& view, const distribution::Changes& changes) {
     if (changes.members) {
         members_ = view.members();
+        cold_.members_changed(members_);
         refresh_pools();
     }
     if (changes.instances || changes.evacuations) {
-        for (const EndpointId gone : endpoints_.update(view, loop_.now())) upstreams_.remove(gone);
+        for (const EndpointId gone : endpoints_.update(view, loop_.now())) {
+            upstreams_.remove(gone);
+            cold_.forget(gone);
+            cold_reviews_.erase(gone);
+        }
     }
     if (changes.instances || changes.evacuations || changes.members) refresh_endpoints();
 }
@@ -83,7 +88,7 @@
     if (found != pools_.end()) return pool_entries_.at(found->second);
     PoolUser& user = *this;
     auto pool = std::make_unique<ServicePool>(loop_, user, key, settings_for(key), std::random_device{}());
-    pool->update(endpoints_, {});
+    pool->update(endpoints_, withheld_endpoints());
     ServicePool* const made = pool.get();
     pools_[key] = made;
     PoolEntry& entry = pool_entries_[made];
@@ -118,7 +123,66 @@
         if (!address) continue;
         upstreams_.add(id, *address, most_connections(table_->configuration(), endpoint.instance.service, gateways));
     }
-    for (auto& [pool, entry] : pool_entries_) pool->update(endpoints_, {});
+    const std::set<EndpointId> withheld = withheld_endpoints();
+    for (auto& [pool, entry] : pool_entries_) pool->update(endpoints_, withheld);
+}
+
+// ---- cold endpoints ----
+
+double Proxy::cold_rate_of(const std::string& service) const {
+    for (const configuration::Service& known : table_->configuration().services) {
+        if (known.name == service) return known.cold_per_s.value_or(0);
+    }
+    return 0;
+}
+
+std::set<EndpointId> Proxy::withheld_endpoints() {
+    std::set<EndpointId> withheld;
+    const runtime::Time now = loop_.now();
+    for (const auto& [id, endpoint] : endpoints_.all()) {
+        if (!is_cold(endpoint)) continue;
+        const auto next = cold_.next(endpoint, cold_rate_of(endpoint.instance.service), now);
+        if (!next || *next > now) withheld.insert(id);
+        watch_cold(id);
+    }
+    return withheld;
+}
+
+bool Proxy::admit(EndpointId id) {
+    const Endpoint* const endpoint = endpoints_.find(id);
+    if (!endpoint || !endpoint->usable) return false;
+    if (!is_cold(*endpoint)) return true;
+    const bool admitted = cold_.spend(*endpoint, cold_rate_of(endpoint->instance.service), loop_.now());
+    loop_.post([this, id] { review_cold(id); });
+    return admitted;
+}
+
+// Looks again when the endpoint may be sent the next request, or is warm.
+void Proxy::watch_cold(EndpointId id) {
+    const Endpoint* const endpoint = endpoints_.find(id);
+    if (!endpoint) return;
+    const runtime::Time now = loop_.now();
+    const auto next = cold_.next(*endpoint, cold_rate_of(endpoint->instance.service), now);
+    runtime::Time at = endpoint->cold_until;
+    if (next && *next > now) at = std::min(at, *next);
+    std::unique_ptr<runtime::Timer>& timer = cold_reviews_[id];
+    if (!timer) timer = std::make_unique<runtime::Timer>(loop_);
+    timer->start(std::max<runtime::Time>(1, at - now), [this, id] { review_cold(id); });
+}
+
+void Proxy::review_cold(EndpointId id) {
+    const Endpoint* const endpoint = endpoints_.find(id);
+    if (!endpoint) return;
+    const runtime::Time now = loop_.now();
+    bool usable = endpoint->usable;
+    if (is_cold(*endpoint)) {
+        const auto next = cold_.next(*endpoint, cold_rate_of(endpoint->instance.service), now);
+        usable = usable && next && *next <= now;
+        watch_cold(id);
+    } else {
+        cold_.forget(id);
+    }
+    for (auto& [pool, entry] : pool_entries_) pool->set_usable(*endpoint, usable);
 }
 
 }  // namespace dewweir::gateway
--- a/src/gateway/service_pool.cpp
+++ b/src/gateway/service_pool.cpp
@@ -67,14 +67,16 @@
     for (auto& [token, key] : alarms_) loop_.deadlines().drop(key);
 }
 
+bool ServicePool::holds(const Endpoint& endpoint) const {
+    if (endpoint.instance.service != key_.service) return false;
+    return key_.regions.empty() || std::binary_search(key_.regions.begin(), key_.regions.end(), endpoint.region);
+}
+
 void ServicePool::update(const EndpointTable& endpoints, const std::set<EndpointId>& withheld) {
     const runtime::Time now = loop_.now();
     choice_->list_begins(now, true);
     for (const auto& [id, endpoint] : endpoints.all()) {
-        if (endpoint.instance.service != key_.service) continue;
-        const bool home = key_.regions.empty() ||
-                          std::binary_search(key_.regions.begin(), key_.regions.end(), endpoint.region);
-        if (!home) continue;
+        if (!holds(endpoint)) continue;
         const bool ready = endpoint.usable && !withheld.contains(id);
         const auto distance = static_cast<int>(endpoint.distance);
         choice_->host_listed(now, id, ready ? Standing::ready : Standing::draining, 0, distance, distance);
@@ -82,6 +84,16 @@
     choice_->list_ends(now);
 }
 
+void ServicePool::set_usable(const Endpoint& endpoint, bool usable) {
+    if (!holds(endpoint)) return;
+    const runtime::Time now = loop_.now();
+    const auto distance = static_cast<int>(endpoint.distance);
+    const Standing standing = usable ? Standing::ready : Standing::draining;
+    choice_->list_begins(now, false);
+    choice_->host_listed(now, endpoint.id, standing, 0, distance, distance);
+    choice_->list_ends(now);
+}
+
 void ServicePool::submit(const PoolRequest& request) {
     const int kind = place_of(settings_.kinds, request.kind);
     const int quota = place_of(settings_.quotas, request.quota);
--- a/src/gateway/service_pool.h
+++ b/src/gateway/service_pool.h
@@ -79,12 +79,15 @@
 
     // Which endpoints there are and whether they may be sent to.
     void update(const EndpointTable& endpoints, const std::set<EndpointId>& withheld);
+    // One endpoint may be sent to, or not, from now on.
+    void set_usable(const Endpoint& endpoint, bool usable);
     void submit(const PoolRequest& request);
     void attempt_over(RequestId request, EndpointId endpoint, Verdict verdict, runtime::Time took, bool answered);
     void client_left(RequestId request);
     void counted(std::uint64_t name, Verdict verdict, double total, runtime::Time took);
 
   private:
+    bool holds(const Endpoint& endpoint) const;
     void execute(std::uint32_t submission, std::uint32_t host, Time give_up_after) override;
     void bounce(std::uint32_t submission, Time come_back_in) override;
     void write_off(std::uint32_t submission) override;
