Quotas by a package of their own: one admission a gateway, statements, sticky holders, window from the bound

Change: src/quota (pure): every gateway states its own count to the tenant's holder, which answers with the others' estimate; the two-window check, breaker and local bucket stand before the pools; a gateway passes a request ahead of the answer while its unanswered ones are within its part of what is left; places outlast absence by 60 s; members of a lost control plane have 5 s.

--- a/cmake/system.cmake
+++ b/cmake/system.cmake
@@ -30,6 +30,7 @@
   endif()
 
   add_subdirectory(src/storage)
+  add_subdirectory(src/quota)
   add_subdirectory(src/consensus)
   add_subdirectory(src/settings)
   add_subdirectory(src/configuration)
--- a/src/control/member_table.cpp
+++ b/src/control/member_table.cpp
@@ -12,19 +12,19 @@
         entries_[member.node] = {member, reporter, std::nullopt};
     }
     for (auto& [node, entry] : entries_) {
-        if (entry.reporter == reporter && !reported.contains(node)) unreport(now, entry);
+        if (entry.reporter == reporter && !reported.contains(node)) unreport(now, entry, options_.reconnect_grace);
     }
 }
 
 void MemberTable::reporter_lost(Clock::time_point now, const std::string& reporter) {
     for (auto& [node, entry] : entries_) {
-        if (entry.reporter == reporter) unreport(now, entry);
+        if (entry.reporter == reporter) unreport(now, entry, options_.reporter_grace);
     }
 }
 
-void MemberTable::unreport(Clock::time_point now, Entry& entry) {
+void MemberTable::unreport(Clock::time_point now, Entry& entry, std::chrono::milliseconds grace) {
     entry.reporter.clear();
-    entry.expires_at = now + options_.reconnect_grace;
+    entry.expires_at = now + grace;
 }
 
 void MemberTable::adopt(Clock::time_point now, const std::vector<wire::Member>& members) {
--- a/src/control/member_table.h
+++ b/src/control/member_table.h
@@ -19,8 +19,10 @@
 struct MemberTableOptions {
     // For how long a member that nobody reports any more is kept.
     std::chrono::milliseconds reconnect_grace{700};
+    // For how long members of a control plane that is itself gone are kept: they look for another one first.
+    std::chrono::milliseconds reporter_grace{5000};
     // For how long members are kept that another leader knew.
-    std::chrono::milliseconds adoption_grace{2500};
+    std::chrono::milliseconds adoption_grace{5000};
 };
 
 class MemberTable {
@@ -45,7 +47,7 @@
         std::string reporter;                          // empty: nobody reports it now
         std::optional<Clock::time_point> expires_at;  // while nobody reports it
     };
-    void unreport(Clock::time_point now, Entry& entry);
+    void unreport(Clock::time_point now, Entry& entry, std::chrono::milliseconds grace);
 
     MemberTableOptions options_;
     std::map<std::string, Entry> entries_;  // by node
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -25,8 +25,6 @@
 constexpr std::size_t most_call_bytes = 16u << 10;
 constexpr std::size_t reserved_descriptors = 250;
 constexpr int exit_cannot_listen = 1;
-// How long a call to a tenant's counter may take before the local bucket decides.
-constexpr runtime::Time count_limit = 250 * runtime::tenths_per_millisecond;
 // From the platform's list to here: its reading interval and the way, with a margin.
 constexpr runtime::Time list_margin = 1500 * runtime::tenths_per_millisecond;
 // After SIGTERM clients that still hold this address are taken for so long, as a part of `grace`.
@@ -55,10 +53,14 @@
     options.locality = {settings.self.zone, settings.self.region, settings.network.zones};
     options.cold_bound = {bounds.cold_overshoot, bounds.cold_slack};
     options.list_lag = runtime::tenths(settings.substrate.cloud_api.max_lag) + list_margin;
-    options.count_limit = count_limit;
     return options;
 }
 
+quota::QuotaBound quota_bound(const settings::Settings& settings) {
+    const settings::Bounds& bounds = settings.invariants.bounds;
+    return {bounds.quota_window, bounds.quota_overshoot, bounds.quota_slack};
+}
+
 std::string resolve_body(const std::vector<std::string>& addresses) {
     rapidjson::StringBuffer buffer;
     rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
@@ -82,8 +84,8 @@
           sessions_(loop_),
           control_(loop_, sessions_, settings, describe_self(settings),
                    [this](const distribution::Changes& changes) { view_changed(changes); }),
-          counters_(loop_, settings.self.node, count_limit),
-          proxy_(loop_, counters_, proxy_options(settings)),
+          quotas_(loop_, settings.self.node, quota_bound(settings)),
+          proxy_(loop_, quotas_, proxy_options(settings)),
           readiness_(loop_, most_call_bytes),
           directory_(loop_, most_call_bytes),
           end_(loop_) {
@@ -116,7 +118,7 @@
     std::optional<std::string> listen_all() {
         const settings::Bind& bind = settings_.network.bind;
         const settings::Endpoint internal{settings_.self.ip, settings_.network.ephemeral_ports.first};
-        std::optional<std::string> fault = counters_.bind(transport::udp_endpoint(internal));
+        std::optional<std::string> fault = quotas_.bind(transport::udp_endpoint(internal));
         if (!fault && bind.front) fault = proxy_.front().listen(transport::tcp_endpoint(*bind.front));
         if (!fault && bind.readiness) fault = readiness_.listen(transport::tcp_endpoint(*bind.readiness));
         if (!fault && bind.directory) fault = directory_.listen(transport::tcp_endpoint(*bind.directory));
@@ -134,7 +136,7 @@
 
     void view_changed(const distribution::Changes& changes) {
         if (changes.configuration) take_configuration(control_.view().configuration());
-        if (changes.members) counters_.members_changed(control_.view().members());
+        if (changes.members) quotas_.members_changed(control_.view().members());
         proxy_.view_changed(control_.view(), changes);
         control_.set_ready(ready());
     }
@@ -190,7 +192,7 @@
     runtime::EventLoop loop_;
     transport::Sessions sessions_;
     ControlSession control_;
-    Counters counters_;
+    QuotaClient quotas_;
     Proxy proxy_;
     api::Server readiness_;
     api::Server directory_;
--- a/src/gateway/proxy.cpp
+++ b/src/gateway/proxy.cpp
@@ -17,14 +17,10 @@
 constexpr std::size_t most_unsent = 256u << 10;
 // Kept off the client's time, for the answer's way.
 constexpr runtime::Time answer_margin = 20 * runtime::tenths_per_millisecond;
-// The decision module keeps 34 bits of a tenant's number beside 30 of its window's.
-constexpr int tenant_bits = 34;
-constexpr int window_bits = 30;
-constexpr std::uint64_t window_mask = (1u << window_bits) - 1;
 constexpr std::string_view retry_without_configuration = "Retry-After: 0.5\r\n";
 
-std::uint64_t number_of(std::string_view tenant) {
-    return XXH3_64bits(tenant.data(), tenant.size()) >> (64 - tenant_bits);
+quota::TenantId number_of(std::string_view tenant) {
+    return XXH3_64bits(tenant.data(), tenant.size());
 }
 
 std::optional<runtime::Time> parse_time_left(std::string_view text) {
@@ -57,11 +53,10 @@
 
 }  // namespace
 
-Proxy::Proxy(runtime::EventLoop& loop, Counters& counters, const Options& options)
+Proxy::Proxy(runtime::EventLoop& loop, QuotaClient& quotas, const Options& options)
     : loop_(loop),
       locality_(options.locality),
-      counters_(counters),
-      count_limit_(options.count_limit),
+      quotas_(quotas),
       cold_(options.node, options.cold_bound),
       front_(loop, *this),
       upstreams_(loop, *this),
@@ -119,7 +114,21 @@
     reader.body().clear();
     request.complete = reader.whole();
     if (request.submitted) return forward_body(request);
-    if (request.complete || request.body.size() >= held_body) submit(id, request);
+    const bool enough = request.complete || request.body.size() >= held_body;
+    if (enough && !request.asked) check_quota(id, request);
+}
+
+void Proxy::check_quota(RequestId id, Request& request) {
+    request.asked = true;
+    const configuration::Tenant* const tenant = request.routed.tenant;
+    if (!tenant || !tenant->has_quota()) return submit(id, request);
+    const quota::Quota quota{tenant->rate_per_s, tenant->burst};
+    quotas_.request(number_of(tenant->name), quota, [this, id](const QuotaVerdict& verdict) {
+        Request* const asked = requests_.find(id);
+        if (!asked || !asked->client) return;
+        if (verdict.passed) return submit(id, *asked);
+        answer(id, *asked, {429, retry_after_field(verdict.retry_after)}, {});
+    });
 }
 
 // Only what an attempt is out for can be passed on; the rest waits with the client.
@@ -137,14 +146,6 @@
     PoolRequest wanted;
     wanted.id = id;
     wanted.kind = {route.route_class, route.target_latency};
-    if (const configuration::Tenant* const tenant = request.routed.tenant) {
-        wanted.tenant = number_of(tenant->name);
-        if (tenant->has_quota()) wanted.quota = {tenant->rate_per_s, tenant->burst};
-    }
-    const std::size_t gateways = std::count_if(members_.begin(), members_.end(), [](const auto& member) {
-        return member.second.role == wire::Role::gateway;
-    });
-    wanted.quota_parts = static_cast<int>(std::max<std::size_t>(1, gateways) * std::max<std::size_t>(1, pools_.size()));
     wanted.time_left = std::max<runtime::Time>(1, request.expires - loop_.now() - answer_margin);
     request.pool->submit(wanted);
 }
@@ -242,15 +243,6 @@
     });
 }
 
-void Proxy::count(ServicePool& pool, std::uint64_t name, double units, runtime::Time window) {
-    const std::uint64_t tenant = name >> window_bits;
-    const std::uint64_t current = static_cast<std::uint64_t>(loop_.now() / std::max<runtime::Time>(1, window));
-    const auto age = static_cast<std::uint32_t>((current - name) & window_mask);
-    counters_.count(tenant, window, age, units, [this, &pool, name](Verdict verdict, double total, runtime::Time took) {
-        if (pool_entries_.contains(&pool)) pool.counted(name, verdict, total, took);
-    });
-}
-
 // ---- what hosts answer ----
 
 void Proxy::attempt_over(RequestId id, EndpointId endpoint, AttemptResult&& result) {
--- a/src/gateway/proxy.h
+++ b/src/gateway/proxy.h
@@ -8,9 +8,9 @@
 #include <set>
 
 #include "gateway/cold_budget.h"
-#include "gateway/counters.h"
 #include "gateway/endpoints.h"
 #include "gateway/front.h"
+#include "gateway/quota_client.h"
 #include "gateway/routing.h"
 #include "gateway/service_pool.h"
 #include "gateway/upstreams.h"
@@ -24,10 +24,9 @@
         Locality locality;
         ColdBound cold_bound;
         runtime::Time list_lag = 0;     // of the platform's list, until it has come here
-        runtime::Time count_limit = 0;  // for a call to a tenant's counter
     };
 
-    Proxy(runtime::EventLoop& loop, Counters& counters, const Options& options);
+    Proxy(runtime::EventLoop& loop, QuotaClient& quotas, const Options& options);
 
     Front& front() { return front_; }
     bool has_configuration() const { return table_ != nullptr; }
@@ -43,7 +42,8 @@
         std::shared_ptr<const configuration::RouteTable> table;
         Routed routed;
         ServicePool* pool = nullptr;  // of the configuration that it was routed by
-        bool submitted = false;       // the pool decides on it
+        bool asked = false;      // whether the tenant's quota holds it
+        bool submitted = false;  // the pool decides on it
         std::string attempt_id;
         std::string method;
         std::string target;
@@ -83,8 +83,8 @@
     void refuse(RequestId request, runtime::Time retry_after) override;
     void fail(RequestId request) override;
     void cancel(RequestId request) override;
-    void count(ServicePool& pool, std::uint64_t name, double units, runtime::Time window) override;
 
+    void check_quota(RequestId id, Request& request);
     void submit(RequestId id, Request& request);
     void forward_body(Request& request);
     void attempt_dropped(RequestId id, Request& request, Verdict verdict);
@@ -109,8 +109,7 @@
 
     runtime::EventLoop& loop_;
     Locality locality_;
-    Counters& counters_;
-    runtime::Time count_limit_;
+    QuotaClient& quotas_;
     ColdBudget cold_;
     std::map<EndpointId, std::unique_ptr<runtime::Timer>> cold_reviews_;
     Front front_;
--- a/src/gateway/proxy_pools.cpp
+++ b/src/gateway/proxy_pools.cpp
@@ -67,19 +67,13 @@
 PoolSettings Proxy::settings_for(const PoolKey& key) const {
     PoolSettings settings;
     settings.gateways_nearby = gateways_nearby();
-    settings.count_limit = count_limit_;
     const configuration::Configuration& configuration = table_->configuration();
     for (const configuration::Route& route : configuration.routes) {
         if (!goes_to(route, key.service)) continue;
         settings.kinds.push_back({route.route_class, route.target_latency});
         settings.max_tries = std::max(settings.max_tries, route.max_tries);
     }
-    settings.quotas.push_back({});
-    for (const configuration::Tenant& tenant : configuration.tenants) {
-        if (tenant.has_quota()) settings.quotas.push_back({tenant.rate_per_s, tenant.burst});
-    }
     sort_unique(settings.kinds);
-    sort_unique(settings.quotas);
     return settings;
 }
 
--- a/src/gateway/service_pool.cpp
+++ b/src/gateway/service_pool.cpp
@@ -26,8 +26,7 @@
     terms["limits.cancel"] = "false";
     terms["limits.advice"] = "true";
     put("limits.longest_advice", 10000);
-    terms["service.counter"] = "true";
-    put("service.count_limit", settings.count_limit / runtime::tenths_per_millisecond);
+    terms["service.counter"] = "false";
     put("rules.fall", 1000);
     put("rules.fall_multiple", 1);
     put("rules.cold_from", 1);
@@ -40,12 +39,7 @@
         put(at + "latency_goal", settings.kinds[n].target_latency.count());
         put(at + "remembered", 0);
     }
-    put("plans.count", settings.quotas.size());
-    for (std::size_t n = 0; n < settings.quotas.size(); ++n) {
-        const std::string at = "plans." + std::to_string(n) + ".";
-        put(at + "rate", settings.quotas[n].rate_per_s);
-        put(at + "burst", settings.quotas[n].burst);
-    }
+    put("plans.count", 1);  // quotas are checked before
     return terms;
 }
 
@@ -96,9 +90,7 @@
 
 void ServicePool::submit(const PoolRequest& request) {
     const int kind = place_of(settings_.kinds, request.kind);
-    const int quota = place_of(settings_.quotas, request.quota);
-    choice_->submitted(loop_.now(), request.id, kind, quota, request.tenant, 1, request.quota_parts,
-                       request.time_left);
+    choice_->submitted(loop_.now(), request.id, kind, 0, 0, 1, 1, request.time_left);
 }
 
 void ServicePool::attempt_over(RequestId request, EndpointId endpoint, Verdict verdict, runtime::Time took,
@@ -108,10 +100,6 @@
 
 void ServicePool::client_left(RequestId request) { choice_->client_gone(loop_.now(), request); }
 
-void ServicePool::counted(std::uint64_t name, Verdict verdict, double total, runtime::Time took) {
-    choice_->counted(loop_.now(), name, verdict, total, took);
-}
-
 void ServicePool::execute(std::uint32_t submission, std::uint32_t host, Time give_up_after) {
     user_.send(submission, host, give_up_after);
 }
@@ -122,10 +110,6 @@
 
 void ServicePool::cancel(std::uint32_t submission, int) { user_.cancel(submission); }
 
-void ServicePool::count(std::uint64_t name, double amount, Time keep_for) {
-    user_.count(*this, name, amount, keep_for / 2);
-}
-
 void ServicePool::arm(Time from_now, std::uint64_t token) {
     const net::Deadlines::Key key = loop_.deadlines().after(from_now, [this, token] {
         alarms_.erase(alarms_.find(token));
--- a/src/gateway/service_pool.h
+++ b/src/gateway/service_pool.h
@@ -23,8 +23,6 @@
     virtual void refuse(RequestId request, runtime::Time retry_after) = 0;
     virtual void fail(RequestId request) = 0;
     virtual void cancel(RequestId request) = 0;
-    // Adds to the count of a tenant (the name says which window) and asks for the total.
-    virtual void count(class ServicePool& pool, std::uint64_t name, double units, runtime::Time window) = 0;
 };
 
 // Whose pool it is: requests of routes with other homes go to other hosts.
@@ -42,20 +40,11 @@
     auto operator<=>(const RequestKind&) const = default;
 };
 
-struct Quota {
-    double rate_per_s = 0;
-    double burst = 0;
-
-    auto operator<=>(const Quota&) const = default;
-};
-
 // All that a pool's decision module is made from; a change of it makes a new one.
 struct PoolSettings {
     std::vector<RequestKind> kinds;  // sorted
-    std::vector<Quota> quotas;       // of all tenants, sorted; the first is "no limit"
     std::uint32_t max_tries = 1;
     int gateways_nearby = 1;         // that send to the same hosts, this one included
-    runtime::Time count_limit = 0;   // how long a count may take
 
     auto operator<=>(const PoolSettings&) const = default;
 };
@@ -63,9 +52,6 @@
 struct PoolRequest {
     RequestId id = 0;
     RequestKind kind;
-    Quota quota;
-    std::uint64_t tenant = 0;
-    int quota_parts = 1;  // local buckets that share the quota, over all gateways
     runtime::Time time_left = 0;
 };
 
@@ -84,7 +70,6 @@
     void submit(const PoolRequest& request);
     void attempt_over(RequestId request, EndpointId endpoint, Verdict verdict, runtime::Time took, bool answered);
     void client_left(RequestId request);
-    void counted(std::uint64_t name, Verdict verdict, double total, runtime::Time took);
 
   private:
     bool holds(const Endpoint& endpoint) const;
@@ -92,7 +77,8 @@
     void bounce(std::uint32_t submission, Time come_back_in) override;
     void write_off(std::uint32_t submission) override;
     void cancel(std::uint32_t submission, int execution) override;
-    void count(std::uint64_t name, double amount, Time keep_for) override;
+    // Quotas are checked before a request comes here.
+    void count(std::uint64_t, double, Time) override {}
     void arm(Time from_now, std::uint64_t token) override;
     void disarm(std::uint64_t token) override;
     void follow_list() override {}
--- /dev/null
+++ b/src/quota/admission.cpp
@@ -0,0 +1,135 @@
+#include "quota/admission.h"
+
+#include <algorithm>
+
+namespace dewweir::quota {
+namespace {
+
+constexpr std::chrono::seconds idle_limit{30};
+// The shortest pause that a refused client is told.
+constexpr std::chrono::milliseconds least_retry_after{20};
+
+double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+Duration from_seconds(double duration) {
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(duration));
+}
+
+// This gateway's part of a window's limit: one request at least.
+double bucket_size(const WindowCheck& check, int gateways) { return std::max(1.0, check.limit / gateways); }
+
+}  // namespace
+
+Admission::Tenant& Admission::tenant_of(TimePoint now, TenantId id, const Quota& quota, int gateways) {
+    const auto [at, fresh] = tenants_.try_emplace(id);
+    Tenant& tenant = at->second;
+    const bool changed = tenant.quota != quota;
+    if (changed || fresh) tenant.check = check_for(quota, bound_);
+    tenant.quota = quota;
+    tenant.gateways = std::max(1, gateways);
+    tenant.used_at = now;
+    if (fresh) {
+        tenant.tokens = bucket_size(tenant.check, tenant.gateways);
+        tenant.refilled_at = now;
+    }
+    if (changed && !fresh) tenant.answered_at.reset();
+    return tenant;
+}
+
+Statement Admission::state(TimePoint now, TenantId id, Tenant& tenant) {
+    Statement statement;
+    statement.tenant = id;
+    statement.gateway = self_;
+    statement.sequence = ++tenant.sequence;
+    statement.window = std::chrono::duration_cast<std::chrono::milliseconds>(tenant.check.window);
+    statement.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - tenant.own.began());
+    statement.current = tenant.own.current();
+    statement.previous = tenant.own.previous();
+    return statement;
+}
+
+Decision Admission::request(TimePoint now, TenantId id, const Quota& quota, int gateways, bool holder_reachable) {
+    if (!quota.limits()) return {Admitted::passed};
+    Tenant& tenant = tenant_of(now, id, quota, gateways);
+    if (!holder_reachable) return decide_locally(now, tenant, false);
+    const Duration window = tenant.check.window;
+    const double own = tenant.own.estimate(now, window);
+    const bool fresh = tenant.answered_at && now - *tenant.answered_at < window;
+    if (fresh) {
+        // Even if no other gateway has let anything in since.
+        const double decayed = tenant.others * (1 - seconds(now - *tenant.answered_at) / seconds(window));
+        if (own + decayed + 1 > tenant.check.limit) return refuse(now, tenant);
+    }
+    const double room = (tenant.check.limit - own - tenant.others) / tenant.gateways;
+    const bool ahead = fresh && static_cast<double>(tenant.ahead.size()) + 1 <= room;
+    tenant.own.add(now, window, 1);
+    Decision decision{ahead ? Admitted::passed : Admitted::asked};
+    decision.statement = state(now, id, tenant);
+    if (ahead) tenant.ahead.push_back(decision.statement->sequence);
+    return decision;
+}
+
+Decision Admission::answered(TimePoint now, TenantId id, std::uint64_t sequence, double others) {
+    const auto found = tenants_.find(id);
+    if (found == tenants_.end()) return {Admitted::passed};
+    Tenant& tenant = found->second;
+    const bool was_ahead = std::erase(tenant.ahead, sequence) > 0;
+    const Duration window = tenant.check.window;
+    const double own = tenant.own.estimate(now, window);
+    tenant.others = others;
+    tenant.answered_at = now;
+    // Going over to the bucket must mint no quota: it holds this gateway's part of what is left.
+    refill(now, tenant);
+    const double left = std::clamp(1 - (own + others) / tenant.check.limit, 0.0, 1.0);
+    tenant.tokens = std::min(tenant.tokens, left * bucket_size(tenant.check, tenant.gateways));
+    if (was_ahead || own + others <= tenant.check.limit) return {Admitted::passed};
+    tenant.own.add(now, window, -1);
+    Decision decision = refuse(now, tenant);
+    decision.statement = state(now, id, tenant);  // gives back what it had added
+    return decision;
+}
+
+Decision Admission::unanswered(TimePoint now, TenantId id, std::uint64_t sequence) {
+    const auto found = tenants_.find(id);
+    if (found == tenants_.end()) return {Admitted::passed};
+    Tenant& tenant = found->second;
+    const bool was_ahead = std::erase(tenant.ahead, sequence) > 0;
+    if (was_ahead) return {Admitted::passed};
+    return decide_locally(now, tenant, true);
+}
+
+void Admission::refill(TimePoint now, Tenant& tenant) const {
+    const double rate = tenant.quota.rate_per_s / tenant.gateways;
+    const double size = bucket_size(tenant.check, tenant.gateways);
+    tenant.tokens = std::min(size, tenant.tokens + rate * seconds(now - tenant.refilled_at));
+    tenant.refilled_at = now;
+}
+
+// `counted`: the request is in the own count already.
+Decision Admission::decide_locally(TimePoint now, Tenant& tenant, bool counted) {
+    refill(now, tenant);
+    const Duration window = tenant.check.window;
+    if (tenant.tokens >= 1) {
+        tenant.tokens -= 1;
+        if (!counted) tenant.own.add(now, window, 1);
+        return {Admitted::passed};
+    }
+    if (counted) tenant.own.add(now, window, -1);
+    const double rate = tenant.quota.rate_per_s / tenant.gateways;
+    return {Admitted::refused, std::max<Duration>(from_seconds((1 - tenant.tokens) / rate), least_retry_after)};
+}
+
+// The estimate falls at least as fast as what was counted leaves the window.
+Decision Admission::refuse(TimePoint now, Tenant& tenant) const {
+    const Duration window = tenant.check.window;
+    const double total = tenant.own.estimate(now, window) + tenant.others;
+    const double excess = std::max(0.0, total + 1 - tenant.check.limit);
+    const double wait = seconds(window) * excess / std::max(1.0, total);
+    return {Admitted::refused, std::max<Duration>(from_seconds(wait), least_retry_after)};
+}
+
+void Admission::forget_idle(TimePoint now) {
+    std::erase_if(tenants_, [&](const auto& item) { return now - item.second.used_at > idle_limit; });
+}
+
+}  // namespace dewweir::quota
--- /dev/null
+++ b/src/quota/count_holder.cpp
@@ -0,0 +1,34 @@
+#include "quota/count_holder.h"
+
+namespace dewweir::quota {
+namespace {
+
+constexpr std::chrono::seconds idle_limit{20};
+// A statement of a gateway that counts for nothing any more is dropped.
+constexpr double negligible = 1e-9;
+
+}  // namespace
+
+double CountHolder::state(TimePoint now, const Statement& statement) {
+    Tenant& tenant = tenants_[statement.tenant];
+    tenant.spoken_of = now;
+    Stated& own = tenant.gateways[statement.gateway];
+    if (statement.sequence >= own.sequence) {
+        own.sequence = statement.sequence;
+        own.count = SlidingCount(now - statement.elapsed, statement.current, statement.previous);
+    }
+    double others = 0;
+    for (auto at = tenant.gateways.begin(); at != tenant.gateways.end();) {
+        const double estimate = at->second.count.estimate(now, statement.window);
+        const bool is_own = at->first == statement.gateway;
+        if (!is_own) others += estimate;
+        at = !is_own && estimate < negligible ? tenant.gateways.erase(at) : std::next(at);
+    }
+    return others;
+}
+
+void CountHolder::forget_idle(TimePoint now) {
+    std::erase_if(tenants_, [&](const auto& item) { return now - item.second.spoken_of > idle_limit; });
+}
+
+}  // namespace dewweir::quota
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -125,28 +125,32 @@
     MSGPACK_DEFINE(replica);
 };
 
-// Adds units to a tenant's count in a window and asks for the total (the paper's check). `age` counts windows back
-// from the holder's current one.
-struct CountRequest {
-    std::uint64_t sequence = 0;
-    std::uint32_t life = 0;  // of the sender's process, so that sequences of two lives differ
+// A gateway states to the holder of a tenant's counts what it has let in itself, by windows of its own clock
+// (quota/count_holder.h).
+struct CountStatement {
     std::uint64_t tenant = 0;
+    std::uint64_t gateway = 0;
+    std::uint64_t sequence = 0;
     std::uint32_t window_ms = 0;
-    std::uint32_t age = 0;
-    double units = 0;
-    MSGPACK_DEFINE(sequence, life, tenant, window_ms, age, units);
+    std::uint32_t elapsed_ms = 0;
+    double current = 0;
+    double previous = 0;
+    bool answer = true;  // whether an answer is wanted
+    MSGPACK_DEFINE(tenant, gateway, sequence, window_ms, elapsed_ms, current, previous, answer);
 };
 
-struct CountReply {
+// What all other gateways have let in, in answer to a statement.
+struct CountAnswer {
+    std::uint64_t tenant = 0;
+    std::uint64_t gateway = 0;
     std::uint64_t sequence = 0;
-    std::uint32_t life = 0;
-    double total = 0;
-    MSGPACK_DEFINE(sequence, life, total);
+    double others = 0;
+    MSGPACK_DEFINE(tenant, gateway, sequence, others);
 };
 
 using Message = std::variant<Hello, Heartbeat, ConfigurationUpdate, EvacuationsUpdate, InstancesUpdate, MembersUpdate,
                              MemberChanged, MembersReport, ConsensusMessage, JoinRequest,
-                             CountRequest, CountReply>;
+                             CountStatement, CountAnswer>;
 
 }  // namespace dewweir::wire
 
