--- a/tests/consensus/histories.cpp
+++ b/tests/consensus/histories.cpp
@@ -1,8 +1,9 @@
-// Random histories of a whole group; DEWWEIR_HISTORIES sets how many (300 unless told otherwise).
+// Random histories of a whole group. DEWWEIR_HISTORIES sets how many (300 unless told otherwise);
+// DEWWEIR_HISTORIES_TABLE names a file for their table.
 #include <catch2/catch.hpp>
 #include <cstdlib>
 
-#include "consensus/history.h"
+#include "consensus/history_table.h"
 
 namespace dewweir::consensus::testing {
 namespace {
@@ -20,6 +21,7 @@
 }
 
 TEST_CASE("no history breaks a property, and each recovers") {
+    HistoryTable table;
     std::size_t changes = 0;
     std::size_t reads = 0;
     for (std::uint64_t seed = 0; seed < wanted_histories(); ++seed) {
@@ -27,11 +29,17 @@
         INFO("seed " << seed << ", machines " << result.machines);
         for (const Violation& violation : result.violations) FAIL_CHECK(violation.text);
         CHECK(result.recovered);
+        table.add(result);
         changes += result.changes;
         reads += result.reads;
     }
     CHECK(changes > 10 * wanted_histories());
     CHECK(reads > 10 * wanted_histories());
+    const char* path = std::getenv("DEWWEIR_HISTORIES_TABLE");
+    if (!path) return;
+    const std::string command =
+        "DEWWEIR_HISTORIES=" + std::to_string(wanted_histories()) + " consensus_tests 'no history*'";
+    table.write(path, command);
 }
 
 TEST_CASE("the checker sees an owner that keeps the old id after a lost disk") {
