--- a/tests/consensus/promises.cpp
+++ b/tests/consensus/promises.cpp
@@ -114,6 +114,70 @@
     CHECK(raft.term() == term + 1);
 }
 
+// A leader of the term after its last entry's, whose own disk has everything but the leader's first entry.
+Raft elected_leader(const std::vector<Entry>& entries) {
+    PersistentState state;
+    state.self = self;
+    state.hard_state.term = entries.empty() ? start_term : entries.back().term;
+    state.snapshot = Snapshot{start_index, start_term, three, {}};
+    state.entries = entries;
+    Raft raft(Options{}, state, {}, 1, TimePoint{});
+    const TimePoint due = raft.next_deadline();
+    const Term before = raft.term();
+    raft.tick(due);
+    raft.receive(due, {second, self, PreVoteResponse{before, before + 1, true}});
+    raft.persisted(due, raft.take().write->sequence);
+    raft.receive(due, {second, self, VoteResponse{before + 1, true}});
+    REQUIRE(raft.role() == Role::leader);
+    return raft;
+}
+
+TEST_CASE("a candidate whose log is behind gets no vote") {
+    Raft raft = settled_follower();
+    raft.receive(TimePoint{}, {second, self, append_of(2)});
+    raft.persisted(TimePoint{}, raft.take().write->sequence);
+    raft.take();
+    raft.receive(TimePoint{}, {third, self, VoteRequest{term + 1, 10, start_term, true}});
+    const Ready ready = raft.take();
+    REQUIRE(sent<VoteResponse>(ready));
+    CHECK_FALSE(sent<VoteResponse>(ready)->granted);
+    CHECK(ready.write->hard_state->vote == 0);
+}
+
+TEST_CASE("entries of earlier terms are committed only by one of the leader's own") {
+    Raft raft = elected_leader({command(2)});
+    const TimePoint now = raft.next_deadline();
+    raft.receive(now, {second, self, AppendResponse{term + 1, true, 2, 0}});
+    CHECK(raft.commit_index() == start_index);
+    const ProposeResult change = raft.propose_membership(now, AddLearner{{4, "10.0.0.4:7000"}});
+    REQUIRE(std::get_if<Refused>(&change));
+    CHECK(std::get<Refused>(change).reason == Refusal::membership_change_pending);
+    raft.receive(now, {second, self, AppendResponse{term + 1, true, 3, 0}});
+    CHECK(raft.commit_index() == start_index);
+    raft.receive(now, {third, self, AppendResponse{term + 1, true, 3, 0}});
+    CHECK(raft.commit_index() == 3);
+    CHECK(raft.take().write->hard_state->commit == 2);  // its own disk lacks entry 3
+}
+
+TEST_CASE("a read is safe once a majority has answered a later heartbeat") {
+    Raft raft = elected_leader({});
+    const TimePoint now = raft.next_deadline();
+    raft.persisted(now, raft.take().write->sequence);
+    raft.receive(now, {second, self, AppendResponse{start_term + 1, true, 2, 0}});
+    REQUIRE(raft.commit_index() == 2);
+    raft.take();
+    CHECK_FALSE(raft.read_index(now, 7));
+    const Ready asked = raft.take();
+    CHECK(asked.reads.empty());
+    const HeartbeatRound round = sent<HeartbeatRequest>(asked)->round;
+    raft.receive(now, {second, self, HeartbeatResponse{start_term + 1, round - 1, 2, 2}});
+    CHECK(raft.take().reads.empty());
+    raft.receive(now, {second, self, HeartbeatResponse{start_term + 1, round, 2, 2}});
+    const Ready answered = raft.take();
+    REQUIRE(answered.reads.size() == 1);
+    CHECK(answered.reads.front().index == 2);
+}
+
 TEST_CASE("a change of two voters at once is refused") {
     const Membership membership{{self, second, third}, {{4, third.address}}};
     const auto result = changed(membership, PromoteLearner{4});
--- a/tests/consensus/world.cpp
+++ b/tests/consensus/world.cpp
@@ -71,7 +71,8 @@
     const Machine& machine = machines_[index];
     if (!machine.raft || machine.life != life) return;
     if (now_ < machine.frozen_until) {
-        post(machine.frozen_until, [this, index, life, run] { on_machine(index, life, run); });
+        const std::chrono::microseconds turn(draw(1000));  // what waited is taken in any order
+        post(machine.frozen_until + turn, [this, index, life, run] { on_machine(index, life, run); });
         return;
     }
     with(index, run);
