--- a/tests/system/hosts.py
+++ b/tests/system/hosts.py
@@ -9,7 +9,7 @@
 import itertools
 import time
 import zlib
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Optional
 
 from system import wire
@@ -35,15 +35,15 @@
 
 @dataclass
 class TroublePlan:
-    """A share of the requests, chosen by their ids, that meet a trouble. At most `remaining` of them."""
+    """A share of the requests, chosen by their ids and the host, that meet a trouble. At most `remaining` of them."""
 
     share: float
     kinds: list
     remaining: int = 1 << 30
 
-    def pick(self, attempt):
-        """The trouble of this request, or None."""
-        mark = zlib.crc32(attempt.encode())
+    def pick(self, attempt, address):
+        """The trouble of this request at the host with this address, or None."""
+        mark = zlib.crc32(f"{attempt}@{address}".encode())
         if self.remaining <= 0 or not self.kinds or mark % 1000 >= self.share * 1000:
             return None
         self.remaining -= 1
@@ -69,12 +69,11 @@
     body_bytes: int = 600
 
 
-@dataclass
+@dataclass(eq=False)
 class _Connection:
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     late: bytes = b""
-    closing: bool = field(default=False)
 
 
 class Host:
@@ -134,7 +133,7 @@
         connection = _Connection(reader, writer)
         self._connections.add(connection)
         try:
-            while not connection.closing and await self._serve_one(connection):
+            while await self._serve_one(connection):
                 pass
         except (OSError, wire.WireError, asyncio.CancelledError):
             pass
@@ -230,7 +229,7 @@
         run.status = answer.status
         run.seal = answer.headers.get("X-Server-Seal")
         run.answer_hash = wire.digest(answer.body)
-        trouble = self.troubles.pick(run.attempt)
+        trouble = self.troubles.pick(run.attempt, self.plan.address)
         run.ending = RunEnding.BROKE_OFF if trouble in BREAKING else RunEnding.WHOLE
         if trouble is None:
             return await self._send(connection, request, answer)
--- a/tests/system/wire.py
+++ b/tests/system/wire.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass, field
 
 STREAM_LIMIT_BYTES = 1 << 20
-MIB = 1 << 20
 
 
 class WireFault(enum.Enum):
@@ -95,7 +94,7 @@
     return hashlib.sha256(body).hexdigest()[:16]
 
 
-async def _read_head(reader, first_bytes):
+async def read_head(reader, first_bytes):
     """The first line and the headers of a message that must begin with one of `first_bytes`."""
     try:
         block = await reader.readuntil(b"\r\n\r\n")
@@ -157,7 +156,8 @@
     return bytes(body)
 
 
-async def _read_body(reader, headers, until_close):
+async def read_body(reader, headers, until_close):
+    """The body of a message; `until_close` says whether one without a length lasts until the connection ends."""
     if headers.has_token("Transfer-Encoding", "chunked"):
         return await _read_chunks(reader)
     length = headers.get("Content-Length")
@@ -175,18 +175,18 @@
 
 async def read_request(reader):
     """The next request of a connection; fails with WireError."""
-    line, headers = await _read_head(reader, (b"GET ", b"POST ", b"PUT ", b"DELETE "))
+    line, headers = await read_head(reader, (b"GET ", b"POST ", b"PUT ", b"DELETE "))
     parts = line.split(" ")
     if len(parts) != 3 or not parts[2].startswith("HTTP/1."):
         raise WireError(WireFault.GARBLED, line[:60])
-    body = await _read_body(reader, headers, until_close=False)
+    body = await read_body(reader, headers, until_close=False)
     return Request(parts[0], parts[1], headers, body)
 
 
 async def read_answer(reader, method="GET"):
     """The next final answer of a connection; interim 1xx answers are passed over. Fails with WireError."""
     while True:
-        line, headers = await _read_head(reader, (b"HTTP/1.1 ", b"HTTP/1.0 "))
+        line, headers = await read_head(reader, (b"HTTP/1.1 ", b"HTTP/1.0 "))
         parts = line.split(" ", 2)
         if not parts[0].startswith("HTTP/1.") or len(parts) < 2 or not parts[1].isdigit():
             raise WireError(WireFault.GARBLED, line[:60])
@@ -195,7 +195,7 @@
             break
     if method == "HEAD" or status in (204, 304):
         return Answer(status, headers)
-    return Answer(status, headers, await _read_body(reader, headers, until_close=True))
+    return Answer(status, headers, await read_body(reader, headers, until_close=True))
 
 
 def encode_request(request, chunk_bytes=None):
