--- a/cmake/system.cmake
+++ b/cmake/system.cmake
@@ -32,3 +32,17 @@
   add_subdirectory(src/settings)
   add_subdirectory(src/configuration)
 endif()
+
+# Tests of the whole system over real processes on loopback addresses, after all packages: they need the program.
+if(DEWWEIR_SYSTEM AND DEWWEIR_TESTS)
+  find_package(Python3 3.11 COMPONENTS Interpreter REQUIRED)
+  set(SYSTEM_TESTS ${CMAKE_SOURCE_DIR}/tests/system)
+  add_test(NAME system_judge COMMAND ${Python3_EXECUTABLE} ${SYSTEM_TESTS}/judge_test)
+  if(TARGET dewweir_system)
+    add_test(NAME whole_path COMMAND ${Python3_EXECUTABLE} ${SYSTEM_TESTS}/whole_path $<TARGET_FILE:dewweir_system>)
+  else()
+    # Without the program its stand-in shows that the test world itself is sound.
+    add_test(NAME whole_path COMMAND ${Python3_EXECUTABLE} ${SYSTEM_TESTS}/whole_path ${SYSTEM_TESTS}/fake/dewweir)
+  endif()
+  set_tests_properties(whole_path PROPERTIES TIMEOUT 75 RUN_SERIAL ON)
+endif()
