--- a/tests/system/clients.py
+++ b/tests/system/clients.py
@@ -86,9 +86,8 @@
         held = self.resolutions.get(hostname)
         if held is not None and time.monotonic() < held.until:
             return held.addresses
-        query = urlencode({"name": hostname, "region": self.plan.region, "zone": self.plan.zone})
         for directory in self.plan.directories[:DIRECTORY_TRIES]:
-            resolution = await self._ask(directory, query)
+            resolution = await self.ask(directory, hostname)
             if resolution is not None:
                 self.resolutions[hostname] = resolution
                 self.failed.clear()
@@ -97,7 +96,9 @@
             raise ResolveError(hostname)
         return held.addresses
 
-    async def _ask(self, directory, query):
+    async def ask(self, directory, hostname):
+        """One directory's answer, or None when it is none or lacks what it needs."""
+        query = urlencode({"name": hostname, "region": self.plan.region, "zone": self.plan.zone})
         try:
             request = wire.Call(directory, "GET", f"/v1/resolve?{query}")
             answer = await wire.call(request, DIRECTORY_TIMEOUT_S)
@@ -106,7 +107,7 @@
             ttl_s = min(seconds(body.get("ttl", "")), self.plan.ttl_max_s)
         except (OSError, asyncio.TimeoutError, wire.WireError, ValueError):
             return None
-        if not 0 < len(addresses) <= MAX_ADDRESSES:
+        if not 0 < len(addresses) <= MAX_ADDRESSES or ttl_s <= 0:
             return None
         return Resolution(addresses, time.monotonic() + ttl_s)
 
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -143,7 +143,7 @@
 
     @property
     def directory(self):
-        """Where a control plane tells clients where to go."""
+        """Where a gateway tells clients where to go."""
         return wire.Address(self.machine.ip, self.fleet.plan.ports.directory)
 
     @property
@@ -260,7 +260,7 @@
         def distance(process):
             return (process.machine.zone != zone, process.machine.region != region)
 
-        return [process.directory for process in sorted(self.control_planes, key=distance)]
+        return [process.directory for process in sorted(self.gateways, key=distance)]
 
     def ended(self):
         """The names of processes that are not running."""
@@ -296,7 +296,7 @@
             f"self.node={machine.name}",
             f"self.role={machine.role}",
             f"self.machine_class={'edge' if machine.is_gateway else 'core'}",
-            f"self.serves={'edge' if machine.is_gateway else 'control,directory'}",
+            f"self.serves={'edge,directory' if machine.is_gateway else 'control'}",
             f"self.ip={machine.ip}",
             f"self.zone={machine.zone}",
             f"self.region={machine.region}",
@@ -317,9 +317,9 @@
     def _network_lines(self, machine):
         ports = self.plan.ports
         if machine.is_gateway:
-            binds = [("front", ports.front), ("readiness", ports.readiness)]
+            binds = [("front", ports.front), ("readiness", ports.readiness), ("directory", ports.directory)]
         else:
-            binds = [("control", ports.control), ("directory", ports.directory)]
+            binds = [("control", ports.control)]
         lines = [f"network.bind.{name}={machine.ip}:{port}" for name, port in binds]
         seeds = [str(process.control) for process in self.control_planes[:3]]
         lines.append(f"network.ephemeral_ports={ports.internal},{ports.internal + INTERNAL_PORTS - 1}")
