--- a/tests/system/checks.py
+++ b/tests/system/checks.py
@@ -33,7 +33,7 @@
 
 
 async def until(state, bound_s):
-    """Waits until `state()` holds, at most `bound_s` seconds; returns whether it does. It may be a coroutine."""
+    """Waits until `state()`, plain or a coroutine, holds; returns whether it did within `bound_s` seconds."""
     end = time.monotonic() + bound_s
     while True:
         found = state()
--- a/tests/system/clients.py
+++ b/tests/system/clients.py
@@ -112,7 +112,7 @@
         return Resolution(addresses, time.monotonic() + ttl_s)
 
     async def request(self, wanted):
-        """Sends a request, with further tries as allowed; returns its last ClientTry, or None if none was made."""
+        """Sends a request, with further tries as allowed; returns its last ClientTry, or None without one."""
         began = time.monotonic()
         last = None
         for _ in range(wanted.tries):
@@ -243,7 +243,8 @@
         if connection is None:
             return None
         connection.last_try.surplus = await _surplus(connection.reader)
-        if connection.last_try.surplus or connection.reader.at_eof() or time.monotonic() > connection.idle_until:
+        ended = connection.reader.at_eof() or time.monotonic() > connection.idle_until
+        if connection.last_try.surplus or ended:
             connection.writer.close()
             return None
         return connection
--- a/tests/system/configuration.py
+++ b/tests/system/configuration.py
@@ -163,11 +163,14 @@
         first_route(body).pop("weighted_backends", None)
         first_route(body)["backend"] = "no-such-service"
 
+    def same_place(body):
+        body["routes"].append(dict(first_route(body), name="again"))
+
     whole = json.dumps(valid).encode()
     return [
         InvalidConfiguration("cut short", whole[: len(whole) // 2], None),
         changed("unknown service", unknown_service),
-        changed("same place twice", lambda body: body["routes"].append(dict(first_route(body), name="again"))),
+        changed("same place twice", same_place),
         changed("weights sum to 0", no_weight),
         changed("unknown class", lambda body: first_route(body).update(route_class="odd")),
         changed("deadline over ten minutes", lambda body: first_route(body).update(deadline="601s")),
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -1,6 +1,6 @@
 """The fleet: real processes of the program under test, each on a loopback address that stands for a machine.
 
-Owns settings files, processes and their logs in a temporary folder, and stops by process id whatever it started.
+Owns settings files, processes and their logs in a temporary folder, and stops by process id what it started.
 """
 
 import asyncio
@@ -54,7 +54,7 @@
 
 @dataclass
 class FleetPlan:
-    """What to run. `program` is the command without the role; `bounds` are the figures of the settings file."""
+    """What to run. `program` is the command without the role; `bounds` override figures of the settings."""
 
     program: list
     machines: list
--- a/tests/system/hosts.py
+++ b/tests/system/hosts.py
@@ -1,7 +1,7 @@
 """Upstream hosts: HTTP/1.1 servers with slots and a queue that can be told to misbehave.
 
-A host writes every run into the ledger the moment it begins to work on it. What it sends back is made from the request
-alone, with a stamp (X-Server-Seal) of its own for each run.
+A host writes every run into the ledger the moment it begins to work on it. What it sends back is made from
+the request alone, with a stamp (X-Server-Seal) of its own for each run.
 """
 
 import asyncio
@@ -35,7 +35,7 @@
 
 @dataclass
 class TroublePlan:
-    """A share of the requests, chosen by their ids and the host, that meet a trouble. At most `remaining` of them."""
+    """A share of the requests, chosen by id and host, that meet a trouble; at most `remaining` of them."""
 
     share: float
     kinds: list
--- a/tests/system/judge.py
+++ b/tests/system/judge.py
@@ -138,7 +138,7 @@
 
 
 def judge_lost(ledger, runs_of, bounds):
-    """LOST: around a SIGTERM, a request that a host ran ends without a complete answer though the host gave one."""
+    """LOST: around a SIGTERM, a request that ran ends without a whole answer, and not by the host's doing."""
     lives = [life for life in ledger.lives if life.terminated is not None]
     breaches = []
     for entry in ledger.tries:
@@ -173,13 +173,14 @@
             end = start + bounds.quota_window_s
             inside = sum(1 for sent, started in spans[tenant] if start <= sent and started <= end)
             if inside > limit:
-                breaches.append(Breach(Rule.QUOTA, tenant, f"{inside} in a window that has room for {limit:.0f}"))
+                reason = f"{inside} in a window that has room for {limit:.0f}"
+                breaches.append(Breach(Rule.QUOTA, tenant, reason))
                 break
     return breaches
 
 
 def _highest_limits(ledger, bounds):
-    """The most a tenant may run in a window under any configuration sent; tenants without a limit are left out."""
+    """The most a tenant may run in a window under any configuration sent, for tenants that have a limit."""
     limits = {}
     unlimited = set()
     for body in judge_configuration.sent_configurations(ledger):
@@ -195,7 +196,7 @@
 
 
 def judge_denied(ledger, bounds):
-    """DENIED: more than a few proper requests refused though every configuration that may be in force allows them."""
+    """DENIED: more than a few proper requests refused that all configurations in force allow."""
     denied = [entry for entry in ledger.tries if _is_denied(entry, ledger, bounds)]
     if len(denied) <= MAX_DENIED + len(ledger.tries) / DENIED_PER:
         return []
--- a/tests/system/judge_configuration.py
+++ b/tests/system/judge_configuration.py
@@ -30,7 +30,7 @@
 
 
 def may_be_in_force(ledger, sent, ended, bounds):
-    """The orders by which a request in this span may have been handled; empty while there was none for sure."""
+    """The orders by which a request in this span may be handled; empty while there was none for sure."""
     accepted = [order for order in accepted_orders(ledger) if order.sent <= ended]
     settled = [
         order.version
@@ -81,7 +81,7 @@
         if order.outcome is not OrderOutcome.ACKNOWLEDGED:
             continue
         if not order.valid:
-            breaches.append(Breach(Rule.CONFIG, str(order.version), "an invalid configuration was acknowledged"))
+            breaches.append(Breach(Rule.CONFIG, str(order.version), "acknowledged though invalid"))
         other = first_on_base.setdefault(order.base, order)
         if other.body != order.body:
             breaches.append(Breach(Rule.CONFIG, str(order.version), f"a second one on top of {order.base}"))
@@ -89,7 +89,7 @@
 
 
 def judge_read_back(ledger):
-    """CONFIG: what is read back is older than what was acknowledged, or not as it was sent, or does not come."""
+    """CONFIG: what is read back is older than what was acknowledged, not as it was sent, or does not come."""
     breaches = []
     for read in ledger.reads:
         reason = _read_back_reason(ledger, read)
@@ -129,9 +129,11 @@
         for run in runs.get(entry.attempt, []):
             allowing = [order for order in accepted if _allows_run(order.body, entry, run.service)]
             if allowing and not any(order in in_force for order in allowing):
-                breaches.append(Breach(Rule.CONFIG, entry.attempt, f"ran at {run.service} by an older version"))
+                reason = f"ran at {run.service} by an older version"
+                breaches.append(Breach(Rule.CONFIG, entry.attempt, reason))
         if _refused_by_old_version(entry, in_force):
-            breaches.append(Breach(Rule.CONFIG, entry.attempt, f"{entry.status} though route and key are there"))
+            reason = f"{entry.status} though route and key are there"
+            breaches.append(Breach(Rule.CONFIG, entry.attempt, reason))
     return breaches
 
 
@@ -153,7 +155,8 @@
     breaches = []
     for life, entries in handled.items():
         for run, entry, _, newest in entries:
-            seen = [low for other, _, low, _ in entries if other.started + bounds.downgrade_slack_s < entry.sent]
+            shown_before = entry.sent - bounds.downgrade_slack_s
+            seen = [low for other, _, low, _ in entries if other.started < shown_before]
             if seen and newest < max(seen):
                 breaches.append(Breach(Rule.CONFIG, entry.attempt, f"{life[0]} went back behind {max(seen)}"))
     return breaches
--- a/tests/system/operator.py
+++ b/tests/system/operator.py
@@ -37,7 +37,7 @@
         self.random = random.Random(seed)
 
     async def put_config(self, payload, base, valid, bound_s):
-        """Sends a configuration until it is settled or `bound_s` seconds are over; returns its ConfigOrder."""
+        """Sends a configuration until it is settled, `bound_s` seconds at most; returns its ConfigOrder."""
         order = ConfigOrder(_parse(payload), base, valid, sent=time.monotonic())
         self.ledger.orders.append(order)
         headers = [("If-Match", base), ("Content-Type", "application/json")]
--- a/tests/system/platform.py
+++ b/tests/system/platform.py
@@ -1,4 +1,4 @@
-"""The platform: the list of hosts, with its lag, pages and rate limit, and the readiness polls of gateways."""
+"""The platform: the list of hosts, with its lag, pages and rate limit, and the polls of readiness."""
 
 import asyncio
 import base64
@@ -77,7 +77,8 @@
         self._polls.append(asyncio.create_task(self._poll(readiness)))
 
     def _list_now(self):
-        return [(host, host.instance, "draining" if host.draining else "ready") for host in self.hosts if host.alive]
+        alive = [host for host in self.hosts if host.alive]
+        return [(host, host.instance, "draining" if host.draining else "ready") for host in alive]
 
     def _list_seen(self):
         seen = self._snapshots[0]
--- a/tests/system/wire.py
+++ b/tests/system/wire.py
@@ -157,7 +157,7 @@
 
 
 async def read_body(reader, headers, until_close):
-    """The body of a message; `until_close` says whether one without a length lasts until the connection ends."""
+    """The body of a message; `until_close`: one without a length lasts until the connection ends."""
     if headers.has_token("Transfer-Encoding", "chunked"):
         return await _read_chunks(reader)
     length = headers.get("Content-Length")
--- a/tests/system/world.py
+++ b/tests/system/world.py
@@ -1,4 +1,4 @@
-"""A whole world for a test: three zones of two regions, control planes, gateways, hosts, platform and operator."""
+"""A whole world for a test: three zones of two regions with all processes and stand-ins in them."""
 
 from system import wire
 from system.clients import Client, ClientPlan
