--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -30,10 +30,11 @@
     if (log_.leads()) return self_.control;
     const std::optional<std::string> address = log_.leader_address();
     if (!address) return std::nullopt;
-    for (const auto& [node, member] : view_.members()) {
-        if (member.internal == *address) return member.control;
-    }
-    return std::nullopt;
+    // Every control plane takes operators' calls at the same port.
+    const auto leader = settings::parse_endpoint(*address);
+    const auto own = settings::parse_endpoint(self_.control);
+    if (!leader || !own) return std::nullopt;
+    return settings::to_string({leader->ip, own->port});
 }
 
 // ---- what this process publishes ----
@@ -49,14 +50,12 @@
 
 void FleetServer::instances_read(const control::Instances& instances) {
     if (!log_.leads()) return;
-    wire::InstancesUpdate update = control::Instances(view_.instances()).empty()
-                                       ? wire::InstancesUpdate{}
-                                       : distribution::instances_difference(view_.instances(), instances);
-    if (view_.instances_revision() == wire::Revision{}) {
-        update = distribution::instances_difference({}, instances);
-        update.whole = true;
-    }
-    if (!update.whole && update.changed.empty() && update.gone.empty()) return;
+    // A leader's first list is whole: others may hold what this process never knew.
+    const bool whole = view_.instances_revision().term != log_.term();
+    wire::InstancesUpdate update =
+        distribution::instances_difference(whole ? control::Instances() : view_.instances(), instances);
+    update.whole = whole;
+    if (!whole && update.changed.empty() && update.gone.empty()) return;
     update.revision = next_revision();
     view_.apply(update);
     broadcast(update);
@@ -154,6 +153,10 @@
     Peer& peer = peers_[session];
     peer.heard_at = loop_.now();
     if (session == to_leader_) return from_leader(message);
+    if (const auto* const consensus = std::get_if<wire::ConsensusMessage>(&message)) {
+        if (consensus_) consensus_(*consensus);
+        return;
+    }
     if (const auto* const hello = std::get_if<wire::Hello>(&message)) return greeted(session, peer, *hello);
     if (const auto* const changed = std::get_if<wire::MemberChanged>(&message)) {
         return member_changed(peer, changed->self);
