--- a/src/storage/log_format.cpp
+++ b/src/storage/log_format.cpp
@@ -61,13 +61,17 @@
     const auto type = static_cast<RecordType>(bytes[offset + type_at]);
     if (end > block_end) return std::nullopt;
     if (type < RecordType::full || type > RecordType::last) return std::nullopt;
+    const bool continued = type == RecordType::first || type == RecordType::middle;
+    if (continued && end % block_bytes != 0) return std::nullopt;  // it would have taken all of its block
     const std::string_view checked = bytes.substr(offset + type_at, 1 + length);
     if (masked(crc32c(checked)) != number_at(bytes, offset, length_at)) return std::nullopt;
     return PhysicalRecord{type, checked.substr(1), end};
 }
 
-bool begins(const PhysicalRecord& record) {
-    return record.type == RecordType::full || record.type == RecordType::first;
+bool begins(RecordType type) { return type == RecordType::full || type == RecordType::first; }
+
+bool has_first_type(std::string_view bytes, std::size_t offset) {
+    return offset + type_at < bytes.size() && begins(static_cast<RecordType>(bytes[offset + type_at]));
 }
 
 bool ends(const PhysicalRecord& record) {
@@ -88,7 +92,7 @@
     bool within = false;
     std::size_t offset = 0;
     while (const auto record = record_at(bytes, offset)) {
-        if (begins(*record) == within) break;  // a part of a record is missing
+        if (begins(record->type) == within) break;  // a part of a record is missing
         parts += record->payload;
         within = !ends(*record);
         offset = skip_trailer(record->end);
@@ -104,8 +108,8 @@
 bool altered_within(std::string_view bytes, const LogContent& content) {
     // A record, or its first part, anywhere behind the start of the one that is not whole.
     for (std::size_t offset = content.next + 1; offset < bytes.size(); ++offset) {
-        const auto record = record_at(bytes, offset);
-        if (record && begins(*record)) return true;
+        if (!has_first_type(bytes, offset)) continue;
+        if (record_at(bytes, offset)) return true;
     }
     return false;
 }
