--- a/src/storage/replica_store.h
+++ b/src/storage/replica_store.h
@@ -1,23 +1,19 @@
 // The package `storage` owns the durable state of one replica of the replicated log, in one folder, by
 // LevelDB. It must never tell a write done before it is synced, never show a part of one as whole, never mend
-// or guess: a store that is not whole is refused, with the place, and the replica rejoins as a new one
-// (discard_all).
+// or guess: a store that is not whole is refused, with the place, and the replica rejoins as a new one.
 //
-// What a loss of power leaves, as tests/storage/power_loss_test.cpp shows by a cut at each operation on the
-// disk:
+// What a loss of power leaves, as tests/storage/power_loss_test.cpp shows by a cut at each operation:
 // - Each LevelDB write is synced, so only the last one, not yet acknowledged, can be torn; it is there whole
-// or not at
-//   all. LevelDB drops a torn end of its log silently. It drops a record altered anywhere else as silently,
-//   with what follows it: therefore the log is checked before LevelDB reads it, and each write leaves a
-//   marker with its number and deletes the marker of the write before. If one in the middle is lost, its own
-//   deletion is too, two markers remain, and the store is refused. The last write, altered, can't be told
-//   from one that was torn.
+//   or not at all. LevelDB drops a torn end of its log silently. It drops a record altered anywhere else as
+//   silently, with what follows it: therefore the log is checked before LevelDB reads it, and each write
+//   leaves a marker with its number and deletes the marker of the write before. If one in the middle is lost,
+//   its own deletion is too, two markers remain, and the store is refused. The last write, altered, can't be
+//   told from one that was torn.
 // - LevelDB renames CURRENT without a sync of the folder. Its own environment alone loses acknowledged writes
-// here, or
-//   no longer opens; see durable_env.h, which syncs the folder after each rename.
+//   here, or no longer opens; durable_env.h syncs the folder after each rename.
 // - A removed file may come back: LevelDB removes it again.
-// - A manifest's torn end makes LevelDB refuse the store, though nothing acknowledged is missing; see
-// manifest_tail.h.
+// - A manifest's torn end makes LevelDB refuse the store, though nothing acknowledged is missing: it is cut,
+//   see manifest_tail.h.
 //
 // The disk has no links and its locks do nothing: one process, one store for a folder.
 #pragma once
--- a/tests/storage/disk_writer_test.cpp
+++ b/tests/storage/disk_writer_test.cpp
@@ -87,7 +87,8 @@
     }
 
     std::size_t stored_entries() {
-        ReplicaStore reader(options_on(env));
+        PowerLossEnv copy(env.disk());
+        ReplicaStore reader(options_on(copy));
         return std::get<consensus::PersistentState>(reader.open(folder)).entries.size();
     }
 };
--- a/tests/storage/power_loss_env.cpp
+++ b/tests/storage/power_loss_env.cpp
@@ -1,6 +1,7 @@
 #include "storage/power_loss_env.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstring>
 
 namespace dewweir::storage::tests {
@@ -12,6 +13,9 @@
 
 constexpr std::size_t write_buffer_bytes = 65536;  // as LevelDB's on a POSIX system
 
+// A store that is refused waits for its background work before open returns: no hold may last for ever.
+constexpr std::chrono::seconds longest_hold{5};
+
 bool is_log(const std::string& name) { return name.ends_with(".log"); }
 bool is_manifest(const std::string& name) { return name.find("/MANIFEST") != std::string::npos; }
 
@@ -130,6 +134,20 @@
     return syncs_;
 }
 
+void PowerLossEnv::hold_background(bool hold) {
+    const std::lock_guard lock(mutex_);
+    background_held_ = hold;
+    changed_.notify_all();
+}
+
+OpenResult PowerLossEnv::open(ReplicaStore& store, const std::string& folder) {
+    hold_background(true);
+    OpenResult result = store.open(folder);
+    hold_background(false);
+    AwaitBackground();
+    return result;
+}
+
 Status PowerLossEnv::operate(const std::function<void(MemoryDisk&)>& change) {
     const std::lock_guard lock(mutex_);
     if (refusing_) return Status::IOError("refused");
@@ -219,8 +237,11 @@
         ++background_;
     }
     const auto run = [this, function, argument] {
+        std::unique_lock lock(mutex_);
+        changed_.wait_for(lock, longest_hold, [this] { return !background_held_; });
+        lock.unlock();
         function(argument);
-        const std::lock_guard lock(mutex_);
+        lock.lock();
         --background_;
         changed_.notify_all();
     };
--- a/tests/storage/power_loss_env.h
+++ b/tests/storage/power_loss_env.h
@@ -35,6 +35,9 @@
     void release_syncs();
     void await_hanging_sync();
     int syncs() const;  // of log files
+    // Opens the store; LevelDB's background work starts after it has read all, and has ended when this
+    // returns.
+    OpenResult open(ReplicaStore& store, const std::string& folder);
 
     leveldb::Status NewSequentialFile(const std::string& name, leveldb::SequentialFile** file) override;
     leveldb::Status NewRandomAccessFile(const std::string& name, leveldb::RandomAccessFile** file) override;
@@ -57,6 +60,7 @@
     void AwaitBackground();  // until none is scheduled
 
   private:
+    void hold_background(bool hold);
     // Runs `change` and tells the watcher; an error where writes are refused.
     leveldb::Status operate(const std::function<void(MemoryDisk&)>& change);
 
@@ -66,6 +70,7 @@
     Watcher watcher_;
     bool refusing_ = false;
     bool hanging_ = false;
+    bool background_held_ = false;
     int waiting_syncs_ = 0;
     int syncs_ = 0;
     int background_ = 0;  // scheduled or running
--- a/tests/storage/power_loss_test.cpp
+++ b/tests/storage/power_loss_test.cpp
@@ -20,7 +20,7 @@
 std::string wrong_on(PowerLossEnv& env, const History& history, std::size_t acknowledged,
                      bool sync_renames = true) {
     ReplicaStore store(options_on(env, sync_renames));
-    const OpenResult opened = store.open(folder);
+    const OpenResult opened = env.open(store, folder);
     consensus::PersistentState state;
     if (const auto* reason = std::get_if<NoState>(&opened)) {
         if (reason->reason != NoStateReason::empty) {
--- a/tests/storage/replica_store_test.cpp
+++ b/tests/storage/replica_store_test.cpp
@@ -21,16 +21,19 @@
     return store;
 }
 
-consensus::PersistentState state_on(PowerLossEnv& env) {
-    ReplicaStore store(options_on(env));
-    return std::get<consensus::PersistentState>(store.open(folder));
+// What a process finds that starts now, with another one killed where it was.
+OpenResult opened_by_next(const PowerLossEnv& env) {
+    PowerLossEnv copy(env.disk());
+    ReplicaStore store(options_on(copy));
+    return store.open(folder);
 }
 
-NoState refusal_on(PowerLossEnv& env) {
-    ReplicaStore store(options_on(env));
-    return std::get<NoState>(store.open(folder));
+consensus::PersistentState state_on(const PowerLossEnv& env) {
+    return std::get<consensus::PersistentState>(opened_by_next(env));
 }
 
+NoState refusal_on(const PowerLossEnv& env) { return std::get<NoState>(opened_by_next(env)); }
+
 WriteBatch entries(consensus::Index first, consensus::Index last) {
     WriteBatch batch;
     for (auto index = first; index <= last; ++index) batch.append.push_back(command(index, 1, "entry"));
@@ -50,7 +53,7 @@
     for (consensus::Index index = 1; index <= 9; ++index) REQUIRE_FALSE(store->write(entries(index, index)));
 }
 
-// Changes the database behind the store's back.
+// Looks at or changes the database behind the store's back.
 void change(PowerLossEnv& env, const std::function<void(leveldb::DB&)>& function) {
     leveldb::Options options;
     options.env = &env;
@@ -69,7 +72,25 @@
     });
 }
 
-std::string file_ending(const MemoryDisk& disk, const std::string& part) {
+std::size_t count_keys(PowerLossEnv& env) {
+    std::size_t count = 0;
+    change(env, [&](leveldb::DB& database) {
+        const std::unique_ptr<leveldb::Iterator> at(database.NewIterator({}));
+        for (at->SeekToFirst(); at->Valid(); at->Next()) ++count;
+    });
+    return count;
+}
+
+std::size_t largest_value(PowerLossEnv& env) {
+    std::size_t largest = 0;
+    change(env, [&](leveldb::DB& database) {
+        const std::unique_ptr<leveldb::Iterator> at(database.NewIterator({}));
+        for (at->SeekToFirst(); at->Valid(); at->Next()) largest = std::max(largest, at->value().size());
+    });
+    return largest;
+}
+
+std::string file_containing(const MemoryDisk& disk, const std::string& part) {
     for (const std::string& name : disk.names()) {
         if (name.find(part) != std::string::npos) return name;
     }
@@ -115,6 +136,11 @@
         alter_value(env, keys::entry(6), [&](std::string& value) { other = value; });
         alter_value(env, key, [&](std::string& value) { value = other; });
     }
+    SECTION("a write between two others is missing") {
+        named = keys::write_marker(10);  // the last one; the marker of the second should have gone
+        const std::string left = keys::write_marker(2);
+        change(env, [&](leveldb::DB& database) { REQUIRE(database.Put({}, left, seal(left, "")).ok()); });
+    }
     SECTION("unknown") {
         named = "name";
         change(env, [&](leveldb::DB& database) { REQUIRE(database.Put({}, named, "value").ok()); });
@@ -137,7 +163,7 @@
             REQUIRE_FALSE(store->write(entries(index, index)));
     }
     const MemoryDisk disk = writing.disk();
-    const std::string name = file_ending(disk, GENERATE(".log", "MANIFEST"));
+    const std::string name = file_containing(disk, GENERATE(".log", "MANIFEST"));
     const std::size_t bytes = disk.size(*disk.file_of(name));
     std::size_t refused = 0;
     for (std::size_t at = 0; at < bytes; ++at) {
@@ -193,10 +219,27 @@
     for (int round = 0; round < 5; ++round) REQUIRE_FALSE(store->write(snapshot(9, data)));
     CHECK(store->approximate_bytes() < 5 * bytes);
     CHECK(state_on(env).snapshot->data == data);
-    change(env, [](leveldb::DB& database) {
-        const std::unique_ptr<leveldb::Iterator> at(database.NewIterator({}));
-        for (at->SeekToFirst(); at->Valid(); at->Next()) REQUIRE(at->value().size() <= 64 * 1024);
-    });
+    PowerLossEnv copy(env.disk());
+    CHECK(largest_value(copy) <= 64 * 1024);
+}
+
+TEST_CASE("chunks of a snapshot that was never finished are deleted by the next write") {
+    PowerLossEnv env;
+    fill(env);
+    const std::size_t keys_before = count_keys(env);
+    std::vector<MemoryDisk> images;
+    const auto store = opened(env);
+    env.watch([&](const MemoryDisk& disk) { images.push_back(disk); });
+    REQUIRE_FALSE(store->write(snapshot(3, noise(1, 400'000))));
+    std::size_t with_chunks = 0;
+    for (const MemoryDisk& image : images) {
+        PowerLossEnv later(image);
+        if (state_on(later).snapshot) continue;
+        if (count_keys(later) > keys_before) ++with_chunks;
+        REQUIRE_FALSE(opened(later)->write(entries(10, 10)));
+        CHECK(count_keys(later) == keys_before + 1);
+    }
+    CHECK(with_chunks > 0);
 }
 
 TEST_CASE("a batch that would leave a gap or undo the snapshot is refused whole, and the store goes on") {
--- a/tests/storage/scripted_history.cpp
+++ b/tests/storage/scripted_history.cpp
@@ -117,7 +117,7 @@
         env_ = std::make_unique<PowerLossEnv>(std::move(disk));
         env_->watch([this](const MemoryDisk& now) { history_.images.push_back(Image{now, acknowledged_}); });
         store_ = std::make_unique<ReplicaStore>(options_on(*env_, sync_renames_));
-        const OpenResult opened = store_->open(folder);
+        const OpenResult opened = env_->open(*store_, folder);
         const auto* reason = std::get_if<NoState>(&opened);
         if (reason && reason->reason != NoStateReason::empty)
             throw std::runtime_error("refused: " + reason->what);
