Requests that two readers could cut differently are refused 400

Cause: http-parser (Debian's build, not strict) took bare line feeds, folded fields, space before a colon, any two bytes at a chunk's end, "gzip, chunked", two chunked fields and chunked in HTTP/1.0; such fields were passed on to hosts. Fields of a trailer counted as fields of the head where they came in one piece with it, so that the same bytes gave other results by how they came. Space behind a value counted as part of it.

Change: RequestFraming goes over the lines and chunks of a request before the parser reads them; a request tells its body's end in one plain way or is refused; trailers are counted against the head's limit and dropped. dewweir_package_tests takes a library's name, for tests of code that lies in none of the packages.

--- a/cmake/system.cmake
+++ b/cmake/system.cmake
@@ -11,16 +11,21 @@
     target_compile_options(dewweir_${name} PRIVATE ${WARNINGS} -Werror)
   endfunction()
 
-  # dewweir_package_tests(NAME SOURCE...) makes the Catch2 program NAME_tests for the package dewweir_NAME and has ctest
-  # run it. Sources are named as in tests/NAME.
+  # dewweir_package_tests(NAME [LIBRARY TARGET] SOURCE...) makes the Catch2 program NAME_tests for the package
+  # dewweir_NAME, or for the library TARGET, and has ctest run it. Sources are named as in tests/NAME.
   function(dewweir_package_tests name)
     if(NOT DEWWEIR_TESTS)
       return()
     endif()
-    list(TRANSFORM ARGN PREPEND ${CMAKE_SOURCE_DIR}/tests/${name}/)
-    add_executable(${name}_tests ${CMAKE_SOURCE_DIR}/tests/catch_main.cpp ${ARGN})
+    cmake_parse_arguments(TESTS "" "LIBRARY" "" ${ARGN})
+    if(NOT TESTS_LIBRARY)
+      set(TESTS_LIBRARY dewweir_${name})
+    endif()
+    set(sources ${TESTS_UNPARSED_ARGUMENTS})
+    list(TRANSFORM sources PREPEND ${CMAKE_SOURCE_DIR}/tests/${name}/)
+    add_executable(${name}_tests ${CMAKE_SOURCE_DIR}/tests/catch_main.cpp ${sources})
     target_include_directories(${name}_tests PRIVATE ${CMAKE_SOURCE_DIR}/tests)
-    target_link_libraries(${name}_tests PRIVATE dewweir_${name})
+    target_link_libraries(${name}_tests PRIVATE ${TESTS_LIBRARY})
     target_compile_options(${name}_tests PRIVATE ${WARNINGS} -Werror)
     add_test(NAME ${name} COMMAND ${name}_tests)
   endfunction()
@@ -29,6 +34,9 @@
     enable_testing()
   endif()
 
+  # The reader of HTTP messages lies in a library that the packages share with the program of deploy/balancer.toml.
+  dewweir_package_tests(http LIBRARY dewweir_net reader.cpp smuggling.cpp)
+
   add_subdirectory(src/settings)
   add_subdirectory(src/configuration)
   add_subdirectory(src/logging)
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -29,6 +29,7 @@
     c.on_url = [](http_parser* p, const char* at, std::size_t n) { return of(p).grow(of(p).target_, at, n); };
     c.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
         HttpReader& r = of(p);
+        if (r.head_read_) return r.drop(n);
         if (r.index_.empty() || r.in_value_) r.index_.push_back({r.fields_.size(), 0, 0, 0});
         r.in_value_ = false;
         r.index_.back().name_size += n;
@@ -36,6 +37,7 @@
     };
     c.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
         HttpReader& r = of(p);
+        if (r.head_read_) return r.drop(n);
         if (r.index_.empty()) return 0;
         if (!r.in_value_) r.index_.back().value = r.fields_.size();
         r.in_value_ = true;
@@ -49,6 +51,9 @@
         // A request's body comes with its length: what names a coding too may hide another request.
         if (p->type == HTTP_REQUEST && !r.limits_.chunked_requests && r.has_field("Transfer-Encoding"))
             return r.stop(411);
+        if (p->type == HTTP_REQUEST && !r.framing_is_plain()) return r.stop(400);
+        r.chunked_ = (p->flags & F_CHUNKED) != 0;
+        if (r.chunked_) r.framing_.begin_chunks();
         const bool sized = (p->flags & F_CONTENTLENGTH) && p->content_length != ULLONG_MAX;
         if (sized) r.body_length_ = p->content_length;
         if (sized && p->content_length > r.limits_.body) return r.stop(413);
@@ -84,21 +89,54 @@
     return 0;
 }
 
+int HttpReader::drop(std::size_t n) {
+    trailer_size_ += n;
+    return target_.size() + fields_.size() + trailer_size_ > limits_.head ? stop(431) : 0;
+}
+
+// Whether a request tells in one way only where its body ends, as RFC 9112, section 6 has it.
+bool HttpReader::framing_is_plain() const {
+    const auto count = [this](std::string_view wanted) {
+        return std::count_if(index_.begin(), index_.end(),
+                             [&](const Field& f) { return same_word(name(f), wanted); });
+    };
+    const auto codings = count("Transfer-Encoding");
+    const auto lengths = count("Content-Length");
+    if (parser_.http_major != 1 || parser_.http_minor > 1) return false;
+    if (codings + lengths > 1) return false;
+    if (codings == 1) return parser_.http_minor == 1 && same_word(field("Transfer-Encoding"), "chunked");
+    if (lengths == 0) return true;
+    const std::string_view length = field("Content-Length");
+    return !length.empty() && length.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
 HttpReader::State HttpReader::read(Ring& ring) {
     while (!whole_ && !fault_ && !ring.empty() && body_.size() < limits_.window) {
-        const std::string_view part = ring.filled()[0];
-        const std::size_t n = http_parser_execute(&parser_, &calls, part.data(), part.size());
-        ring.consume(std::min(n, part.size()));
-        const http_errno error = HTTP_PARSER_ERRNO(&parser_);
-        if (error == HPE_PAUSED) http_parser_pause(&parser_, 0);
-        else if (error != HPE_OK && !fault_) fault_ = error == HPE_HEADER_OVERFLOW ? 431 : 400;
+        read_part(ring.filled()[0], ring);
     }
     return fault_ ? State::bad : whole_ ? State::whole : State::more;
 }
 
+void HttpReader::read_part(std::string_view part, Ring& ring) {
+    const bool in_lines = parser_.type == HTTP_REQUEST && (!head_read_ || chunked_);
+    if (in_lines) part = part.substr(0, framing_.check(part));
+    if (part.empty()) {  // wrong, or ended for one of the two only
+        fault_ = 400;
+        return;
+    }
+    const std::size_t n = http_parser_execute(&parser_, &calls, part.data(), part.size());
+    ring.consume(std::min(n, part.size()));
+    const http_errno error = HTTP_PARSER_ERRNO(&parser_);
+    if (error == HPE_PAUSED) http_parser_pause(&parser_, 0);
+    else if (error != HPE_OK && !fault_) fault_ = error == HPE_HEADER_OVERFLOW ? 431 : 400;
+    if (framing_.wrong() && !fault_) fault_ = 400;
+}
+
 void HttpReader::next() {
-    begun_ = head_read_ = whole_ = in_value_ = no_body_ = false;
+    begun_ = head_read_ = whole_ = in_value_ = no_body_ = chunked_ = false;
     body_length_ = body_read_ = 0;
+    trailer_size_ = 0;
+    framing_.begin_head();
     for (std::string* const part : {&target_, &fields_, &body_}) {
         if (part->capacity() > 2048) *part = {};  // what is idle holds little
         part->clear();
@@ -114,6 +152,12 @@
     return parser_.type == HTTP_RESPONSE && !bodiless && !delimited;
 }
 
+std::string_view HttpReader::value(const Field& f) const {
+    std::string_view text(&fields_[f.value], f.value_size);
+    while (text.ends_with(' ') || text.ends_with('\t')) text.remove_suffix(1);
+    return text;
+}
+
 bool HttpReader::has_field(std::string_view wanted) const {
     return std::any_of(index_.begin(), index_.end(),
                        [&](const Field& f) { return same_word(name(f), wanted); });
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "request_framing.h"
 #include "ring.h"
 
 namespace dewweir::net {
@@ -43,7 +44,7 @@
     bool head_read() const { return head_read_; }
     bool whole() const { return whole_; }
     // The message's body comes in chunks; else its length is told, 0 where it has none.
-    bool chunked() const { return (parser_.flags & F_CHUNKED) != 0; }
+    bool chunked() const { return chunked_; }
     std::uint64_t body_length() const { return body_length_; }
     // An answer whose body only ends with the connection: that it is whole can't be told.
     bool ends_with_connection() const;
@@ -71,16 +72,22 @@
     };
     static HttpReader& of(http_parser* parser) { return *static_cast<HttpReader*>(parser->data); }
     int grow(std::string& what, const char* at, std::size_t n);
+    // Counts bytes of a trailer, which is no part of the head and is not kept.
+    int drop(std::size_t n);
     int stop(int status) { return fault_ = status, 1; }
+    bool framing_is_plain() const;
+    void read_part(std::string_view part, Ring& ring);
     std::string_view name(const Field& f) const { return {&fields_[f.name], f.name_size}; }
-    std::string_view value(const Field& f) const { return {&fields_[f.value], f.value_size}; }
+    std::string_view value(const Field& f) const;
 
     static const http_parser_settings calls;
 
     http_parser parser_;
     HttpLimits limits_;
     std::uint64_t body_length_ = 0, body_read_ = 0;
-    bool no_body_ = false;
+    std::size_t trailer_size_ = 0;
+    RequestFraming framing_;
+    bool no_body_ = false, chunked_ = false;
     bool begun_ = false, head_read_ = false, whole_ = false, in_value_ = false, keep_alive_ = true;
     int fault_ = 0;
     std::string target_, fields_, body_;
