Bytes behind a message and numbers of no enumeration's value are refused

Cause: decode took bytes that went on behind a message and enumerations' numbers that have no name, against the codec's own words; lists claimed longer than the bytes there are were laid out before they were refused.

Change: decode wants every byte taken and bounds each claim by the number of bytes; enumerations are read within their values. Tests of the codec: round trips, cut and spoilt bytes, unknown kinds, claims, frames.

--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -26,8 +26,13 @@
 }
 
 std::optional<Message> decode(std::string_view bytes) {
+    // Every entry takes a byte at least: more than there are bytes can't be, and nothing is laid out for them.
+    const msgpack::unpack_limit limit(bytes.size(), bytes.size(), bytes.size(), bytes.size(), bytes.size());
     try {
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        std::size_t taken = 0;
+        const msgpack::object_handle handle =
+            msgpack::unpack(bytes.data(), bytes.size(), taken, nullptr, nullptr, limit);
+        if (taken != bytes.size()) return std::nullopt;
         const msgpack::object& message = handle.get();
         if (message.type != msgpack::type::ARRAY || message.via.array.size != 2) return std::nullopt;
         const auto kind = message.via.array.ptr[0].as<std::size_t>();
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <msgpack.hpp>
 #include <string>
+#include <type_traits>
 #include <variant>
 #include <vector>
 
@@ -132,5 +133,48 @@
 
 }  // namespace dewweir::wire
 
-MSGPACK_ADD_ENUM(dewweir::wire::Role);
-MSGPACK_ADD_ENUM(dewweir::wire::InstanceState);
+// Numbers that stand for no value of an enumeration can't be read.
+namespace dewweir::wire {
+
+template <class Enum> void read_enum(const msgpack::object& object, Enum& value, Enum last) {
+    const auto number = object.as<std::underlying_type_t<Enum>>();
+    if (number > static_cast<std::underlying_type_t<Enum>>(last)) throw msgpack::type_error();
+    value = static_cast<Enum>(number);
+}
+
+}  // namespace dewweir::wire
+
+namespace msgpack {
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS) {
+namespace adaptor {
+
+template <> struct convert<dewweir::wire::Role> {
+    const msgpack::object& operator()(const msgpack::object& object, dewweir::wire::Role& value) const {
+        dewweir::wire::read_enum(object, value, dewweir::wire::Role::control_plane);
+        return object;
+    }
+};
+
+template <> struct convert<dewweir::wire::InstanceState> {
+    const msgpack::object& operator()(const msgpack::object& object, dewweir::wire::InstanceState& value) const {
+        dewweir::wire::read_enum(object, value, dewweir::wire::InstanceState::draining);
+        return object;
+    }
+};
+
+template <> struct pack<dewweir::wire::Role> {
+    template <class Stream> packer<Stream>& operator()(packer<Stream>& packer, dewweir::wire::Role value) const {
+        return packer.pack(static_cast<std::uint8_t>(value));
+    }
+};
+
+template <> struct pack<dewweir::wire::InstanceState> {
+    template <class Stream>
+    packer<Stream>& operator()(packer<Stream>& packer, dewweir::wire::InstanceState value) const {
+        return packer.pack(static_cast<std::uint8_t>(value));
+    }
+};
+
+}  // namespace adaptor
+}
+}  // namespace msgpack
--- /dev/null
+++ b/tests/wire/codec.cpp
@@ -0,0 +1,163 @@
+// Messages come back from their bytes as they were; bytes that are no message are refused.
+#include "wire/codec.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace dewweir;
+using namespace dewweir::wire;
+
+namespace {
+
+Member some_member() {
+    return {"node-1",      7,   Role::control_plane, "zone-a", "region-1", "10.0.0.1:8400", "10.0.0.1:80",
+            "10.0.0.1:81", true};
+}
+
+Instance some_instance() {
+    return {"i-1", "cart", "10.0.0.9:80", "zone-b", 12, InstanceState::draining, 1500};
+}
+
+// One of every kind, in the order of Message.
+std::vector<Message> all_kinds() {
+    return {
+        Hello{protocol_version, some_member()},
+        Heartbeat{3, 1ull << 40, "10.0.0.1:81"},
+        ConfigurationUpdate{4, std::string("{\"a\":\0}", 7)},
+        EvacuationsUpdate{5, {"zone-a", ""}},
+        InstancesUpdate{{2, 9}, true, {some_instance(), {}}, {"i-2"}},
+        MembersUpdate{{2, 10}, {some_member(), {}}},
+        MemberChanged{some_member()},
+        MembersReport{{some_member()}},
+        CountRequest{1ull << 63, 2, 3, 4, 1, -0.25},
+        CountReply{6, 7, 1e300},
+    };
+}
+
+template <class... Arguments> std::string packed(const Arguments&... values) {
+    msgpack::sbuffer buffer;
+    msgpack::packer packer(buffer);
+    packer.pack_array(sizeof...(values));
+    (packer.pack(values), ...);
+    return {buffer.data(), buffer.size()};
+}
+
+}  // namespace
+
+TEST_CASE("every kind of message comes back as it was") {
+    const std::vector<Message> messages = all_kinds();
+    REQUIRE(messages.size() == std::variant_size_v<Message>);
+    for (std::size_t kind = 0; kind < messages.size(); ++kind) {
+        CAPTURE(kind);
+        REQUIRE(messages[kind].index() == kind);
+        const std::string bytes = encode(messages[kind]);
+        const std::optional<Message> decoded = decode(bytes);
+        REQUIRE(decoded);
+        CHECK(decoded->index() == kind);
+        CHECK(encode(*decoded) == bytes);
+    }
+}
+
+TEST_CASE("fields keep their values") {
+    const auto hello = std::get<Hello>(*decode(encode(Hello{protocol_version, some_member()})));
+    CHECK(hello.protocol == protocol_version);
+    CHECK(hello.self == some_member());
+    const auto update =
+        std::get<InstancesUpdate>(*decode(encode(InstancesUpdate{{2, 9}, true, {some_instance()}, {"x"}})));
+    CHECK(update.revision == Revision{2, 9});
+    CHECK(update.whole);
+    CHECK(update.changed == std::vector{some_instance()});
+    CHECK(update.gone == std::vector<std::string>{"x"});
+    const auto request = std::get<CountRequest>(*decode(encode(CountRequest{1, 2, 3, 4, 1, -0.25})));
+    CHECK(request.age == 1);
+    CHECK(request.units == -0.25);
+}
+
+TEST_CASE("bytes that are cut are no message") {
+    for (const Message& message : all_kinds()) {
+        const std::string bytes = encode(message);
+        for (std::size_t size = 0; size < bytes.size(); ++size) {
+            CAPTURE(message.index(), size);
+            CHECK_FALSE(decode(std::string_view(bytes).substr(0, size)));
+        }
+    }
+}
+
+TEST_CASE("bytes behind a message make it none") {
+    for (const Message& message : all_kinds()) CHECK_FALSE(decode(encode(message) + "\xc0"));
+}
+
+TEST_CASE("spoilt bytes are refused or give a message that is encoded again") {
+    std::mt19937 random(11);
+    const std::vector<Message> messages = all_kinds();
+    for (int round = 0; round < 5000; ++round) {
+        std::string bytes = encode(messages[round % messages.size()]);
+        for (int flips = 0; flips < 3; ++flips)
+            bytes[random() % bytes.size()] ^= static_cast<char>(1 + random() % 255);
+        const std::optional<Message> decoded = decode(bytes);
+        if (decoded) CHECK(decode(encode(*decoded)));
+    }
+}
+
+TEST_CASE("unknown kinds and other shapes are no messages") {
+    CHECK_FALSE(decode(packed(std::variant_size_v<Message>, CountReply{})));
+    CHECK_FALSE(decode(packed(~std::uint64_t{0}, CountReply{})));
+    CHECK_FALSE(decode(packed(-1, CountReply{})));
+    CHECK_FALSE(decode(packed("9", CountReply{})));
+    CHECK_FALSE(decode(packed(9)));
+    CHECK_FALSE(decode(packed(9, CountReply{}, 0)));
+    CHECK_FALSE(decode(packed(9, "no fields")));
+    CHECK_FALSE(decode("text"));
+    CHECK_FALSE(decode(std::string(100, '\x91')));
+}
+
+TEST_CASE("values that are none of an enumeration are refused") {
+    Member member = some_member();
+    member.role = static_cast<Role>(2);
+    CHECK_FALSE(decode(encode(MemberChanged{member})));
+    Instance instance = some_instance();
+    instance.state = static_cast<InstanceState>(200);
+    CHECK_FALSE(decode(encode(InstancesUpdate{{1, 1}, false, {instance}, {}})));
+}
+
+TEST_CASE(
+    "fields that a later version adds are ignored and those that an earlier lacks have their defaults") {
+    using Later = std::tuple<std::uint64_t, std::uint32_t, double, std::string>;
+    const auto later = decode(packed(9, Later{1, 2, 3.5, "new"}));
+    REQUIRE(later);
+    CHECK(std::get<CountReply>(*later).total == 3.5);
+    const auto earlier = decode(packed(9, std::tuple<std::uint64_t>{1}));
+    REQUIRE(earlier);
+    CHECK(std::get<CountReply>(*earlier).sequence == 1);
+    CHECK(std::get<CountReply>(*earlier).total == 0);
+}
+
+TEST_CASE("lengths claimed without the bytes are refused") {
+    const std::string claims[] = {
+        std::string("\xdd\xff\xff\xff\xff", 5),  // array of 2^32 - 1
+        std::string("\xdf\xff\xff\xff\xff", 5),  // map
+        std::string("\xdb\xff\xff\xff\xff"
+                    "a",
+                    6),  // string
+        std::string("\xc6\xff\xff\xff\xff"
+                    "a",
+                    6),  // bytes
+    };
+    for (const std::string& claim : claims) {
+        CHECK_FALSE(decode(claim));
+        CHECK_FALSE(decode(std::string("\x92\x03", 2) + claim));
+    }
+}
+
+TEST_CASE("a frame begins with the length of what follows, up to the highest") {
+    for (const Message& message : all_kinds()) {
+        const std::string framed = frame(message);
+        CHECK(frame_length(framed) == framed.size() - frame_header_bytes);
+        CHECK(framed.substr(frame_header_bytes) == encode(message));
+    }
+    const std::string long_text(70000, 't');
+    CHECK(frame_length(frame(ConfigurationUpdate{1, long_text})) > long_text.size());
+    CHECK(frame_length(std::string(4, '\xff')) == 0xffffffffu);
+    CHECK(frame_length(std::string("\x04\0\0\x01", 4)) == most_frame_bytes + 1);
+    CHECK(frame_length(std::string(4, '\0')) == 0);
+}
