Tests of the view

Need: the package had none. Whole updates shuffled and repeated, terms, updates in part, differences.

Tested: distribution_tests, 7 cases, 11833 assertions passed.

--- /dev/null
+++ b/tests/distribution/view.cpp
@@ -0,0 +1,154 @@
+// A view only moves forward, whatever order its updates come in and however often.
+#include "distribution/view.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace dewweir;
+using distribution::Changes;
+using distribution::View;
+
+namespace {
+
+wire::Instance instance(const std::string& id, std::uint32_t capacity = 1) {
+    wire::Instance made;
+    made.id = id;
+    made.capacity = capacity;
+    return made;
+}
+
+wire::Member member(const std::string& node, bool ready = true) {
+    wire::Member made;
+    made.node = node;
+    made.ready = ready;
+    return made;
+}
+
+Changes apply(View& view, const wire::Message& message) {
+    if (const auto* const update = std::get_if<wire::ConfigurationUpdate>(&message))
+        return view.apply(*update);
+    if (const auto* const update = std::get_if<wire::EvacuationsUpdate>(&message)) return view.apply(*update);
+    if (const auto* const update = std::get_if<wire::InstancesUpdate>(&message)) return view.apply(*update);
+    return view.apply(std::get<wire::MembersUpdate>(message));
+}
+
+std::string told(const View& view) {
+    std::string bytes;
+    msgpack::sbuffer buffer;
+    for (const wire::Message& message : view.whole()) {
+        std::visit([&](const auto& fields) { msgpack::pack(buffer, fields); }, message);
+    }
+    return {buffer.data(), buffer.size()};
+}
+
+// Whole updates of every kind, each revision once.
+std::vector<wire::Message> some_updates(std::mt19937& random) {
+    std::vector<wire::Message> updates;
+    for (std::uint32_t number = 1; number <= 6; ++number) {
+        const wire::Revision revision{1 + number / 4, number % 4 + 1};
+        const std::string name = static_cast<char>('a' + random() % 4) + std::to_string(number);
+        updates.push_back(wire::ConfigurationUpdate{number, name});
+        updates.push_back(wire::EvacuationsUpdate{number, {name}});
+        updates.push_back(wire::InstancesUpdate{revision, true, {instance(name, number)}, {}});
+        updates.push_back(wire::MembersUpdate{revision, {member(name, number % 2 == 0)}});
+    }
+    return updates;
+}
+
+}  // namespace
+
+TEST_CASE("a view that knows nothing tells nothing") {
+    const View view;
+    CHECK(view.whole().empty());
+    CHECK(view.configuration().version == 0);
+    CHECK_FALSE(view.evacuated("a"));
+}
+
+TEST_CASE("whole updates in any order and any number of times give the same view") {
+    std::mt19937 random(3);
+    for (int round = 0; round < 50; ++round) {
+        std::vector<wire::Message> updates = some_updates(random);
+        View in_order;
+        for (const wire::Message& update : updates) CHECK(apply(in_order, update).any());
+        const std::vector<wire::Message> once = updates;
+        for (int times = 0; times < 3; ++times) updates.insert(updates.end(), once.begin(), once.end());
+        std::shuffle(updates.begin(), updates.end(), random);
+        View shuffled;
+        wire::Revision highest;
+        for (const wire::Message& update : updates) {
+            apply(shuffled, update);
+            CHECK(shuffled.instances_revision() >= highest);
+            highest = shuffled.instances_revision();
+        }
+        CHECK(told(shuffled) == told(in_order));
+        for (const wire::Message& update : updates) CHECK_FALSE(apply(shuffled, update).any());
+    }
+}
+
+TEST_CASE("what a view tells brings another one to the same") {
+    std::mt19937 random(4);
+    View view;
+    for (const wire::Message& update : some_updates(random)) apply(view, update);
+    View other;
+    for (const wire::Message& message : view.whole()) apply(other, message);
+    CHECK(told(other) == told(view));
+}
+
+TEST_CASE("a leader's higher term goes before any number of an earlier term") {
+    View view;
+    CHECK(view.apply(wire::MembersUpdate{{1, 900}, {member("old")}}).members);
+    CHECK(view.apply(wire::MembersUpdate{{2, 1}, {member("new")}}).members);
+    CHECK_FALSE(view.apply(wire::MembersUpdate{{1, 901}, {member("old")}}).any());
+    CHECK(view.members().contains("new"));
+    CHECK_FALSE(view.members().contains("old"));
+}
+
+TEST_CASE("an update that changes nothing of members or evacuations moves the view without a change") {
+    View view;
+    CHECK(view.apply(wire::EvacuationsUpdate{1, {"a", "b"}}).evacuations);
+    CHECK_FALSE(view.apply(wire::EvacuationsUpdate{2, {"b", "a"}}).any());
+    CHECK(view.evacuations().index == 2);
+    CHECK(view.apply(wire::EvacuationsUpdate{3, {"b"}}).evacuations);
+    CHECK_FALSE(view.evacuated("a"));
+    CHECK(view.evacuated("b"));
+    CHECK(view.apply(wire::MembersUpdate{{1, 1}, {member("x")}}).members);
+    CHECK_FALSE(view.apply(wire::MembersUpdate{{1, 2}, {member("x")}}).any());
+    CHECK(view.members_revision() == wire::Revision{1, 2});
+}
+
+TEST_CASE("an update in part changes what it names, a whole one everything") {
+    View view;
+    view.apply(wire::InstancesUpdate{{1, 1}, true, {instance("a"), instance("b")}, {}});
+    view.apply(wire::InstancesUpdate{{1, 2}, false, {instance("a", 5), instance("c")}, {"b", "unknown"}});
+    CHECK(view.instances() ==
+          std::map<std::string, wire::Instance>{{"a", instance("a", 5)}, {"c", instance("c")}});
+    view.apply(wire::InstancesUpdate{{1, 3}, true, {instance("d")}, {}});
+    CHECK(view.instances().size() == 1);
+}
+
+TEST_CASE("a difference turns one list of instances into the other and names nothing else") {
+    std::mt19937 random(5);
+    const auto some_list = [&] {
+        std::map<std::string, wire::Instance> list;
+        for (char name = 'a'; name < 'k'; ++name) {
+            if (random() % 2) list[{name}] = instance({name}, random() % 2);
+        }
+        return list;
+    };
+    for (std::uint64_t round = 0; round < 200; ++round) {
+        const auto from = some_list();
+        const auto to = some_list();
+        wire::InstancesUpdate difference = distribution::instances_difference(from, to);
+        for (const wire::Instance& changed : difference.changed) {
+            CHECK((!from.contains(changed.id) || from.at(changed.id) != changed));
+        }
+        View view;
+        wire::InstancesUpdate first{{1, 1}, true, {}, {}};
+        for (const auto& [id, entry] : from) first.changed.push_back(entry);
+        view.apply(first);
+        difference.revision = {1, 2};
+        view.apply(difference);
+        CHECK(view.instances() == to);
+    }
+}
