--- a/src/api/status.h
+++ b/src/api/status.h
@@ -26,7 +26,7 @@
     gateway_timeout = 504,
 };
 
-// "404 Not Found"; the number alone for a status without a phrase here.
+// "404 Not Found"; empty for a status without a phrase here.
 std::string_view status_line(int status);
 inline std::string_view status_line(Status status) { return status_line(static_cast<int>(status)); }
 
