A list page nested deep no longer ends the process, and odd capacities are cut

Cause: the page was parsed by recursion, and two million brackets, half of the most a page may be, used up the stack.

Change: the page is parsed iteratively, as configurations are; capacities are cut to their type's range.

--- a/src/control/instance_list.cpp
+++ b/src/control/instance_list.cpp
@@ -3,6 +3,9 @@
 #include <rapidjson/document.h>
 #include <rapidjson/pointer.h>
 
+#include <algorithm>
+#include <limits>
+
 #include "settings/duration.h"
 
 namespace dewweir::control {
@@ -18,7 +21,9 @@
 
 std::uint32_t number_at(const Value& entry, const char* pointer) {
     const Value* const value = rapidjson::Pointer(pointer).Get(entry);
-    return value && value->IsNumber() ? static_cast<std::uint32_t>(value->GetDouble()) : 0;
+    if (!value || !value->IsNumber()) return 0;
+    constexpr double most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp(value->GetDouble(), 0.0, most));
 }
 
 std::uint32_t milliseconds_at(const Value& entry, const char* pointer) {
@@ -49,7 +54,8 @@
 
 std::optional<InstancePage> parse_instance_page(std::string_view json) {
     rapidjson::Document document;
-    document.Parse(json.data(), json.size());
+    // Not by recursion: a page nested deep enough would use up the stack.
+    document.Parse<rapidjson::kParseIterativeFlag>(json.data(), json.size());
     if (document.HasParseError() || !document.IsObject()) return std::nullopt;
     const Value* const zones = rapidjson::Pointer("/instances").Get(document);
     if (!zones || !zones->IsObject()) return std::nullopt;
