--- a/src/control/state_machine.cpp
+++ b/src/control/state_machine.cpp
@@ -12,7 +12,8 @@
 
 std::uint64_t hash_of(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
 
-// What a snapshot holds.
+// What a snapshot holds; later versions add fields at the end.
+constexpr std::size_t snapshot_fields = 4;
 struct SnapshotContent {
     wire::ConfigurationUpdate configuration;
     std::map<std::uint32_t, std::uint64_t> accepted;
@@ -21,6 +22,18 @@
     MSGPACK_DEFINE(configuration, accepted, evacuated, evacuations_index);
 };
 
+// All of the bytes as one object; throws where they are none or go on behind it.
+msgpack::object_handle unpack(std::string_view bytes) {
+    std::size_t taken = 0;
+    msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), taken);
+    if (taken != bytes.size()) throw msgpack::type_error();
+    return handle;
+}
+
+bool is_array_of(const msgpack::object& object, std::size_t least) {
+    return object.type == msgpack::type::ARRAY && object.via.array.size >= least;
+}
+
 template <class Content> std::string pack(const Content& content) {
     msgpack::sbuffer buffer;
     msgpack::pack(buffer, content);
@@ -40,7 +53,7 @@
 
 std::optional<Command> decode_command(std::string_view bytes) {
     try {
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        const msgpack::object_handle handle = unpack(bytes);
         const msgpack::object& command = handle.get();
         if (command.type != msgpack::type::ARRAY || command.via.array.size != 2) return std::nullopt;
         const auto kind = command.via.array.ptr[0].as<std::size_t>();
@@ -90,7 +103,8 @@
 
 bool StateMachine::restore(std::string_view bytes) {
     try {
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        const msgpack::object_handle handle = unpack(bytes);
+        if (!is_array_of(handle.get(), snapshot_fields)) return false;
         const auto content = handle.get().as<SnapshotContent>();
         configuration_ = content.configuration;
         accepted_ = content.accepted;
