--- /dev/null
+++ b/tests/gateway/members.cpp
@@ -0,0 +1,133 @@
+// What a gateway knows of others: gateways that clients are sent to, and the endpoints of services.
+#include <catch2/catch.hpp>
+
+#include "gateway/directory.h"
+#include "gateway/endpoints.h"
+
+using namespace dewweir;
+using namespace dewweir::gateway;
+
+namespace {
+
+using Addresses = std::vector<std::string>;
+
+void add(std::map<std::string, wire::Member>& members, const std::string& node, const std::string& zone,
+         const std::string& region) {
+    wire::Member& member = members[node];
+    member.node = node;
+    member.zone = zone;
+    member.region = region;
+    member.front = node + ":80";
+    member.ready = true;
+}
+
+std::map<std::string, wire::Member> some_gateways() {
+    std::map<std::string, wire::Member> members;
+    add(members, "a1", "zone-a", "east");
+    add(members, "b1", "zone-b", "east");
+    add(members, "c1", "zone-c", "west");
+    return members;
+}
+
+wire::Instance instance(const std::string& id, const std::string& zone, std::uint32_t cold_left_ms = 0) {
+    return {id, "cart", "10.0.0.1:80", zone, 4, wire::InstanceState::ready, cold_left_ms};
+}
+
+EndpointTable some_table() {
+    return EndpointTable({"a", "east", {{"a", "east"}, {"b", "east"}, {"c", "west"}}});
+}
+
+const Endpoint& endpoint_of(const EndpointTable& table, const std::string& id) {
+    for (const auto& [number, endpoint] : table.all()) {
+        if (endpoint.instance.id == id) return endpoint;
+    }
+    FAIL("no endpoint of " << id);
+    throw std::logic_error(id);
+}
+
+void set_instances(distribution::View& view, std::uint64_t number, std::vector<wire::Instance> instances) {
+    view.apply(wire::InstancesUpdate{{1, number}, true, std::move(instances), {}});
+}
+
+}  // namespace
+
+TEST_CASE("a client is sent to gateways of its zone, else of its region, else to all") {
+    auto members = some_gateways();
+    CHECK(resolve(members, {"east", "zone-a"}) == Addresses{"a1:80"});
+    CHECK(resolve(members, {"east", "zone-x"}) == Addresses{"a1:80", "b1:80"});
+    CHECK(resolve(members, {"north", "zone-x"}) == Addresses{"a1:80", "b1:80", "c1:80"});
+    members["a1"].ready = false;
+    CHECK(resolve(members, {"east", "zone-a"}) == Addresses{"b1:80"});
+    members["b1"].front.clear();
+    members["c1"].role = wire::Role::control_plane;
+    CHECK(resolve(members, {"east", "zone-a"}).empty());
+}
+
+TEST_CASE("a client is told no more addresses than it can use") {
+    std::map<std::string, wire::Member> members;
+    for (int n = 0; n < 100; ++n) add(members, "g" + std::to_string(n), "zone-a", "east");
+    CHECK(resolve(members, {"east", "zone-a"}).size() == most_addresses);
+}
+
+TEST_CASE("endpoints have their distance and region") {
+    EndpointTable table = some_table();
+    distribution::View view;
+    set_instances(view, 1,
+                  {instance("1", "a"), instance("2", "b"), instance("3", "c"), instance("4", "unknown")});
+    CHECK(table.update(view, 0).empty());
+    CHECK(endpoint_of(table, "1").distance == Distance::same_zone);
+    CHECK(endpoint_of(table, "2").distance == Distance::same_region);
+    CHECK(endpoint_of(table, "3").distance == Distance::other_region);
+    CHECK(endpoint_of(table, "3").region == "west");
+    CHECK(endpoint_of(table, "4").distance == Distance::other_region);
+    CHECK(endpoint_of(table, "4").region.empty());
+}
+
+TEST_CASE("numbers stay with their instances and are never given again") {
+    EndpointTable table = some_table();
+    distribution::View view;
+    set_instances(view, 1, {instance("1", "a"), instance("2", "a")});
+    table.update(view, 0);
+    const EndpointId first = endpoint_of(table, "1").id;
+    const EndpointId second = endpoint_of(table, "2").id;
+    set_instances(view, 2, {instance("2", "a"), instance("3", "a")});
+    CHECK(table.update(view, 1) == std::vector<EndpointId>{first});
+    CHECK(table.find(first) == nullptr);
+    CHECK(table.find(second)->instance.id == "2");
+    set_instances(view, 3, {instance("1", "a"), instance("2", "a"), instance("3", "a")});
+    CHECK(table.update(view, 2).empty());
+    CHECK(endpoint_of(table, "2").id == second);
+    CHECK(endpoint_of(table, "1").id > endpoint_of(table, "3").id);
+    CHECK(table.all().size() == 3);
+}
+
+TEST_CASE("endpoints that drain or whose zone is evacuated aren't usable until that ends") {
+    EndpointTable table = some_table();
+    distribution::View view;
+    wire::Instance draining = instance("1", "a");
+    draining.state = wire::InstanceState::draining;
+    set_instances(view, 1, {draining, instance("2", "b"), instance("3", "c")});
+    view.apply(wire::EvacuationsUpdate{1, {"b"}});
+    table.update(view, 0);
+    CHECK_FALSE(endpoint_of(table, "1").usable);
+    CHECK_FALSE(endpoint_of(table, "2").usable);
+    CHECK(endpoint_of(table, "3").usable);
+    view.apply(wire::EvacuationsUpdate{2, {}});
+    table.update(view, 0);
+    CHECK(endpoint_of(table, "2").usable);
+    CHECK_FALSE(endpoint_of(table, "1").usable);
+}
+
+TEST_CASE("an endpoint's cold time counts from when it was told, once") {
+    EndpointTable table = some_table();
+    distribution::View view;
+    set_instances(view, 1, {instance("1", "a", 500)});
+    table.update(view, 1000);
+    const runtime::Time until = 1000 + 500 * runtime::tenths_per_millisecond;
+    CHECK(endpoint_of(table, "1").cold_until == until);
+    table.update(view, 3000);
+    CHECK(endpoint_of(table, "1").cold_until == until);
+    set_instances(view, 2, {instance("1", "a", 0)});
+    table.update(view, 4000);
+    CHECK(endpoint_of(table, "1").cold_until == 4000);
+}
