Decisions in the field's words: request, attempt, tenant, bucket, route class

The decisions and their records spoke of submissions, executions, customers, stores and tracks. Settings' keys and texts stay.

--- a/src/policy/attempts.h
+++ b/src/policy/attempts.h
@@ -1,18 +1,18 @@
-// Submissions let in: the line, executions and their ends, further executions, and the one final answer.
+// Requests let in: the line, attempts and their ends, further attempts, and the one final answer.
 #pragma once
 
-#include "policy/stores.h"
+#include "policy/buckets.h"
 
 namespace dewweir::policy {
 
-struct Executions : Stores {
-    using Stores::Stores;
+struct Attempts : Buckets {
+    using Buckets::Buckets;
 
     double wait_in_line() const { return static_cast<double>(line.size()) * typical / room(); }
 
-    void take_in(std::uint32_t id, Submission& s) {
-        ++customer_of(s).open;
-        s.stage = Stage::waiting;
+    void take_in(std::uint32_t id, Request& r) {
+        ++tenant_of(r).open;
+        r.stage = Stage::waiting;
         line.push_back(id);
         place();
     }
@@ -20,122 +20,122 @@
     void place() {
         for (std::size_t n = 0; n < line.size();) {
             const std::uint32_t id = line[n];
-            Submission& s = submissions.at(id);
-            Host* const host = pick_host(s, 1);
-            if (!host && !s.may_have_run) break;  // no room for any; one bound to a group may lack its own
+            Request& r = requests.at(id);
+            Host* const host = pick_host(r, 1);
+            if (!host && !r.may_have_run) break;  // no room for any; one bound to a group may lack its own
             if (!host) ++n;
-            else line.erase(line.begin() + static_cast<std::ptrdiff_t>(n)), execute(id, s, *host);
+            else line.erase(line.begin() + static_cast<std::ptrdiff_t>(n)), start_attempt(id, r, *host);
         }
     }
 
-    void execute(std::uint32_t id, Submission& s, Host& h) {
-        if (s.executions == 0 && !ceiling_holds(customer_of(s), s.units)) return turn_down(id, s, 0);
+    void start_attempt(std::uint32_t id, Request& r, Host& h) {
+        if (r.attempts == 0 && !ceiling_holds(tenant_of(r), r.units)) return reject(id, r, 0);
         count(h.trial ? Decision::trial_piece : warmth(h) < 1 ? Decision::to_cold : Decision::to_warm);
-        s.stage = Stage::out;
-        s.host = h.id;
-        s.sent = now;
-        ++s.executions;
+        r.stage = Stage::out;
+        r.host = h.id;
+        r.sent = now;
+        ++r.attempts;
         ++h.out, ++out_all;
         h.budget -= 1;
-        gateway.execute(id, h.id, std::max<Time>(step, s.limit_at - now));
+        gateway.execute(id, h.id, std::max<Time>(step, r.limit_at - now));
     }
 
-    void close(std::uint32_t id, Submission& s) {
+    void close(std::uint32_t id, Request& r) {
         disarm(limit, id);
-        if (s.stage == Stage::waiting) {
-            --customer_of(s).open;
+        if (r.stage == Stage::waiting) {
+            --tenant_of(r).open;
             std::erase(line, id);
         }
-        // An execution that is out, or a call that may yet add, needs the record until its end is told, and
+        // An attempt that is out, or a call that may yet add, needs the record until its end is told, and
         // no longer: records left behind would be walked by every beat.
-        if (s.stage != Stage::out && !(s.stage == Stage::counting && s.call_out)) submissions.erase(id);
-        else s.stage = Stage::over;
+        if (r.stage != Stage::out && !(r.stage == Stage::counting && r.call_out)) requests.erase(id);
+        else r.stage = Stage::over;
     }
 
-    void turn_down(std::uint32_t id, Submission& s, Time advice) {
-        const Track& track = *s.track;
-        if (s.executions == 0) give_back(s);
-        if (!s.may_have_run || track.repeats == "retriable" ||
-            (track.repeats == "fingerprinted" && track.scope == "all"))
+    void reject(std::uint32_t id, Request& r, Time advice) {
+        const RouteClass& route = *r.route;
+        if (r.attempts == 0) give_back(r);
+        if (!r.may_have_run || route.repeats == "retriable" ||
+            (route.repeats == "fingerprinted" && route.scope == "all"))
             gateway.bounce(id, std::min(advice, longest_advice));
         else gateway.write_off(id);
-        close(id, s);
+        close(id, r);
     }
 
-    bool may_run_again(const Submission& s) const {
-        if (s.executions >= most_executions) return false;
-        if (!s.may_have_run || s.track->repeats == "retriable") return true;
-        return s.track->repeats == "fingerprinted" && now + 4 * step < s.first_ran + s.track->remembered;
+    bool may_run_again(const Request& r) const {
+        if (r.attempts >= most_attempts) return false;
+        if (!r.may_have_run || r.route->repeats == "retriable") return true;
+        return r.route->repeats == "fingerprinted" && now + 4 * step < r.first_ran + r.route->remembered;
     }
 
-    void call_off(std::uint32_t id, const Submission& s) {
-        if (s.stage == Stage::out && may_cancel && !s.stream) gateway.cancel(id, s.executions - 1);
+    void call_off(std::uint32_t id, const Request& r) {
+        if (r.stage == Stage::out && may_cancel && !r.stream) gateway.cancel(id, r.attempts - 1);
     }
     void free_place(Host& h) { --h.out, --out_all; }
 
-    void execution_ended(std::uint32_t id, Host& h, Verdict verdict, Time took, bool settled, double billed) {
+    void attempt_ended(std::uint32_t id, Host& h, Verdict verdict, Time took, bool settled, double billed) {
         // Work that is called off may run on unseen: its place is not free before a usual time has passed.
         if (verdict == Verdict::called_off) arm(whole(h.slowness), place_free, h.id);
         else free_place(h);
         count(static_cast<Decision>(static_cast<int>(Decision::delivered) + static_cast<int>(verdict)));
-        const auto found = submissions.find(id);
+        const auto found = requests.find(id);
         const bool moot = verdict == Verdict::not_sent;
         const bool ran = verdict != Verdict::full && verdict != Verdict::connect_failed && !moot;
         const bool answered = verdict == Verdict::ok || verdict == Verdict::full || verdict == Verdict::error;
         h.connected = answered ? now + connection_kept : 0;
-        if (verdict == Verdict::ok) host_delivered(h, took);
+        if (verdict == Verdict::ok) host_served(h, took);
         else if (verdict == Verdict::full)
-            host_full(h, found != submissions.end() ? &customer_of(found->second).plan : nullptr);
+            host_full(h, found != requests.end() ? &tenant_of(found->second).plan : nullptr);
         else if (verdict != Verdict::called_off && !moot) host_failed(h, verdict);
         // Guards against answers that never count since their clients left first: an overloaded host would be
         // known by its quick ones alone. It took that long at least.
         else if (!moot && few_places() && took > std::max(h.slowness, 2 * aim()))
             move(h.slowness, static_cast<double>(took), 3);
-        // Of no execution that is out?
-        if (found == submissions.end() || found->second.stage == Stage::waiting) return place();
-        Submission& s = found->second;
+        // Of no attempt that is out?
+        if (found == requests.end() || found->second.stage == Stage::waiting) return place();
+        Request& r = found->second;
         // Units settled afterwards: the difference goes to the same name.
-        if (verdict == Verdict::ok && billed > 0 && s.on_counter && billed != s.units)
-            call(Asked::back, 0, customer_of(s), s.window, billed - s.units);
-        const bool over = s.stage != Stage::out || settled;
-        s.stage = Stage::waiting;
-        if (over) return close(id, s), place();
-        if (ran && !s.may_have_run) {
-            s.may_have_run = true;
-            s.first_ran = s.sent;
-            s.zone = h.zone;
-            s.cell = h.cell;
+        if (verdict == Verdict::ok && billed > 0 && r.on_counter && billed != r.units)
+            call(Asked::back, 0, tenant_of(r), r.window, billed - r.units);
+        const bool over = r.stage != Stage::out || settled;
+        r.stage = Stage::waiting;
+        if (over) return close(id, r), place();
+        if (ran && !r.may_have_run) {
+            r.may_have_run = true;
+            r.first_ran = r.sent;
+            r.zone = h.zone;
+            r.cell = h.cell;
         }
-        s.last_host = h.id;
-        if (now + 2 * step >= s.limit_at) gateway.write_off(id), close(id, s);
-        else if (!may_run_again(s)) turn_down(id, s, whole(typical));
+        r.last_host = h.id;
+        if (now + 2 * step >= r.limit_at) gateway.write_off(id), close(id, r);
+        else if (!may_run_again(r)) reject(id, r, whole(typical));
         else line.push_front(id);
         place();
     }
 
-    // Guards against hosts that take work and answer nothing: no word since this piece went there (with few
-    // places none is due, but where others hold the host failing). A long piece is as long elsewhere, so only
-    // its first is called off; while pieces are lost for good on connections gone silent, so is one on a host
-    // that speaks.
-    bool lost(const Submission& s) const {
-        return s.stage == Stage::out && (!few_places() || held_by_others(hosts.at(s.host))) && !s.stream &&
-               !s.given_up && s.executions == 1 && most_executions > 1 && may_cancel &&
-               s.track->repeats == "retriable" && (hosts.at(s.host).last_word < s.sent || mute > 1.0 / 256) &&
-               now - s.sent > std::max(s.track->goal * 2 / 5, whole(typical + 4 * swing));
+    // Guards against hosts that take work and answer nothing: no word since this request went there (with few
+    // places none is due, but where others hold the host failing). A long request is as long elsewhere, so
+    // only its first is called off; while requests are lost for good on connections gone silent, so is one on
+    // a host that speaks.
+    bool lost(const Request& r) const {
+        return r.stage == Stage::out && (!few_places() || held_by_others(hosts.at(r.host))) && !r.stream &&
+               !r.given_up && r.attempts == 1 && most_attempts > 1 && may_cancel &&
+               r.route->repeats == "retriable" && (hosts.at(r.host).last_word < r.sent || mute > 1.0 / 256) &&
+               now - r.sent > std::max(r.route->goal * 2 / 5, whole(typical + 4 * swing));
     }
 
     void on_beat() {
         look_round();
         std::vector<std::uint32_t> late;
-        for (auto& [id, s] : submissions) {
-            if (s.stage == Stage::waiting && now + needed(s) > s.goal_at) late.push_back(id);
-            if (!lost(s)) continue;
-            s.given_up = true;
-            call_off(id, s);
-            if (Host& h = hosts.at(s.host); h.last_word < s.sent) host_failed(h, Verdict::timeout);
+        for (auto& [id, r] : requests) {
+            if (r.stage == Stage::waiting && now + needed(r) > r.goal_at) late.push_back(id);
+            if (!lost(r)) continue;
+            r.given_up = true;
+            call_off(id, r);
+            if (Host& h = hosts.at(r.host); h.last_word < r.sent) host_failed(h, Verdict::timeout);
         }
         for (const std::uint32_t id : late)
-            count(Decision::late), turn_down(id, submissions.at(id), whole(typical));
+            count(Decision::late), reject(id, requests.at(id), whole(typical));
         place();
         if (since(told_at) > 5 * goal) {
             gateway.decided(std::exchange(decided, {}));
@@ -145,24 +145,24 @@
         arm(beat_every, beat);
     }
 
-    // Guards against records without end: a customer seen so long ago is no other than a new one, its stores
+    // Guards against records without end: a tenant seen so long ago is no other than a new one, its buckets
     // are full and its windows over; a host not listed for so long is another one if it comes back.
     void forget_idle() {
-        std::erase_if(customers, [&](auto& e) { return !e.second.open && since(e.second.level_at) > kept; });
+        std::erase_if(tenants, [&](auto& e) { return !e.second.open && since(e.second.tokens_at) > kept; });
         std::erase_if(hosts, [&](auto& e) { return !e.second.out && since(e.second.listed_at) > kept; });
         forgot_at = now;
     }
 
     // Its time is up, or its client has gone, who is owed no answer.
     void end_early(std::uint32_t id, bool gone) {
-        Submission* const s = open_one(id);
-        if (!s || (s->stream && !gone)) return;
-        call_off(id, *s);
-        if (!gone && s->stage == Stage::out) move(mute, 1, 64);  // no answer in all its time
-        if (!gone && s->executions == 0) return turn_down(id, *s, 0);
+        Request* const r = open_one(id);
+        if (!r || (r->stream && !gone)) return;
+        call_off(id, *r);
+        if (!gone && r->stage == Stage::out) move(mute, 1, 64);  // no answer in all its time
+        if (!gone && r->attempts == 0) return reject(id, *r, 0);
         if (!gone) gateway.write_off(id);
-        if (s->executions == 0) give_back(*s);
-        close(id, *s);
+        if (r->attempts == 0) give_back(*r);
+        close(id, *r);
     }
 };
 
--- a/src/policy/beliefs.h
+++ b/src/policy/beliefs.h
@@ -1,5 +1,5 @@
 // What all parts of the decisions share: records, beliefs of all hosts, alarms and chance. Each part knows
-// those below it and none above: beliefs, hosts, stores, executions, quota; the Choice itself stands on the
+// those below it and none above: beliefs, hosts, buckets, attempts, quota; the Choice itself stands on the
 // last.
 #pragma once
 
@@ -22,27 +22,27 @@
     Gateway& gateway;
     std::mt19937 chance;
     Time now, started, beat_every, beat_at, kept, connection_kept, forgot_at = 0, told_at = 0;
-    double goal;                                            // of the first track
-    std::map<std::uint32_t, Host> hosts;                    // by id
-    std::unordered_map<std::uint64_t, Customer> customers;  // by id, never walked but to forget
-    std::map<std::uint32_t, Submission> submissions;
+    double goal;                                        // of the first route class
+    std::map<std::uint32_t, Host> hosts;                // by id
+    std::unordered_map<std::uint64_t, Tenant> tenants;  // by id, never walked but to forget
+    std::map<std::uint32_t, Request> requests;
     std::deque<std::uint32_t> line;
     Decided decided{};  // since it was last told
-    // Of all hosts: the usual time of an execution, what it is with little out, how far it swings; what may
+    // Of all hosts: the usual time of an attempt, what it is with little out, how far it swings; what may
     // be out in all, and what is.
     double typical, ease, swing = 0, reach = 1;
     int out_all = 0;
 
     Beliefs(Gateway& g, const Terms& terms, std::uint64_t seed, Time at)
         : Readings(terms), gateway(g), chance(static_cast<std::uint32_t>(seed)), now(at), started(at) {
-        goal = static_cast<double>(tracks[0].goal);
+        goal = static_cast<double>(route_classes[0].goal);
         kept = 4 * warm_after;
         connection_kept = idle_close * 3 / 4;
-        for (const Plan& p : plans) {
+        for (const QuotaPlan& p : plans) {
             const Time refill = p.ceiling_rate > 0 ? whole(p.ceiling_burst / p.ceiling_rate) : 0;
             kept = std::max({kept, 4 * window_of(p), refill});
         }
-        beat_every = std::max(step, tracks[0].goal / 50);
+        beat_every = std::max(step, route_classes[0].goal / 50);
         beat_at = now;
         typical = ease = goal / 6;
         arm(beat_every, beat);
@@ -59,16 +59,16 @@
     void disarm(Alarm alarm, std::uint64_t id) { gateway.disarm(id << 3 | alarm); }
     void count(Decision decision) { ++decided[static_cast<std::size_t>(decision)]; }
 
-    Time window_of(const Plan& p) const {
+    Time window_of(const QuotaPlan& p) const {
         return p.rate > 0 ? std::max<Time>(step, whole(p.burst / p.rate)) : 0;
     }
-    Customer& customer_of(const Submission& s) { return customers.at(s.customer); }
-    // The submission with this id, unless it has had its final answer.
-    Submission* open_one(std::uint32_t id) {
-        const auto found = submissions.find(id);
-        return found == submissions.end() || found->second.stage == Stage::over ? nullptr : &found->second;
+    Tenant& tenant_of(const Request& r) { return tenants.at(r.tenant); }
+    // The request with this id, unless it has had its final answer.
+    Request* open_one(std::uint32_t id) {
+        const auto found = requests.find(id);
+        return found == requests.end() || found->second.stage == Stage::over ? nullptr : &found->second;
     }
-    Time needed(const Submission& s) const { return std::min(whole(typical + swing), s.track->goal / 2); }
+    Time needed(const Request& r) const { return std::min(whole(typical + swing), r.route->goal / 2); }
 };
 
 }  // namespace dewweir::policy
--- a/src/policy/choice.cpp
+++ b/src/policy/choice.cpp
@@ -1,4 +1,4 @@
-// All decisions of the gateway: quotas, the line, which host, health, further executions, the five rules.
+// All decisions of the gateway: quotas, the line, which host, health, further attempts, the five rules.
 // Here is what can happen, each told to the part that decides on it; the parts are the headers beside this
 // file. Callers own one Choice a gateway, tell it what happens in the order it happens, and do what it calls
 // on the Gateway handed to it; the interface is in include/dewweir/choice.h, the reasons are in
@@ -47,25 +47,25 @@
 
 double Choice::spare(Time now, const PartOf& of, double units) { return state_->at(now).spare(of, units); }
 
-void Choice::lent(Time now, std::uint64_t customer, double units, Time until) {
-    auto& all = state_->at(now).customers;
-    if (const auto at = all.find(customer); at != all.end()) at->second.moved.come(now, units, until);
+void Choice::lent(Time now, std::uint64_t tenant, double units, Time until) {
+    auto& all = state_->at(now).tenants;
+    if (const auto at = all.find(tenant); at != all.end()) at->second.moved.come(now, units, until);
 }
 
-void Choice::submitted(Time now, std::uint32_t id, int track, int plan, std::uint64_t customer, double units,
-                       int customer_gateways, Time patience_left) {
-    state_->at(now).submitted(id, track, plan, customer, units, customer_gateways, patience_left);
+void Choice::submitted(Time now, std::uint32_t id, int route_class, int plan, std::uint64_t tenant,
+                       double units, int tenant_gateways, Time patience_left) {
+    state_->at(now).submitted(id, route_class, plan, tenant, units, tenant_gateways, patience_left);
 }
 
 void Choice::execution_ended(Time now, std::uint32_t id, int, std::uint32_t host, Verdict verdict, Time took,
                              bool settled, double billed) {
     State& s = state_->at(now);
     const auto known = s.hosts.find(host);
-    if (known != s.hosts.end()) s.execution_ended(id, known->second, verdict, took, settled, billed);
+    if (known != s.hosts.end()) s.attempt_ended(id, known->second, verdict, took, settled, billed);
 }
 
 void Choice::stream_started(Time now, std::uint32_t id, int) {
-    if (policy::Submission* const s = state_->at(now).open_one(id)) s->stream = true;
+    if (policy::Request* const s = state_->at(now).open_one(id)) s->stream = true;
 }
 
 void Choice::client_gone(Time now, std::uint32_t id) { state_->at(now).end_early(id, true); }
--- a/src/policy/hosts.h
+++ b/src/policy/hosts.h
@@ -1,5 +1,5 @@
 // Hosts: what is learnt of each from its answers and failures, the places at it, what a cold one may be sent,
-// which one a piece goes to, and when their list is asked for.
+// which one a request goes to, and when their list is asked for.
 #pragma once
 
 #include "policy/beliefs.h"
@@ -8,8 +8,8 @@
 
 struct Hosts : Beliefs {
     bool follows = asks, list_whole = false;
-    int list_round = 0, list_failures = 0, delivered_lately = 0, hosts_listed = 0, hosts_open = 0;
-    // Parts of executions: failing, without end. Deliveries a warm host and tenth; places here.
+    int list_round = 0, list_failures = 0, served_lately = 0, hosts_listed = 0, hosts_open = 0;
+    // Parts of attempts: failing, without end. Attempts served a warm host and tenth; places here.
     double failing = 0, mute = 0, flow = 0, places_all = 0;
 
     using Beliefs::Beliefs;
@@ -104,7 +104,7 @@
     }
 
     // A cold host's budget runs over any window and for all gateways together: this one sends no faster than
-    // the part, by age, of what it has a warm host do, from a chance level: parts are far under one piece.
+    // the part, by age, of what it has a warm host do, from a chance level: parts are far under one request.
     // Of many gateways some send for all.
     bool budget_left(Host& h, double warm) {
         if (warm >= 1) return true;
@@ -115,42 +115,42 @@
         return h.budget >= 1;
     }
 
-    Host* pick_host(const Submission& s, double part) {
+    Host* pick_host(const Request& r, double part) {
         Host* best = nullptr;
         double least = 0;
         if (out_all + 1 > room() * part) return best;
-        const bool grouped = s.may_have_run && s.track->repeats == "fingerprinted";
+        const bool grouped = r.may_have_run && r.route->repeats == "fingerprinted";
         for (auto& [host, h] : hosts) {
             if (!h.listed || now < std::max(h.shut_until, h.kept_off_until) || (h.trial && h.out > 0))
                 continue;
-            if (grouped && s.track->scope == "zone" && h.zone != s.zone) continue;
-            if (grouped && s.track->scope == "cell" && h.cell != s.cell) continue;
+            if (grouped && r.route->scope == "zone" && h.zone != r.zone) continue;
+            if (grouped && r.route->scope == "cell" && h.cell != r.cell) continue;
             const double warm = warmth(h);
             if (h.out + 1 > std::max(1.0, h.places * warm * part) || !budget_left(h, warm)) continue;
             double score = std::max(h.slowness, typical / 4) * (h.out + 1) / (few_places() ? 1 : warm);
-            // With few places each piece would go to another host, over a new connection, and none would be
+            // With few places each request would go to another host, over a new connection, and none would be
             // met often enough to be known: all those without a connection standing open weigh as much as one
             // with. Cold hosts have their budget, and are needed most when many have been replaced.
             if (few_places() && connection_kept > 0 && now >= h.connected && warm >= 1)
                 score = (h.last_word ? std::max(h.slowness, ease) : ease) * std::max(1, hosts_open);
             if (h.zone != zone) score *= 1.1;
             // Guards against hosts that turn away what one plan sends, though others still get in.
-            const bool full = now < h.full_until && h.full_for == &customer_of(s).plan;
-            if (host == s.last_host || full) score *= 8;
+            const bool full = now < h.full_until && h.full_for == &tenant_of(r).plan;
+            if (host == r.last_host || full) score *= 8;
             // While many fail, a host that has answered here is worth more than one not met yet.
             if (h.last_word == 0) score *= 1 + 8 * failing;
-            // With few places, pieces out here tell no load, and all would find the same host best.
+            // With few places, requests out here tell no load, and all would find the same host best.
             if (few_places()) score *= std::exponential_distribution<>()(chance);
-            // Whose turn it is tries it with the next piece that loses nothing by it: a host that failed
+            // Whose turn it is tries it with the next request that loses nothing by it: a host that failed
             // looks like the worst, so that one that is well again would wait for many turns.
-            if (held_by_others(h) && s.executions == 0 && s.track->repeats == "retriable") score = 0;
+            if (held_by_others(h) && r.attempts == 0 && r.route->repeats == "retriable") score = 0;
             if (!best || score < least) best = &h, least = score;
         }
         return best;
     }
 
     Time between_pieces() const {
-        return std::clamp(whole(1 / std::max(flow, 1e-9)), tracks[0].goal, 16 * tracks[0].goal);
+        return std::clamp(whole(1 / std::max(flow, 1e-9)), route_classes[0].goal, 16 * route_classes[0].goal);
     }
     void told_of(Notice notice, const Host& h, const char* what) {
         gateway.log(notice, h.id, "host " + std::to_string(h.id) + what);
@@ -160,7 +160,7 @@
         ++h.failures;
         move(failing, 1, 16);
         move(h.slowness, goal, 4);
-        // With few places the next piece there may be a minute off: one failure is a row.
+        // With few places the next request there may be a minute off: one failure is a row.
         if (h.failures < (few_places() ? 1 : verdict == Verdict::connect_failed ? 2 : 3) && !h.trial) return;
         if (2 * hosts_open < hosts_listed + 2 && !h.trial) return;  // when all fail at once none is to blame
         hosts_open -= !h.trial;
@@ -171,7 +171,7 @@
         h.trial = true;
     }
 
-    void host_full(Host& h, const Plan* plan) {
+    void host_full(Host& h, const QuotaPlan* plan) {
         // Guards against hammering: what is turned away at once would come again at once.
         reach = std::max(1.0, reach * 0.9);
         cut_places(h, 0.5);
@@ -184,7 +184,7 @@
     // Of a host's smoothed time; half as much again, of the mean of all answers.
     double aim() const { return std::clamp(1.5 * ease, 0.15 * goal, 0.35 * goal); }
 
-    void host_delivered(Host& h, Time time) {
+    void host_served(Host& h, Time time) {
         const auto took = static_cast<double>(time);
         h.by_word = false;
         if (std::exchange(h.trial, false)) told_of(Notice::host_back, h, " back");
@@ -194,11 +194,11 @@
         move(h.slowness, took, few_places() ? 3 : 8);
         move(swing, std::abs(took - typical), 64);
         move(typical, took, 64);
-        if (warmth(h) >= 1) ++delivered_lately;
+        if (warmth(h) >= 1) ++served_lately;
         // Hosts held at a little over their easy time keep their pace; long queues at a host can cost it.
         move(ease, typical, typical < ease ? 16 : 16384);
         const double most = aim();
-        // The mean of the answers steers the reach, not how many are slow: pieces differ, and a tenth may
+        // The mean of the answers steers the reach, not how many are slow: requests differ, and a tenth may
         // take thrice the mean at hosts at ease. What all gateways may have out without harm it gets back
         // unused.
         if (const double over = std::min(took / (1.5 * most), 4.0) - 1;
@@ -223,8 +223,8 @@
             places_all += h.places;
             warm += warmth(h) >= 1;
         }
-        if (warm > 0) flow += (delivered_lately / passed / warm - flow) * std::min(1.0, passed / fall);
-        delivered_lately = 0;
+        if (warm > 0) flow += (served_lately / passed / warm - flow) * std::min(1.0, passed / fall);
+        served_lately = 0;
         beat_at = now;
     }
 };
--- a/src/policy/quota.h
+++ b/src/policy/quota.h
@@ -1,99 +1,99 @@
-// Whether a submission is let in: the two-window check on the counter, our share when it is not asked, and
-// what lies beyond the quota.
+// Whether a request is let in: the two-window check on the counter, our local bucket when it is not asked,
+// and what lies beyond the quota.
 #pragma once
 
-#include "policy/executions.h"
+#include "policy/attempts.h"
 
 namespace dewweir::policy {
 
-struct Quota : Executions {
-    using Executions::Executions;
+struct Quota : Attempts {
+    using Attempts::Attempts;
 
-    void submitted(std::uint32_t id, int track, int plan, std::uint64_t customer, double units,
-                   int customer_gateways, Time patience_left) {
-        meet(customer, plan, customer_gateways);
-        const Track& t = tracks.at(track);
-        const Time goal_at = now + std::min(t.goal, patience_left);
-        Submission& s = submissions[id] = {&t, customer, units, goal_at, now + patience_left};
+    void submitted(std::uint32_t id, int route_class, int plan, std::uint64_t tenant, double units,
+                   int tenant_gateways, Time patience_left) {
+        meet(tenant, plan, tenant_gateways);
+        const RouteClass& route = route_classes.at(route_class);
+        const Time goal_at = now + std::min(route.goal, patience_left);
+        Request& r = requests[id] = {&route, tenant, units, goal_at, now + patience_left};
         arm(std::max<Time>(1, patience_left - 2 * step), limit, id);
-        // Overload: what cannot be answered in useful time is bounced before it is counted. A try may be its
+        // Overload: what cannot be answered in useful time is refused before it is counted. A try may be its
         // client's third, which is not told, so the line is kept well under the goal.
-        if (!line.empty() && wait_in_line() > static_cast<double>(s.goal_at - now) / 8)
-            return count(Decision::long_line), turn_down(id, s, whole(wait_in_line() / 2));
-        check_quota(id, s);
+        if (!line.empty() && wait_in_line() > static_cast<double>(r.goal_at - now) / 8)
+            return count(Decision::long_line), reject(id, r, whole(wait_in_line() / 2));
+        check_quota(id, r);
     }
 
-    void check_quota(std::uint32_t id, Submission& s) {
-        Customer& c = brought_up(customer_of(s));
-        const Plan& p = c.plan;
-        if (p.parallel > 0 && c.open >= std::max(1.0, std::floor(p.parallel / c.gateways)))
-            return turn_down(id, s, 0);
-        if (p.rate <= 0) return take_in(id, s);
-        // Guards the counter against customers far over: one found over is not asked for again before a
-        // window, longer at a crowded counter, or before its store has refilled; a tiny share decides then.
-        if (now < c.over_until && tiny_share(c)) return decide_by_share(id, s);
-        if (now < c.over_until && c.level < 0.9 * s.units)
-            return count(Decision::over_already), beyond(id, s, s.units);
-        // Guards a crowded counter: shares decide a part, and a customer's next call adds for them too. Calls
-        // go first to those whose share does not hold their units: the counter may know of room elsewhere.
-        const bool in_doubt = at_stake(c) && c.share < s.units;
-        const double calling = at_stake(c) ? counted_part : std::max(0.0, 2 * counted_part - 1);
+    void check_quota(std::uint32_t id, Request& r) {
+        Tenant& t = brought_up(tenant_of(r));
+        const QuotaPlan& p = t.plan;
+        if (p.parallel > 0 && t.open >= std::max(1.0, std::floor(p.parallel / t.gateways)))
+            return reject(id, r, 0);
+        if (p.rate <= 0) return take_in(id, r);
+        // Guards the counter against tenants far over: one found over is not asked for again before a
+        // window, longer at a crowded counter, or before its bucket has refilled; a tiny local one decides.
+        if (now < t.over_until && tiny_bucket(t)) return decide_locally(id, r);
+        if (now < t.over_until && t.tokens < 0.9 * r.units)
+            return count(Decision::over_already), beyond(id, r, r.units);
+        // Guards a crowded counter: local buckets decide a part, and a tenant's next call adds for them too.
+        // Requests whose local bucket is short call first: the counter may know of room elsewhere.
+        const bool in_doubt = at_stake(t) && t.local_tokens < r.units;
+        const double calling = at_stake(t) ? counted_part : std::max(0.0, 2 * counted_part - 1);
         const bool open = count_failures >= 3;
         if ((open && (now < open_until || probing)) || !has_counter || draw() > calling * (in_doubt ? 8 : 1))
-            return decide_by_share(id, s);
+            return decide_locally(id, r);
         if (open) probing = true;
-        s.window = c.window;
-        s.call_out = true;
-        call(Asked::add, id, c, c.window, s.units + std::exchange(c.owed, 0));
+        r.window = t.window;
+        r.call_out = true;
+        call(Asked::add, id, t, t.window, r.units + std::exchange(t.owed, 0));
         arm(std::min(count_limit, std::max(whole(8 * count_took), count_limit / 2)), count_late, id);
     }
 
     // The design's check: what was counted in this window and the part of the one before that still overlaps.
-    void decide_by_count(std::uint32_t id, Submission& s) {
+    void decide_by_count(std::uint32_t id, Request& r) {
         disarm(count_late, id);
-        Customer& c = brought_up(customer_of(s));
-        const double estimate = c.before.total * (1 - window_passed(c)) + s.reading;
-        // Departure: over by the window, but the quota's store, replayed from the totals, holds the units.
-        if (estimate <= c.plan.burst || c.level >= 0) {
-            c.over_until = 0;
-            return count(Decision::counted_in), take_in(id, s);
+        Tenant& t = brought_up(tenant_of(r));
+        const double estimate = t.before.total * (1 - window_passed(t)) + r.reading;
+        // Departure: over by the window, but the quota's bucket, replayed from the totals, holds the units.
+        if (estimate <= t.plan.burst || t.tokens >= 0) {
+            t.over_until = 0;
+            return count(Decision::counted_in), take_in(id, r);
         }
         count(Decision::counted_over);
-        // At a crowded counter, what is not given back pays for what the tiny shares let in.
-        give_back(s, !tiny_share(c) || counted_part >= 0.5);
-        c.over_until = now + whole(static_cast<double>(c.window_long) / counted_part);
-        beyond(id, s, 0);  // its own units leave the store only with the next answer
+        // At a crowded counter, what is not given back pays for what the tiny local buckets let in.
+        give_back(r, !tiny_bucket(t) || counted_part >= 0.5);
+        t.over_until = now + whole(static_cast<double>(t.window_long) / counted_part);
+        beyond(id, r, 0);  // its own units leave the bucket only with the next answer
     }
 
-    void decide_by_share(std::uint32_t id, Submission& s) {
+    void decide_locally(std::uint32_t id, Request& r) {
         disarm(count_late, id);
-        Customer& c = brought_up(customer_of(s));
-        // A share smaller than the submission lets it in by chance, so that all shares together let in the
-        // quota: neither nothing nor one piece at each gateway.
-        const double held = c.share + c.moved.held(now);
-        const bool pass = held >= s.units * draw() || (tiny_share(c) && !at_stake(c));
-        const double rest = c.moved.use(now, s.units);
-        c.share = std::max(0.0, c.share - rest);
+        Tenant& t = brought_up(tenant_of(r));
+        // A local bucket smaller than the request lets it in by chance, so that all local buckets together
+        // let in the quota: neither nothing nor one request at each gateway.
+        const double held = t.local_tokens + t.moved.held(now);
+        const bool pass = held >= r.units * draw() || (tiny_bucket(t) && !at_stake(t));
+        const double rest = t.moved.use(now, r.units);
+        t.local_tokens = std::max(0.0, t.local_tokens - rest);
         count(pass ? Decision::share_in : Decision::share_over);
-        if (!pass) return gateway.lacks(part_of(c), s.units), beyond(id, s, s.units);
-        s.borrowed = s.units - rest;
-        c.level -= s.units;
-        c.current.total += s.units;
-        s.on_share = true;
-        if (s.window < 0) c.owed += s.units;  // else a call is out that may have added them
-        take_in(id, s);
+        if (!pass) return gateway.lacks(part_of(t), r.units), beyond(id, r, r.units);
+        r.borrowed = r.units - rest;
+        t.tokens -= r.units;
+        t.current.total += r.units;
+        r.on_bucket = true;
+        if (r.window < 0) t.owed += r.units;  // else a call is out that may have added them
+        take_in(id, r);
     }
 
     // Beyond the quota: worth sending only where the plan earns by it, and with room to spare at a host.
-    void beyond(std::uint32_t id, Submission& s, double lacking) {
-        Customer& c = customer_of(s);
-        if (c.plan.extra_benefit > c.plan.overrun_cost && line.empty()) {
-            if (Host* const host = pick_host(s, 0.5)) return ++c.open, execute(id, s, *host);
+    void beyond(std::uint32_t id, Request& r, double lacking) {
+        Tenant& t = tenant_of(r);
+        if (t.plan.extra_benefit > t.plan.overrun_cost && line.empty()) {
+            if (Host* const host = pick_host(r, 0.5)) return ++t.open, start_attempt(id, r, *host);
         }
-        // Advice past the goal would bring clients back late, to take units that fresh submissions need: the
+        // Advice past the goal would bring clients back late, to take units that fresh requests need: the
         // latest moment that can still be in time is told instead.
-        const Time refilled = whole(std::max(0.0, lacking - c.level) / c.plan.rate);
-        turn_down(id, s, std::min(refilled, std::max<Time>(0, s.goal_at - needed(s) - now)));
+        const Time refilled = whole(std::max(0.0, lacking - t.tokens) / t.plan.rate);
+        reject(id, r, std::min(refilled, std::max<Time>(0, r.goal_at - needed(r) - now)));
     }
 
     void counted(std::uint64_t name, Verdict verdict, double told, Time took) {
@@ -102,51 +102,51 @@
         const Call made = found->second.front();
         found->second.pop_front();
         if (found->second.empty()) calls.erase(found);
-        const auto known = customers.find(made.customer);
-        if (known == customers.end()) return;
-        Customer& c = brought_up(known->second);
-        const auto waiting = submissions.find(made.submission);
-        const bool awaited = waiting != submissions.end() && waiting->second.stage == Stage::counting;
-        if (verdict == Verdict::ok) count_answered(took), total_told(c, made, told);
+        const auto known = tenants.find(made.tenant);
+        if (known == tenants.end()) return;
+        Tenant& t = brought_up(known->second);
+        const auto waiting = requests.find(made.request);
+        const bool awaited = waiting != requests.end() && waiting->second.stage == Stage::counting;
+        if (verdict == Verdict::ok) count_answered(took), total_told(t, made, told);
         else if (probing || (verdict != Verdict::broken && (awaited || made.asked == Asked::previous)))
             count_failed();  // an answer that cannot be read is no sign of a slow counter
-        if (made.asked == Asked::previous) return previous_told(c, made, verdict);
-        if (made.asked == Asked::back || waiting == submissions.end()) return;
-        Submission& s = waiting->second;
-        s.call_out = false;
+        if (made.asked == Asked::previous) return previous_told(t, made, verdict);
+        if (made.asked == Asked::back || waiting == requests.end()) return;
+        Request& r = waiting->second;
+        r.call_out = false;
         if (verdict == Verdict::ok) {
-            s.on_counter = true, s.on_share = false;
-            s.reading = c.current.total;
-            if (s.stage == Stage::over) give_back(s);
-        } else if (verdict != Verdict::timeout && verdict != Verdict::broken && made.window == c.window) {
-            c.owed += made.amount - (s.on_share ? 0 : s.units);
-            s.window = -1;
+            r.on_counter = true, r.on_bucket = false;
+            r.reading = t.current.total;
+            if (r.stage == Stage::over) give_back(r);
+        } else if (verdict != Verdict::timeout && verdict != Verdict::broken && made.window == t.window) {
+            t.owed += made.amount - (r.on_bucket ? 0 : r.units);
+            r.window = -1;
         }
-        if (s.stage == Stage::over && s.executions == 0) submissions.erase(waiting);
+        if (r.stage == Stage::over && r.attempts == 0) requests.erase(waiting);
         if (!awaited) return;
-        if (verdict != Verdict::ok) return decide_by_share(made.submission, s);
+        if (verdict != Verdict::ok) return decide_locally(made.request, r);
         // The window before is read once, where it can matter and no crowded counter is needed for more.
-        const double burst = c.plan.burst;
-        if (!c.previous_known && s.reading > burst * window_passed(c) &&
-            s.reading + c.before.total > burst / 2 && (counted_part >= 0.5 || tiny_share(c))) {
-            if (c.readers.empty()) call(Asked::previous, made.submission, c, c.window - 1, 0);
-            return c.readers.push_back(made.submission);
+        const double burst = t.plan.burst;
+        if (!t.previous_known && r.reading > burst * window_passed(t) &&
+            r.reading + t.before.total > burst / 2 && (counted_part >= 0.5 || tiny_bucket(t))) {
+            if (t.readers.empty()) call(Asked::previous, made.request, t, t.window - 1, 0);
+            return t.readers.push_back(made.request);
         }
-        decide_by_count(made.submission, s);
+        decide_by_count(made.request, r);
     }
 
-    void previous_told(Customer& c, const Call& made, Verdict verdict) {
-        c.previous_known |= verdict == Verdict::ok && made.window + 1 == c.window;
-        for (const std::uint32_t id : std::exchange(c.readers, {}))
-            if (Submission* const s = open_one(id); s && s->stage == Stage::counting) decide_by_count(id, *s);
+    void previous_told(Tenant& t, const Call& made, Verdict verdict) {
+        t.previous_known |= verdict == Verdict::ok && made.window + 1 == t.window;
+        for (const std::uint32_t id : std::exchange(t.readers, {}))
+            if (Request* const r = open_one(id); r && r->stage == Stage::counting) decide_by_count(id, *r);
     }
 
     void on_count_late(std::uint32_t id) {
-        Submission* const s = open_one(id);
-        if (!s || s->stage != Stage::counting) return;
-        if (s->on_counter) return decide_by_count(id, *s);  // just the window before is not told
+        Request* const r = open_one(id);
+        if (!r || r->stage != Stage::counting) return;
+        if (r->on_counter) return decide_by_count(id, *r);  // just the window before is not told
         count_failed();
-        decide_by_share(id, *s);
+        decide_locally(id, *r);
     }
 };
 
--- a/src/readings.cpp
+++ b/src/readings.cpp
@@ -31,13 +31,13 @@
     Time time(const std::string& name) const { return std::llround(number(name) * 10); }
     bool holds(const std::string& name) const { return term(name) && *term(name) == "true"; }
 
-    Track track(const std::string& at) const {
+    RouteClass route_class(const std::string& at) const {
         const std::string repeats = text(at + "repeats", "");
         if (repeats != "retriable" && repeats != "fingerprinted" && repeats != "binding")
             throw errors::BadSetting(at + "repeats", "term missing or unreadable");
         return {time(at + "latency_goal"), time(at + "remembered"), repeats, text(at + "scope", "all")};
     }
-    Plan plan(const std::string& at) const {
+    QuotaPlan plan(const std::string& at) const {
         const auto of = [&](const char* what) { return number(at + what, 0); };
         return {of("rate") / 10000,         of("burst"),         of("extra_benefit"), of("overrun_cost"),
                 of("ceiling_rate") / 10000, of("ceiling_burst"), of("parallel")};
@@ -51,7 +51,7 @@
     step = std::max<Time>(1, read.time("step"));
     gateways = std::max(1, static_cast<int>(read.number("gateways")));
     zone = static_cast<int>(read.number("zone", 0));
-    most_executions = static_cast<int>(read.number("limits.executions", 1));
+    most_attempts = static_cast<int>(read.number("limits.executions", 1));
     may_cancel = read.holds("limits.cancel");
     longest_advice = read.holds("limits.advice") ? read.time("limits.longest_advice") : 0;
     has_counter = read.holds("service.counter");
@@ -62,10 +62,10 @@
     warm_after = std::max<Time>(1, read.time("rules.warm_after"));
     idle_close = read.term("limits.idle_close") ? read.time("limits.idle_close") : 0;
     for (int n = 0; n < read.number("tracks.count"); ++n)
-        tracks.push_back(read.track("tracks." + std::to_string(n) + "."));
+        route_classes.push_back(read.route_class("tracks." + std::to_string(n) + "."));
     for (int n = 0; n < read.number("plans.count", 0); ++n)
         plans.push_back(read.plan("plans." + std::to_string(n) + "."));
-    if (tracks.empty()) throw errors::BadSetting("tracks.count", "term unreadable");
+    if (route_classes.empty()) throw errors::BadSetting("tracks.count", "term unreadable");
     if (read.term("rules.ask_within")) ask_within = read.time("rules.ask_within");
     asks = read.text("discovery", "") == "ask";
 }
--- a/src/readings.h
+++ b/src/readings.h
@@ -10,12 +10,12 @@
 
 namespace dewweir {
 
-struct Track {
+struct RouteClass {
     Time goal, remembered;
     std::string repeats, scope;
 };
 
-struct Plan {  // units; rates in units a tenth of a millisecond, 0: none
+struct QuotaPlan {  // units; rates in units a tenth of a millisecond, 0: none
     double rate, burst, extra_benefit, overrun_cost, ceiling_rate, ceiling_burst, parallel;
 };
 
@@ -25,11 +25,11 @@
 
     Time step, count_limit, fall, warm_after, longest_advice, idle_close;  // idle_close 0: not told
     std::optional<Time> ask_within;
-    int gateways, zone, most_executions;
+    int gateways, zone, most_attempts;
     double cold_from, fall_multiple;
     bool may_cancel, has_counter, asks;
-    std::vector<Track> tracks;  // one at least
-    std::vector<Plan> plans;
+    std::vector<RouteClass> route_classes;  // one at least
+    std::vector<QuotaPlan> plans;
 };
 
 }  // namespace dewweir
