--- a/simhost/main.cpp
+++ b/simhost/main.cpp
@@ -1,6 +1,6 @@
-// The adapter: reads batches of the simulator's wire on standard input, calls one Choice for each instance,
-// and writes what they do as one reply a batch. The wire's names and codes end in this file; nothing is
-// decided here.
+// The adapter: reads batches of the simulator's wire on standard input, calls one Decisions object for each
+// instance, and writes what they do as one reply a batch. The wire's names and codes end in this file;
+// nothing is decided here.
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
@@ -11,9 +11,9 @@
 #include <vector>
 
 #include "decided.h"
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 #include "errors/errors.h"
-#include "terms.h"
+#include "setting_names.h"
 
 using namespace dewweir;
 
@@ -84,15 +84,15 @@
 class Wire : public Gateway {
   public:
     Wire(Reply& reply, std::uint16_t instance) : reply_(reply), i_(instance) {}
-    void execute(std::uint32_t submission, std::uint32_t host, Time give_up_after) override {
-        reply_.action(256, 18).put(i_).put(submission).put(host).put(ms(give_up_after));
+    void start_attempt(std::uint32_t request, std::uint32_t host, Time give_up_after) override {
+        reply_.action(256, 18).put(i_).put(request).put(host).put(ms(give_up_after));
     }
-    void bounce(std::uint32_t submission, Time come_back_in) override {
-        reply_.action(257, 14).put(i_).put(submission).put(ms(come_back_in));
+    void refuse(std::uint32_t request, Time come_back_in) override {
+        reply_.action(257, 14).put(i_).put(request).put(ms(come_back_in));
     }
-    void write_off(std::uint32_t submission) override { reply_.action(258, 6).put(i_).put(submission); }
-    void cancel(std::uint32_t submission, int execution) override {
-        reply_.action(259, 8).put(i_).put(submission).put<std::uint16_t>(execution);
+    void fail(std::uint32_t request) override { reply_.action(258, 6).put(i_).put(request); }
+    void cancel(std::uint32_t request, int attempt) override {
+        reply_.action(259, 8).put(i_).put(request).put<std::uint16_t>(attempt);
     }
     void count(std::uint64_t name, double amount, Time keep_for) override {
         reply_.action(268, 22).put(i_).put(name).put<float>(amount).put(ms(keep_for));
@@ -102,7 +102,7 @@
     }
     void disarm(std::uint64_t) override {}  // the wire has no such action
     void follow_list() override { reply_.action(266, 3).put(i_).put<std::uint8_t>(1); }
-    void log(Notice, std::uint32_t, const std::string& line) override {
+    void log(LogEvent, std::uint32_t, const std::string& line) override {
         const std::string text = line.substr(0, 60000);
         reply_.action(264, text.size() + 4).put(i_).text(text);
     }
@@ -118,37 +118,37 @@
 
 struct Instance {
     std::unique_ptr<Wire> wire;
-    std::unique_ptr<Choice> choice;
+    std::unique_ptr<Decisions> decisions;
 };
 
-Verdict verdict_of(std::uint8_t code) {
+AttemptOutcome outcome_of(std::uint8_t code) {
     switch (code) {
-        case 0: return Verdict::ok;
-        case 255: return Verdict::error;
-        case 254: return Verdict::full;
-        case 253: return Verdict::timeout;
-        case 252: return Verdict::connect_failed;
-        case 251: return Verdict::broken;
-        case 250: return Verdict::called_off;
-        case 249: return Verdict::not_sent;
+        case 0: return AttemptOutcome::ok;
+        case 255: return AttemptOutcome::error;
+        case 254: return AttemptOutcome::full;
+        case 253: return AttemptOutcome::timeout;
+        case 252: return AttemptOutcome::connect_failed;
+        case 251: return AttemptOutcome::broken;
+        case 250: return AttemptOutcome::called_off;
+        case 249: return AttemptOutcome::not_sent;
     }
     throw errors::BadInput("the wire", "unknown outcome code " + std::to_string(code));
 }
 
-void list_news(Choice& choice, const Record& r, Time now) {
+void list_news(Decisions& decisions, const Record& r, Time now) {
     const auto mode = r.get<std::uint8_t>(8);
     if (mode > 3) throw errors::BadInput("the wire", "unknown kind of list " + std::to_string(mode));
-    if (mode == 3) return choice.list_failed(now);
+    if (mode == 3) return decisions.list_failed(now);
     const auto rows = r.get<std::uint32_t>(17);
-    choice.list_begins(now, mode != 0);
+    decisions.list_begins(now, mode != 0);
     for (std::uint64_t row = 0; row < rows; ++row) {
         const std::size_t at = 21 + row * 22;
-        const auto standing = r.get<std::uint8_t>(at + 21);
-        if (standing > 2) throw errors::BadInput("the wire", "unknown host mode " + std::to_string(standing));
-        choice.host_listed(now, r.get<std::uint32_t>(at + 17), static_cast<Standing>(standing), r.time(at),
-                           r.get<std::uint8_t>(at + 10), r.get<std::uint16_t>(at + 8));
+        const auto state = r.get<std::uint8_t>(at + 21);
+        if (state > 2) throw errors::BadInput("the wire", "unknown host mode " + std::to_string(state));
+        decisions.host_listed(now, r.get<std::uint32_t>(at + 17), static_cast<HostState>(state), r.time(at),
+                              r.get<std::uint8_t>(at + 10), r.get<std::uint16_t>(at + 8));
     }
-    choice.list_ends(now);
+    decisions.list_ends(now);
 }
 
 void happened(std::map<std::uint16_t, Instance>& instances, Reply& reply, const Record& r, Time now) {
@@ -158,36 +158,38 @@
     const auto i = r.get<std::uint16_t>(6);
     if (code == 256) {
         Instance& fresh = instances[i];
-        fresh.choice.reset();
+        fresh.decisions.reset();
         fresh.wire = std::make_unique<Wire>(reply, i);
         try {
-            fresh.choice = std::make_unique<Choice>(*fresh.wire, terms_of_lines(r.text(16)),
-                                                    r.get<std::uint64_t>(8), now);
+            fresh.decisions = std::make_unique<Decisions>(*fresh.wire, settings_of_lines(r.text(16)),
+                                                          r.get<std::uint64_t>(8), now);
         } catch (const errors::BadSetting& missing) { fresh.wire->die(missing.what()); }
         return;
     }
     const auto found = instances.find(i);
-    if (found == instances.end() || !found->second.choice) return;  // not up, or no longer
-    Choice& choice = *found->second.choice;
+    if (found == instances.end() || !found->second.decisions) return;  // not up, or no longer
+    Decisions& decisions = *found->second.decisions;
     switch (code) {
-        case 257: return list_news(choice, r, now);
+        case 257: return list_news(decisions, r, now);
         case 258:
-            return choice.submitted(now, r.get<std::uint32_t>(8), r.get<std::uint16_t>(37),
-                                    r.get<std::uint32_t>(25), r.get<std::uint64_t>(29), r.get<float>(13),
-                                    static_cast<int>(std::clamp(r.get<float>(17), 0.0f, 1e6f)), r.time(39));
-        case 259: return choice.stream_started(now, r.get<std::uint32_t>(8), r.get<std::uint16_t>(12));
+            return decisions.request_received(
+                now, r.get<std::uint32_t>(8), r.get<std::uint16_t>(37), r.get<std::uint32_t>(25),
+                r.get<std::uint64_t>(29), r.get<float>(13),
+                static_cast<int>(std::clamp(r.get<float>(17), 0.0f, 1e6f)), r.time(39));
+        case 259: return decisions.stream_started(now, r.get<std::uint32_t>(8), r.get<std::uint16_t>(12));
         case 260:
-            return choice.execution_ended(now, r.get<std::uint32_t>(8), r.get<std::uint16_t>(30),
-                                          r.get<std::uint32_t>(26), verdict_of(r.get<std::uint8_t>(25)),
-                                          r.time(15), r.get<std::uint8_t>(14) != 0, r.get<std::uint16_t>(23));
-        case 261: return choice.client_gone(now, r.get<std::uint32_t>(8));
-        case 262: return choice.timer(now, r.get<std::uint64_t>(8));
+            return decisions.attempt_ended(now, r.get<std::uint32_t>(8), r.get<std::uint16_t>(30),
+                                           r.get<std::uint32_t>(26), outcome_of(r.get<std::uint8_t>(25)),
+                                           r.time(15), r.get<std::uint8_t>(14) != 0,
+                                           r.get<std::uint16_t>(23));
+        case 261: return decisions.client_gone(now, r.get<std::uint32_t>(8));
+        case 262: return decisions.timer(now, r.get<std::uint64_t>(8));
         case 263: return;  // no probe is sent
         case 264: return;  // gateways learn of each other by the counter alone
         case 265: instances.erase(found); return;
         case 266:
-            return choice.counted(now, r.get<std::uint64_t>(8), verdict_of(r.get<std::uint8_t>(28)),
-                                  r.get<float>(24), r.time(16));
+            return decisions.counted(now, r.get<std::uint64_t>(8), outcome_of(r.get<std::uint8_t>(28)),
+                                     r.get<float>(24), r.time(16));
     }
 }
 
--- a/src/decided.h
+++ b/src/decided.h
@@ -1,9 +1,9 @@
-// The words for what a Choice decided, as the log's line that counts them has them.
+// The words for what the decision module decided, as the log's line that counts them has them.
 #pragma once
 
 #include <string>
 
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 
 namespace dewweir {
 
--- a/src/fleet/side_by_side.cpp
+++ b/src/fleet/side_by_side.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 double figure(const net::Configuration& c, const std::string& name) {
-    const auto found = c.terms.find(name);
-    return found == c.terms.end() ? 0 : std::strtod(found->second.c_str(), nullptr);
+    const auto found = c.settings.find(name);
+    return found == c.settings.end() ? 0 : std::strtod(found->second.c_str(), nullptr);
 }
 
 }  // namespace
--- a/src/limits/bounds.h
+++ b/src/limits/bounds.h
@@ -13,7 +13,7 @@
     bool moves = false;      // whether parts of it can move: they hold a unit and more
 };
 
-// `rate` in units a second and `burst` in units, both over 0; `gateways` from 1: a customer's.
+// `rate` in units a second and `burst` in units, both over 0; `gateways` from 1: a tenant's.
 Bounds quota_bounds(double rate, double burst, int gateways);
 
 }  // namespace dewweir::limits
--- a/src/limits/moved.h
+++ b/src/limits/moved.h
@@ -1,4 +1,4 @@
-// What has moved of one customer's part of its quota: lent to others, and held from them. Room moves with the
+// What has moved of one tenant's part of its quota: lent to others, and held from them. Room moves with the
 // units: who has lent cannot refill what is out, so that all parts together with what is held never pass the
 // quota. It goes by slots of time that all cut alike: what is lent in one is over at the end of the next, at
 // both ends. Pure, and a value.
@@ -7,7 +7,7 @@
 #include <array>
 #include <cstdint>
 
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 
 namespace dewweir::limits {
 
--- a/src/limits/rights.cpp
+++ b/src/limits/rights.cpp
@@ -17,8 +17,8 @@
 const std::string about = "right/", about_want = about + "want/", about_loan = about + "loan/";
 constexpr double most_units = 1e9;  // of a word; more is nonsense
 
-std::string key_of_want(const std::string& by, std::uint64_t customer) {
-    return about_want + by + "/" + std::to_string(customer);
+std::string key_of_want(const std::string& by, std::uint64_t tenant) {
+    return about_want + by + "/" + std::to_string(tenant);
 }
 std::string key_of_loan(const std::string& by, std::uint64_t rank) {
     return about_loan + by + "/" + std::to_string(rank);
@@ -31,14 +31,14 @@
 bool read(const Word& word, Want& into) {
     const json told = members::carried_by(word);
     std::uint64_t plan = 0, gateways = 0;
-    if (!told.is_object() || !take(told, "o", into.by) || !take(told, "c", into.of.customer) ||
+    if (!told.is_object() || !take(told, "o", into.by) || !take(told, "c", into.of.tenant) ||
         !take(told, "p", plan) || !take(told, "g", gateways) || !take_amount(told, "r", into.of.rate) ||
         !take_amount(told, "b", into.of.burst) || !take_amount(told, "u", into.units))
         return false;
     into.of.plan = static_cast<int>(std::min<std::uint64_t>(plan, 1 << 20));
     into.of.gateways = static_cast<int>(std::clamp<std::uint64_t>(gateways, 1, 1 << 20));
     into.rank = word.rank;
-    return into.units > 0 && word.key == key_of_want(into.by, into.of.customer);
+    return into.units > 0 && word.key == key_of_want(into.by, into.of.tenant);
 }
 
 struct LoanWord {
@@ -50,7 +50,7 @@
     const json told = members::carried_by(word);
     std::uint64_t until = 0;
     if (!told.is_object() || !take(told, "o", into.by) || !take(told, "t", into.to) ||
-        !take(told, "w", into.want) || !take(told, "c", into.loan.customer) ||
+        !take(told, "w", into.want) || !take(told, "c", into.loan.tenant) ||
         !take_amount(told, "u", into.loan.units) || !take(told, "e", until))
         return false;
     into.loan.until = static_cast<Time>(until);
@@ -67,8 +67,8 @@
 void Rights::lacked(Time now, const PartOf& of, double units) {
     // Parts under a unit do not move.
     if (of.burst < of.gateways || units <= 0) return;
-    if (!lacks_.contains(of.customer) && lacks_.size() >= terms_.most) return;
-    Lack& lack = lacks_[of.customer];
+    if (!lacks_.contains(of.tenant) && lacks_.size() >= terms_.most) return;
+    Lack& lack = lacks_[of.tenant];
     lack.of = of;
     lack.units += units;
     lack.last = now;
@@ -87,7 +87,7 @@
     held = word;
     // So many of all are to lend; who lacks the same has nothing to spare.
     const double others = std::max(1, want.of.gateways - 1), lenders = std::min(others, terms_.lenders);
-    if (now >= counted_until_ && !lacks_.contains(want.of.customer) &&
+    if (now >= counted_until_ && !lacks_.contains(want.of.tenant) &&
         std::uniform_real_distribution<>()(chance_) * others < lenders) {
         want.units *= terms_.ample / lenders;
         asked_.push_back(std::move(want));
@@ -105,8 +105,7 @@
         ++tally_.refused;
         return false;
     }
-    if (const auto lack = lacks_.find(is.loan.customer); lack != lacks_.end())
-        lack->second.wait = terms_.first;
+    if (const auto lack = lacks_.find(is.loan.tenant); lack != lacks_.end()) lack->second.wait = terms_.first;
     ++tally_.loans_in, tally_.units_in += is.loan.units;
     loans_.push_back(is.loan);
     return false;  // it has come where it was to come
@@ -120,7 +119,7 @@
     json::to_cbor({{"o", self_},
                    {"t", want.by},
                    {"w", want.rank},
-                   {"c", want.of.customer},
+                   {"c", want.of.tenant},
                    {"u", units},
                    {"e", static_cast<std::uint64_t>(until)}},
                   bytes);
@@ -145,19 +144,19 @@
 
 std::vector<Word> Rights::to_tell(Time now) {
     forget(now);
-    for (auto& [customer, lack] : lacks_) {
+    for (auto& [tenant, lack] : lacks_) {
         if (lack.units <= 0 || now < lack.told + lack.wait) continue;
         const std::uint64_t rank = ++rank_;
         std::string bytes;
         json::to_cbor({{"o", self_},
-                       {"c", customer},
+                       {"c", tenant},
                        {"p", static_cast<std::uint64_t>(lack.of.plan)},
                        {"g", static_cast<std::uint64_t>(lack.of.gateways)},
                        {"r", lack.of.rate},
                        {"b", lack.of.burst},
                        {"u", lack.units}},
                       bytes);
-        const Word word{key_of_want(self_, customer), rank, now, terms_.life, bytes};
+        const Word word{key_of_want(self_, tenant), rank, now, terms_.life, bytes};
         telling_.push_back(word);
         words_[word.key] = word;
         // A loan sets it back: who brought nothing so far is asked ever more seldom.
@@ -177,7 +176,7 @@
 
 Time Rights::next(Time now) const {
     Time next = std::numeric_limits<Time>::max();
-    for (const auto& [customer, lack] : lacks_)
+    for (const auto& [tenant, lack] : lacks_)
         next = std::min(
             next, lack.units > 0 ? std::max(now + 1, lack.told + lack.wait) : lack.last + terms_.longest + 1);
     if (!words_.empty()) next = std::min(next, now + terms_.life);
--- a/src/limits/rights.h
+++ b/src/limits/rights.h
@@ -1,5 +1,5 @@
-// Parts of quotas that move between gateways while the counter cannot be asked. Whose part of a customer's
-// quota does not hold a submission says what it lacks (a want); others that can spare some lend it (a loan).
+// Parts of quotas that move between gateways while the counter cannot be asked. Whose part of a tenant's
+// quota does not hold a request says what it lacks (a want); others that can spare some lend it (a loan).
 // A loan has left the lender's part before its word is told, and comes on at the taker once at the most:
 // lost, doubled, late or overtaken, it can make all parts together less, and never more (escrow, O'Neil 1986;
 // bounded counters, Balegas and others 2015). Pure: moments, words and what can be spared are handed in.
@@ -22,19 +22,19 @@
     std::uint64_t rank = 0;  // of two of one gateway the higher is the later, also after a restart
 };
 struct Loan {
-    std::uint64_t customer = 0;
+    std::uint64_t tenant = 0;
     double units = 0;
     Time until = 0;  // by all clocks: they are held to agree, as for the counter's windows
 };
 
 struct RightsTerms {
     Time life = 20000;       // of a word: 2 s
-    Time first = 2500;       // between two wants of one customer, doubled with each that brought nothing ...
+    Time first = 2500;       // between two wants of one tenant, doubled with each that brought nothing ...
     Time longest = 40000;    // ... up to this
     double lenders = 3;      // that are asked for, of all: each lends or not by chance
     double ample = 4;        // times what is lacking, of all lenders together: a part of it comes too late
     Time silent = 10000;     // who has been answered by the counter since then lends nothing: 1 s
-    std::size_t most = 256;  // customers that wants are kept of; more are not told
+    std::size_t most = 256;  // tenants that wants are kept of; more are not told
 };
 
 class Rights {
@@ -42,7 +42,7 @@
     // `rank`: over that of every word of an earlier process of this name.
     Rights(const RightsTerms& terms, std::string self, std::uint64_t rank, std::uint64_t seed);
 
-    // Our part did not hold so many units of a submission, and the counter was not asked.
+    // Our part did not hold so many units of a request, and the counter was not asked.
     void lacked(Time now, const PartOf& of, double units);
     // The counter has answered us: what is let in here is counted, so that our part is not ours to lend.
     void answered(Time now) { counted_until_ = now + terms_.silent; }
@@ -81,7 +81,7 @@
     std::uint64_t rank_, first_rank_;
     Time counted_until_ = 0;
     std::mt19937_64 chance_;
-    std::map<std::uint64_t, Lack> lacks_;            // by customer
+    std::map<std::uint64_t, Lack> lacks_;            // by tenant
     std::map<std::string, members::Word> words_;     // by key: what is passed on, while it lives
     std::map<std::string, std::uint64_t> taken_to_;  // by lender: no loan up to this rank is taken any more
     std::map<std::string, std::map<std::uint64_t, Time>> taken_;  // over that: when each was taken
--- a/src/members/live.h
+++ b/src/members/live.h
@@ -6,7 +6,7 @@
 #include <deque>
 #include <utility>
 
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 
 namespace dewweir::members {
 
--- a/src/members/message.h
+++ b/src/members/message.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 
 namespace dewweir::members {
 
--- a/src/model/counter.cpp
+++ b/src/model/counter.cpp
@@ -21,13 +21,14 @@
     const Time turn = std::llround(static_cast<double>(traits_.each) * slow);
     Time& free = free_[part];
     free = std::max(free, now);
-    if (turn > 0 && free - now >= turn * static_cast<Time>(traits_.line)) return {now, Verdict::full, 0};
+    if (turn > 0 && free - now >= turn * static_cast<Time>(traits_.line))
+        return {now, AttemptOutcome::full, 0};
     free += turn;
     forget(now);
     Name& held = names_[name];
     if (held.until <= now) held = {0, now + std::clamp<Time>(life, 10, longest_life)};
     held.total += amount;
-    return {silent || part < silent_parts ? -1 : free, Verdict::ok, held.total};
+    return {silent || part < silent_parts ? -1 : free, AttemptOutcome::ok, held.total};
 }
 
 void Counter::forget(Time now) {
--- a/src/model/counter.h
+++ b/src/model/counter.h
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 
 namespace dewweir::model {
 
@@ -34,7 +34,7 @@
 
     struct Answer {
         Time at;  // when it is due; -1: never
-        Verdict verdict;
+        AttemptOutcome outcome;
         double total;
     };
     // Adds and reads in one step. `life` counts for a new name only, and is cut to the longest.
--- a/src/model/host.h
+++ b/src/model/host.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 
 namespace dewweir::model {
 
--- a/src/model/list.h
+++ b/src/model/list.h
@@ -3,7 +3,7 @@
 // or touch a socket.
 #pragma once
 
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 
 namespace dewweir::model {
 
--- a/src/net/check.cpp
+++ b/src/net/check.cpp
@@ -6,7 +6,7 @@
 #include <set>
 
 #include "configuration.h"
-#include "terms.h"
+#include "setting_names.h"
 
 namespace dewweir::net {
 namespace {
@@ -79,33 +79,33 @@
     std::map<std::string, int> lines_;
 };
 
-// Acts on nobody: a Choice is made for what it says of its terms.
+// Acts on nobody: a Decisions object is made for what it says of its settings.
 struct Nobody : Gateway {
-    void execute(std::uint32_t, std::uint32_t, Time) override {}
-    void bounce(std::uint32_t, Time) override {}
-    void write_off(std::uint32_t) override {}
+    void start_attempt(std::uint32_t, std::uint32_t, Time) override {}
+    void refuse(std::uint32_t, Time) override {}
+    void fail(std::uint32_t) override {}
     void cancel(std::uint32_t, int) override {}
     void count(std::uint64_t, double, Time) override {}
     void arm(Time, std::uint64_t) override {}
     void disarm(std::uint64_t) override {}
     void follow_list() override {}
-    void log(Notice, std::uint32_t, const std::string&) override {}
+    void log(LogEvent, std::uint32_t, const std::string&) override {}
     void decided(const Decided&) override {}
 };
 
-// What is missing or unreadable among the terms, one after the other: each is put right before the next is
+// What is missing or unreadable among the settings, one after the other: each is put right before the next is
 // looked for.
-std::vector<errors::BadSetting> term_faults(Terms terms) {
+std::vector<errors::BadSetting> setting_faults(Settings settings) {
     std::vector<errors::BadSetting> all;
     Nobody nobody;
     for (int n = 0; n < 256; ++n) {
         try {
-            Choice(nobody, terms, 1, 0);
+            Decisions(nobody, settings, 1, 0);
             return all;
         } catch (const errors::BadSetting& fault) {
             const std::string& name = fault.to_what();
             all.push_back(fault);
-            terms[name] =
+            settings[name] =
                 name.size() > 8 && name.compare(name.size() - 8, 8, ".repeats") == 0 ? "retriable" : "1";
         }
     }
@@ -135,13 +135,13 @@
     if (!read.is_object()) return {{file, 1, "", "must be a JSON object"}};
     const Lines lines(text);
     std::vector<errors::Complaint> all;
-    Terms terms;
-    for (const errors::BadSetting& fault : configuration_faults(text, terms)) {
+    Settings settings;
+    for (const errors::BadSetting& fault : configuration_faults(text, settings)) {
         const std::string& key = fault.to_what();
         const std::string near = fault.missing ? errors::did_you_mean(key, keys_of(read)) : "";
         all.push_back({file, lines.of(key), key, fault.happened() + near});
     }
-    for (const errors::BadSetting& fault : term_faults(terms)) {
+    for (const errors::BadSetting& fault : setting_faults(settings)) {
         const std::string name = "settings." + their_words(fault.to_what());
         all.push_back(
             {file, lines.of(name), name, fault.happened() + " (" + fault.to_what() + " in our words)"});
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -226,7 +226,7 @@
     reader.next();
     client.busy = true;
     // The answer may come within this call; the client's record may be gone after it.
-    const Handle submission = intake_.submitted(mark, std::move(asked));
+    const Handle submission = intake_.request_received(mark, std::move(asked));
     Client* const still = clients_.find(mark);
     if (!submission && still) answer(mark, 503, {}, "no room for another submission\n");
     else if (still && still->busy) still->submission = submission;
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -23,8 +23,8 @@
 class Intake {
   public:
     virtual ~Intake() = default;
-    virtual Handle submitted(Handle client,
-                             Asked&& asked) = 0;  // 0: no room for it
+    virtual Handle request_received(Handle client,
+                                    Asked&& asked) = 0;  // 0: no room for it
     virtual bool has_open(const std::string& id) const = 0;
     virtual void client_gone(Handle submission) = 0;
 };
--- a/src/net/company.h
+++ b/src/net/company.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "configuration.h"
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 
 namespace dewweir::net {
 
@@ -16,10 +16,11 @@
     // We are about to end: tells the others, so that they need not find it out.
     virtual void leave() = 0;
 
-    // What we found ourselves. May be called from within a call of the Choice's: what follows comes later.
+    // What we found ourselves. May be called from within a call of the decision module's: what follows comes
+    // later.
     virtual void host_found(const std::string& host, bool shut) = 0;
     virtual void host_asked(const std::string& host) = 0;  // an execution goes there
-    virtual void host_ended(const std::string& host, Verdict verdict, Time took) = 0;  // it has ended
+    virtual void host_ended(const std::string& host, AttemptOutcome outcome, Time took) = 0;  // it has ended
     virtual void list_told(const Listing& listing) = 0;
     virtual void total_known(std::uint64_t name, double total) = 0;
     virtual void lacks(const PartOf& of, double units) = 0;  // our part did, of a customer's quota
@@ -31,7 +32,7 @@
 class Hearer {
   public:
     virtual ~Hearer() = default;
-    virtual void others_found(const std::string& host, const Hearsay& said) = 0;
+    virtual void others_found(const std::string& host, const HostReport& said) = 0;
     virtual double spare(const PartOf& of, double units) = 0;  // how many of these our part can do without
     virtual void lent(std::uint64_t customer, double units, Time until) = 0;
 };
--- a/src/net/configuration.cpp
+++ b/src/net/configuration.cpp
@@ -7,7 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-#include "terms.h"
+#include "setting_names.h"
 
 namespace dewweir::net {
 
@@ -53,33 +53,34 @@
 }
 
 // The settings, path by path; a list of plain values is one value, a list of objects is counted.
-void flatten(Terms& terms, const json& at, const std::string& path) {
+void flatten(Settings& settings, const json& at, const std::string& path) {
     const auto below = [&](const std::string& name) { return path.empty() ? name : path + "." + name; };
     if (at.is_object()) {
-        for (const auto& [name, value] : at.items()) flatten(terms, value, below(name));
+        for (const auto& [name, value] : at.items()) flatten(settings, value, below(name));
     } else if (at.is_array() &&
                std::any_of(at.begin(), at.end(), [](const json& x) { return x.is_object(); })) {
-        put_term(terms, below("count"), std::to_string(at.size()));
-        for (std::size_t n = 0; n < at.size(); ++n) flatten(terms, at[n], below(std::to_string(n)));
+        put_setting(settings, below("count"), std::to_string(at.size()));
+        for (std::size_t n = 0; n < at.size(); ++n) flatten(settings, at[n], below(std::to_string(n)));
     } else if (at.is_array()) {
         std::string joined;
         for (const json& one : at) {
             if (!joined.empty()) joined += ',';
             joined += one.is_string() ? one.get<std::string>() : one.dump();
         }
-        put_term(terms, path, joined);
+        put_setting(settings, path, joined);
     } else if (!at.is_null()) {
-        put_term(terms, path, at.is_string() ? at.get<std::string>() : at.dump());
+        put_setting(settings, path, at.is_string() ? at.get<std::string>() : at.dump());
     }
 }
 
-const std::string* term(const Terms& terms, const std::string& name) {
-    const auto found = terms.find(name);
-    return found == terms.end() ? nullptr : &found->second;
+const std::string* setting(const Settings& settings, const std::string& name) {
+    const auto found = settings.find(name);
+    return found == settings.end() ? nullptr : &found->second;
 }
 
-double figure_of(const Terms& terms, const std::string& name, double otherwise, double least, double most) {
-    const std::string* const text = term(terms, name);
+double figure_of(const Settings& settings, const std::string& name, double otherwise, double least,
+                 double most) {
+    const std::string* const text = setting(settings, name);
     if (!text) return otherwise;
     char* end = nullptr;
     const double figure = std::strtod(text->c_str(), &end);
@@ -88,15 +89,15 @@
     return figure;
 }
 
-Time time_of(const Terms& terms, const std::string& name, Time otherwise) {
-    return std::llround(figure_of(terms, name, static_cast<double>(otherwise) / 10, 0, 1e9) * 10);
+Time time_of(const Settings& settings, const std::string& name, Time otherwise) {
+    return std::llround(figure_of(settings, name, static_cast<double>(otherwise) / 10, 0, 1e9) * 10);
 }
 
-std::vector<std::string> names_of(const Terms& terms, const std::string& list) {
+std::vector<std::string> names_of(const Settings& settings, const std::string& list) {
     std::vector<std::string> names;
-    const std::string* count = term(terms, list + ".count");
+    const std::string* count = setting(settings, list + ".count");
     for (int n = 0; count && n < std::atoi(count->c_str()); ++n) {
-        const std::string* const name = term(terms, list + "." + std::to_string(n) + ".name");
+        const std::string* const name = setting(settings, list + "." + std::to_string(n) + ".name");
         if (!name) throw BadSetting("settings." + list + "." + std::to_string(n) + ".name", "missing", true);
         names.push_back(*name);
     }
@@ -116,12 +117,12 @@
         Entry entry;
         entry.id = text_of(one, "id");
         const std::string phase = text_of(one, "phase");
-        if (phase == "in_service") entry.standing = Standing::ready;
-        else if (phase == "terminating") entry.standing = Standing::draining;
-        else if (phase == "terminated") entry.standing = Standing::gone;
+        if (phase == "in_service") entry.state = HostState::ready;
+        else if (phase == "terminating") entry.state = HostState::draining;
+        else if (phase == "terminated") entry.state = HostState::gone;
         else throw BadSetting("phase", "unknown, `" + phase + "`");
         // What is gone needs no address.
-        if (entry.standing != Standing::gone || one.contains("host_port"))
+        if (entry.state != HostState::gone || one.contains("host_port"))
             entry.address = address_at(one, "host_port");
         const std::string zone = one.contains("locality") ? text_of(one, "locality") : "";
         entry.zone = static_cast<int>(std::find(zones.begin(), zones.end(), zone) - zones.begin());
@@ -163,32 +164,33 @@
     step([&] {
         const json& told = member(from, "settings");
         if (!told.is_object()) throw BadSetting("settings", "must be an object");
-        flatten(c.terms, told, "");
+        flatten(c.settings, told, "");
     });
     step([&] {
-        const std::string* const counted = term(c.terms, "service.counter");
+        const std::string* const counted = setting(c.settings, "service.counter");
         if (counted && *counted == "true") c.counter = address_at(from, "counter");
     });
-    step([&] { c.tracks = names_of(c.terms, "tracks"); });
-    step([&] { c.plans = names_of(c.terms, "plans"); });
+    step([&] { c.tracks = names_of(c.settings, "tracks"); });
+    step([&] { c.plans = names_of(c.settings, "plans"); });
     for (std::size_t n = 0; n < c.tracks.size(); ++n) {
-        const std::string* const repeats = term(c.terms, "tracks." + std::to_string(n) + ".repeats");
+        const std::string* const repeats = setting(c.settings, "tracks." + std::to_string(n) + ".repeats");
         c.retriable.push_back(repeats && *repeats == "retriable");
-        step(
-            [&] { c.goals.push_back(time_of(c.terms, "tracks." + std::to_string(n) + ".latency_goal", 0)); });
+        step([&] {
+            c.goals.push_back(time_of(c.settings, "tracks." + std::to_string(n) + ".latency_goal", 0));
+        });
     }
-    step([&] { c.gateways = static_cast<int>(figure_of(c.terms, "gateways", 1, 1, 1e6)); });
-    step([&] { c.largest = figure_of(c.terms, "service.largest", 1e6, 0, 1e9); });
-    if (const std::string* const zones = term(c.terms, "zones")) {
+    step([&] { c.gateways = static_cast<int>(figure_of(c.settings, "gateways", 1, 1, 1e6)); });
+    step([&] { c.largest = figure_of(c.settings, "service.largest", 1e6, 0, 1e9); });
+    if (const std::string* const zones = setting(c.settings, "zones")) {
         std::istringstream each(*zones);
         for (std::string zone; std::getline(each, zone, ',');) c.zones.push_back(zone);
     }
-    step([&] { c.step = time_of(c.terms, "step", 0); });
-    step([&] { c.connect_within = time_of(c.terms, "limits.connect_within", 2500); });
-    step([&] { c.idle_close = time_of(c.terms, "limits.idle_close", 100000); });
-    step([&] { c.count_limit = time_of(c.terms, "service.count_limit", 500); });
-    step([&] { c.ask_within = time_of(c.terms, "rules.ask_within", 100000); });
-    const std::string* const way = term(c.terms, "discovery");
+    step([&] { c.step = time_of(c.settings, "step", 0); });
+    step([&] { c.connect_within = time_of(c.settings, "limits.connect_within", 2500); });
+    step([&] { c.idle_close = time_of(c.settings, "limits.idle_close", 100000); });
+    step([&] { c.count_limit = time_of(c.settings, "service.count_limit", 500); });
+    step([&] { c.ask_within = time_of(c.settings, "rules.ask_within", 100000); });
+    const std::string* const way = setting(c.settings, "discovery");
     c.ask = way && *way == "ask";
     step([&] {
         if (from.contains("known") && !from.at("known").is_null())
@@ -203,9 +205,9 @@
     return configuration_of(parsed(text, "configuration"));
 }
 
-std::vector<BadSetting> configuration_faults(const std::string& text, Terms& terms) {
+std::vector<BadSetting> configuration_faults(const std::string& text, Settings& settings) {
     std::vector<BadSetting> faults;
-    terms = configuration_of(parsed(text, "configuration"), &faults).terms;
+    settings = configuration_of(parsed(text, "configuration"), &faults).settings;
     return faults;
 }
 
--- a/src/net/configuration.h
+++ b/src/net/configuration.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 #include "errors/errors.h"
 #include "log.h"
 
@@ -18,7 +18,7 @@
 struct Entry {
     std::string id;
     asio::ip::tcp::endpoint address;
-    Standing standing;
+    HostState state;
     int zone, cell;
     Time up_since;  // 0: long ago
 };
@@ -35,7 +35,7 @@
     std::optional<asio::ip::tcp::endpoint> counter;
     std::uint64_t seed = 0;
     std::size_t sockets = 1024;
-    Terms terms;
+    Settings settings;
     Listing known;
     std::vector<std::string> tracks, plans, zones;  // by name; their places are their numbers
     std::vector<bool> retriable;                    // by track
@@ -54,9 +54,9 @@
 // From the environment and the file it names. Throws errors::BadSetting for the first key that is wrong.
 Configuration read_configuration();
 Configuration parse_configuration(const std::string& text);
-// All that `parse_configuration` would refuse; `terms` gets what could be read of the
+// All that `parse_configuration` would refuse; `settings` gets what could be read of the
 // settings.
-std::vector<errors::BadSetting> configuration_faults(const std::string& text, Terms& terms);
+std::vector<errors::BadSetting> configuration_faults(const std::string& text, Settings& settings);
 // Throws errors::BadSetting on anything that is no listing.
 Listing parse_listing(std::string_view text, const std::vector<std::string>& zones);
 
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -59,7 +59,7 @@
 }
 
 // What was written may have been added; what was not never will be.
-void Counter::lost(std::uint32_t mark, const char* why, Verdict written) {
+void Counter::lost(std::uint32_t mark, const char* why, AttemptOutcome written) {
     log_.tell(Event::counter_lost, std::string("counter: ") + why, {{"why", why}});
     Link& link = links_.at(mark);
     if (link.connection) connections_.close(link.connection);
@@ -69,7 +69,7 @@
     std::deque<Call> calls = std::exchange(link.calls, {});
     if (mark != mark_) {
         links_.erase(mark);
-    } else if (written == Verdict::broken && pause_ == 0) {
+    } else if (written == AttemptOutcome::broken && pause_ == 0) {
         // It spoke well before, and what it says now is not slow: there is nothing to wait for.
         pause_ = least_pause;
         open();
@@ -80,7 +80,7 @@
             open();
         });
     }
-    for (Call& call : calls) tell(call, call.line.empty() ? written : Verdict::connect_failed);
+    for (Call& call : calls) tell(call, call.line.empty() ? written : AttemptOutcome::connect_failed);
 }
 
 void Counter::ended(Handle connection, std::uint32_t mark) {
@@ -127,7 +127,7 @@
         const Time silent = deadlines_.now() - std::max(link.last_word, link.calls.front().made);
         if (mark == mark_ && silent >= most_silent * told_.count_limit) return lost(mark, "silent");
         const bool last = mark != mark_ && number - link.first + 1 == link.calls.size();
-        tell(call, Verdict::timeout);
+        tell(call, AttemptOutcome::timeout);
         if (last) connections_.close(link.connection), links_.erase(mark);
         return;
     }
@@ -136,7 +136,7 @@
     Call call = std::move(link.calls.front());
     link.calls.pop_front();
     ++link.first;
-    tell(call, Verdict::connect_failed);
+    tell(call, AttemptOutcome::connect_failed);
 }
 
 // Keeps an idle connection from being closed; a ping that gets no answer shows one that has gone silent.
@@ -147,10 +147,10 @@
     if (link.calls.empty() && deadlines_.now() - link.last_word > idle) put("ping\r\n", 0, true);
 }
 
-void Counter::tell(Call& call, Verdict verdict, double total) {
+void Counter::tell(Call& call, AttemptOutcome outcome, double total) {
     deadlines_.drop(call.deadline);
     if (std::exchange(call.told, true) || call.ping) return;
-    counts_.counted(call.name, verdict, total, deadlines_.now() - call.made);
+    counts_.counted(call.name, outcome, total, deadlines_.now() - call.made);
 }
 
 void Counter::received(Handle connection, std::uint32_t mark) {
@@ -179,27 +179,27 @@
     Link& link = links_.at(mark);
     if (link.calls.empty()) return lost(mark, "an answer to no call");
     double total = 0;
-    Verdict verdict = Verdict::broken;
+    AttemptOutcome outcome = AttemptOutcome::broken;
     if (line.substr(0, 3) == "ok ") {
         const auto [end, fault] = std::from_chars(line.data() + 3, line.data() + line.size(), total);
         if (fault == std::errc() && end == line.data() + line.size() && std::isfinite(total))
-            verdict = Verdict::ok;
+            outcome = AttemptOutcome::ok;
     } else if (line == "busy") {
-        verdict = Verdict::full;
+        outcome = AttemptOutcome::full;
     } else if (line == "error") {
-        verdict = Verdict::error;
+        outcome = AttemptOutcome::error;
     } else if (link.calls.front().ping && line == "pong") {
-        verdict = Verdict::ok;
+        outcome = AttemptOutcome::ok;
     }
     // Nothing more that comes on this connection can be trusted.
-    if (verdict == Verdict::broken) return lost(mark, "an unreadable answer", verdict);
+    if (outcome == AttemptOutcome::broken) return lost(mark, "an unreadable answer", outcome);
     link.last_word = deadlines_.now();
     pause_ = 0;
     Call call = std::move(link.calls.front());
     link.calls.pop_front();
     ++link.first;
     if (mark != mark_ && link.calls.empty()) connections_.close(link.connection), links_.erase(mark);
-    tell(call, verdict, total);
+    tell(call, outcome, total);
 }
 
 }  // namespace dewweir::net
--- a/src/net/counter.h
+++ b/src/net/counter.h
@@ -14,7 +14,7 @@
 class Counts {
   public:
     virtual ~Counts() = default;
-    virtual void counted(std::uint64_t name, Verdict verdict, double total, Time took) = 0;
+    virtual void counted(std::uint64_t name, AttemptOutcome outcome, double total, Time took) = 0;
 };
 
 class Counter : public User, Part {
@@ -49,11 +49,11 @@
 
     void open();
     void retire();
-    void lost(std::uint32_t mark, const char* why, Verdict written = Verdict::timeout);
+    void lost(std::uint32_t mark, const char* why, AttemptOutcome written = AttemptOutcome::timeout);
     void put(std::string line, std::uint64_t name, bool ping);
     void late(std::uint32_t mark, std::uint64_t number);
     void watch();
-    void tell(Call& call, Verdict verdict, double total = 0);
+    void tell(Call& call, AttemptOutcome outcome, double total = 0);
     void answered(std::uint32_t mark, std::string_view line);
 
     Counts& counts_;
--- a/src/net/counts_event.cpp
+++ b/src/net/counts_event.cpp
@@ -54,7 +54,7 @@
         if (times_[n]) times.push_back(static_cast<std::int64_t>(n)), times.push_back(times_[n]);
     const auto of = [this](Decision one) { return decided_[static_cast<std::size_t>(one)]; };
     const std::int64_t quota =
-        of(Decision::counted_over) + of(Decision::share_over) + of(Decision::over_already);
+        of(Decision::counted_over) + of(Decision::local_over) + of(Decision::over_already);
     const std::int64_t line = of(Decision::long_line) + of(Decision::late);
     log.tell(Event::counts,
              // Its end makes each line another: equal ones would be told as repeats.
--- a/src/net/counts_event.h
+++ b/src/net/counts_event.h
@@ -21,7 +21,7 @@
     // `goals`: of the tracks, by number.
     CountsEvent(Time every, std::vector<Time> goals) : every_(every), goals_(std::move(goals)) {}
 
-    void submitted(double units) override { ++tries_, asked_ += units; }
+    void request_received(double units) override { ++tries_, asked_ += units; }
     void executed(bool first, double units) override {
         ++executions_, sent_on_ += first, in_ += first ? units : 0;
     }
--- a/src/net/deadlines.h
+++ b/src/net/deadlines.h
@@ -8,7 +8,7 @@
 #include <map>
 #include <utility>
 
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 
 namespace dewweir::net {
 
--- a/src/net/hosts.cpp
+++ b/src/net/hosts.cpp
@@ -18,7 +18,7 @@
 
 std::uint32_t Hosts::listed(const Entry& entry) {
     const auto known = numbers_.find(entry.id);
-    if (known == numbers_.end() && entry.standing == Standing::gone) return 0;
+    if (known == numbers_.end() && entry.state == HostState::gone) return 0;
     const std::uint32_t number = known == numbers_.end() ? ++last_number_ : known->second;
     Host& host = hosts_[number];
     if (known == numbers_.end()) {
@@ -28,13 +28,13 @@
                   {{"host", number}, {"id", entry.id}});
     }
     // At another address, or started again: what stands idle leads nowhere.
-    if (entry.standing != Standing::gone &&
+    if (entry.state != HostState::gone &&
         (host.address != entry.address || host.up_since != entry.up_since)) {
         host.address = entry.address;
         host.up_since = entry.up_since;
         release_idle(host);
     }
-    now_stands(number, host, entry.standing);
+    now_stands(number, host, entry.state);
     return number;
 }
 
@@ -53,14 +53,14 @@
     for (const Entry& entry : entries)
         if (const auto known = numbers_.find(entry.id); known != numbers_.end()) named.insert(known->second);
     for (auto& [number, host] : hosts_)
-        if (!named.contains(number)) now_stands(number, host, Standing::gone);
+        if (!named.contains(number)) now_stands(number, host, HostState::gone);
 }
 
-void Hosts::now_stands(std::uint32_t number, Host& host, Standing standing) {
-    const Standing before = std::exchange(host.standing, standing);
-    if (before == Standing::ready && standing != Standing::ready) not_ready(number);
-    if (before != Standing::gone && standing == Standing::gone) forget_later(number, host);
-    if (standing != Standing::gone) deadlines_.drop(host.leaving);
+void Hosts::now_stands(std::uint32_t number, Host& host, HostState state) {
+    const HostState before = std::exchange(host.state, state);
+    if (before == HostState::ready && state != HostState::ready) not_ready(number);
+    if (before != HostState::gone && state == HostState::gone) forget_later(number, host);
+    if (state != HostState::gone) deadlines_.drop(host.leaving);
 }
 
 void Hosts::forget_later(std::uint32_t number, Host& host) {
@@ -85,7 +85,7 @@
     });
     for (const Handle mark : waiting) {
         const Way& way = *ways_.find(mark);
-        later_over(way.submission, host, Verdict::not_sent, deadlines_.now() - way.sent);
+        later_over(way.submission, host, AttemptOutcome::not_sent, deadlines_.now() - way.sent);
         give_back(mark, *ways_.find(mark));
     }
 }
@@ -127,11 +127,11 @@
     if (oldest) give_back(oldest, *ways_.find(oldest));
 }
 
-Handle Hosts::execute(Handle submission, std::uint32_t host, std::string_view head, std::string_view body,
-                      Time give_up_after) {
+Handle Hosts::start_attempt(Handle submission, std::uint32_t host, std::string_view head,
+                            std::string_view body, Time give_up_after) {
     Handle mark = 0;
     const auto to = hosts_.find(host);
-    if (to != hosts_.end() && to->second.standing == Standing::ready) {
+    if (to != hosts_.end() && to->second.state == HostState::ready) {
         mark = idle_way(to->second);
         if (!mark) mark = open_way(host);
     }
@@ -139,7 +139,7 @@
         // Drained a moment ago, or all our connections are out: no fault of the host's.
         const std::string id = to != hosts_.end() ? to->second.id : std::to_string(host);
         log_.tell(Event::host_no_connection, "hosts: no connection for an execution on " + id, {{"id", id}});
-        later_over(submission, host, Verdict::not_sent, 0);
+        later_over(submission, host, AttemptOutcome::not_sent, 0);
         return 0;
     }
     Way& way = *ways_.find(mark);
@@ -147,7 +147,7 @@
     way.sent = deadlines_.now();
     way.deadline = deadlines_.after(give_up_after, [this, mark] {
         Way* const late = ways_.find(mark);
-        if (late) over(mark, *late, Verdict::timeout);
+        if (late) over(mark, *late, AttemptOutcome::timeout);
     });
     char limit[48];
     // Seconds with four decimals: whole tenths of a millisecond.
@@ -166,7 +166,7 @@
 void Hosts::call_off(Handle execution) {
     Way* const way = ways_.find(execution);
     if (!way || !way->submission) return;
-    later_over(way->submission, way->host, Verdict::called_off, deadlines_.now() - way->sent);
+    later_over(way->submission, way->host, AttemptOutcome::called_off, deadlines_.now() - way->sent);
     give_back(execution, *way);
 }
 
@@ -175,7 +175,7 @@
     if (!way) return;
     if (!up) {
         way->connection = 0;
-        return over(mark, *way, Verdict::connect_failed);
+        return over(mark, *way, AttemptOutcome::connect_failed);
     }
     way->up = true;
     connections_.send(way->connection, {way->waiting});
@@ -189,24 +189,26 @@
     HttpReader& reader = way->reader;
     HttpReader::State state = reader.read(connections_.in(connection));
     while (state == HttpReader::State::whole && reader.status() < 200) {  // an interim answer
-        if (++way->interim > most_interim) return over(mark, *way, Verdict::broken);
+        if (++way->interim > most_interim) return over(mark, *way, AttemptOutcome::broken);
         reader.next();
         state = reader.read(connections_.in(connection));
     }
     if (state == HttpReader::State::more) return;
-    if (state == HttpReader::State::bad) return over(mark, *way, Verdict::broken);
+    if (state == HttpReader::State::bad) return over(mark, *way, AttemptOutcome::broken);
     const bool full = (reader.status() == 503 || reader.status() == 504) && reader.field("X-Not-Run") == "1";
-    const Verdict verdict = reader.status() == 200 ? Verdict::ok : full ? Verdict::full : Verdict::error;
+    const AttemptOutcome outcome = reader.status() == 200 ? AttemptOutcome::ok
+                                   : full                 ? AttemptOutcome::full
+                                                          : AttemptOutcome::error;
     // Before its last byte was written the host cannot have begun it: whatever this is, it answers
     // nothing.
-    if (verdict != Verdict::full && connections_.unsent(connection))
-        return over(mark, *way, Verdict::connect_failed);
+    if (outcome != AttemptOutcome::full && connections_.unsent(connection))
+        return over(mark, *way, AttemptOutcome::connect_failed);
     Answer answer;
-    if (verdict == Verdict::ok) {
+    if (outcome == AttemptOutcome::ok) {
         reader.pass_on(answer.fields, {"X-Load"});
         answer.body = std::move(reader.body());
     }
-    over(mark, *way, verdict, answer);
+    over(mark, *way, outcome, answer);
 }
 
 void Hosts::ended(Handle connection, std::uint32_t mark) {
@@ -214,25 +216,26 @@
     if (!way) return;
     if (!way->submission) return give_back(mark, *way);
     // Before its last byte was written the host cannot have begun it.
-    over(mark, *way, connections_.unsent(connection) ? Verdict::connect_failed : Verdict::broken);
+    over(mark, *way,
+         connections_.unsent(connection) ? AttemptOutcome::connect_failed : AttemptOutcome::broken);
 }
 
 // Ends what is out on a way. The way is kept if its answer came whole and the connection is fit for more; it
 // is so before the end is told, since the next execution is often asked for in that moment, and there.
-void Hosts::over(Handle mark, Way& way, Verdict verdict, const Answer& answer) {
+void Hosts::over(Handle mark, Way& way, AttemptOutcome outcome, const Answer& answer) {
     const Handle submission = std::exchange(way.submission, 0);
     const std::uint32_t host = way.host;
     const Time took = deadlines_.now() - way.sent;
     deadlines_.drop(way.deadline);
     // Bytes after the answer, or an answer before all was sent, leave the connection unfit for more.
-    const bool fit = verdict != Verdict::broken && way.reader.whole() && way.reader.keep_alive() &&
+    const bool fit = outcome != AttemptOutcome::broken && way.reader.whole() && way.reader.keep_alive() &&
                      connections_.in(way.connection).empty() && connections_.unsent(way.connection) == 0 &&
-                     hosts_.at(host).standing == Standing::ready;
+                     hosts_.at(host).state == HostState::ready;
     way.reader.next();
     way.interim = 0;
     if (fit) rest(mark, way);
     else give_back(mark, way);
-    outcomes_.execution_over(submission, host, verdict, took, answer);
+    outcomes_.execution_over(submission, host, outcome, took, answer);
 }
 
 void Hosts::rest(Handle mark, Way& way) {
@@ -257,10 +260,10 @@
     ways_.remove(mark);
 }
 
-void Hosts::later_over(Handle submission, std::uint32_t host, Verdict verdict, Time took) {
-    asio::post(io_, [this, submission, host, verdict, took] {
+void Hosts::later_over(Handle submission, std::uint32_t host, AttemptOutcome outcome, Time took) {
+    asio::post(io_, [this, submission, host, outcome, took] {
         deadlines_.turn();
-        outcomes_.execution_over(submission, host, verdict, took, {});
+        outcomes_.execution_over(submission, host, outcome, took, {});
     });
 }
 
--- a/src/net/hosts.h
+++ b/src/net/hosts.h
@@ -20,7 +20,7 @@
 class Outcomes {
   public:
     virtual ~Outcomes() = default;
-    virtual void execution_over(Handle submission, std::uint32_t host, Verdict verdict, Time took,
+    virtual void execution_over(Handle submission, std::uint32_t host, AttemptOutcome outcome, Time took,
                                 const Answer& answer) = 0;
 };
 
@@ -38,8 +38,8 @@
     std::uint32_t number_of(const std::string& id) const;
 
     // Gives what `call_off` takes; 0 when nothing can be sent (its end is told all the same).
-    Handle execute(Handle submission, std::uint32_t host, std::string_view head, std::string_view body,
-                   Time give_up_after);
+    Handle start_attempt(Handle submission, std::uint32_t host, std::string_view head, std::string_view body,
+                         Time give_up_after);
     void call_off(Handle execution);
 
     void opened(Handle, std::uint32_t mark, bool up) override;
@@ -50,7 +50,7 @@
     struct Host {
         std::string id;
         tcp::endpoint address{};
-        Standing standing = Standing::gone;
+        HostState state = HostState::gone;
         Time up_since = 0;
         int ways = 0;                // all of them, idle or not
         Deadlines::Key leaving{};    // then it is forgotten
@@ -76,11 +76,11 @@
     void give_back(Handle mark, Way& way);
     void drop_oldest_idle();
     void release_idle(Host& host);
-    void now_stands(std::uint32_t number, Host& host, Standing standing);
+    void now_stands(std::uint32_t number, Host& host, HostState state);
     void not_ready(std::uint32_t host);
     void forget_later(std::uint32_t number, Host& host);
-    void over(Handle mark, Way& way, Verdict verdict, const Answer& answer = {});
-    void later_over(Handle submission, std::uint32_t host, Verdict verdict, Time took);
+    void over(Handle mark, Way& way, AttemptOutcome outcome, const Answer& answer = {});
+    void later_over(Handle submission, std::uint32_t host, AttemptOutcome outcome, Time took);
 
     Outcomes& outcomes_;
     std::map<std::uint32_t, Host> hosts_;  // by number
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -20,10 +20,10 @@
       hosts_(part_, *this),
       counter_(part_, *this),
       discovery_(part_, *this),
-      choice_(*this, told.terms, told.seed, deadlines_.now()),
+      decisions_(*this, told.settings, told.seed, deadlines_.now()),
       clients_(part_, *this) {
     if (!told.known.entries.empty()) list_told(told.known);
-    // Where news must be asked for, the Choice asks by itself.
+    // Where news must be asked for, the decision module asks by itself.
     if (!told.ask) discovery_.follow();
     if (tallies_) tally();
 }
@@ -58,7 +58,7 @@
     const std::pair<const char*, bool> others[] = {{"name", fresh.name != told.name},
                                                    {"listen", fresh.listen != told.listen},
                                                    {"limits.sockets", fresh.sockets != told.sockets},
-                                                   {"settings", fresh.terms != told.terms}};
+                                                   {"settings", fresh.settings != told.settings}};
     for (const auto& [key, differs] : others)
         if (differs)
             log_.tell(Event::configuration_restart,
@@ -70,12 +70,12 @@
 
 // ---- what the module has done ----
 
-void Node::execute(std::uint32_t id, std::uint32_t host, Time give_up_after) {
+void Node::start_attempt(std::uint32_t id, std::uint32_t host, Time give_up_after) {
     Submission* const s = submissions_.find(id);
     if (!s || !s->client || s->out) {
         asio::post(io_, [this, id, host] {
             deadlines_.turn();
-            choice_.execution_ended(deadlines_.now(), id, 0, host, Verdict::not_sent, 0, true, 0);
+            decisions_.attempt_ended(deadlines_.now(), id, 0, host, AttemptOutcome::not_sent, 0, true, 0);
         });
         return;
     }
@@ -83,10 +83,10 @@
     s->out = true;
     if (tallies_) tallies_->executed(s->executions == 1, s->units);
     if (company_) company_->host_asked(hosts_.id_of(host));
-    s->execution = hosts_.execute(id, host, s->head, s->body, give_up_after);
+    s->execution = hosts_.start_attempt(id, host, s->head, s->body, give_up_after);
 }
 
-void Node::bounce(std::uint32_t id, Time come_back_in) {
+void Node::refuse(std::uint32_t id, Time come_back_in) {
     if (tallies_) tallies_->bounced();
     char advice[48] = "";
     if (come_back_in > 0)
@@ -95,7 +95,7 @@
     answer(id, 503, advice, "bounced: trying again is harmless\n");
 }
 
-void Node::write_off(std::uint32_t id) {
+void Node::fail(std::uint32_t id) {
     if (tallies_) tallies_->written_off();
     answer(id, 502, {}, "written off\n");
 }
@@ -114,7 +114,7 @@
 void Node::arm(Time from_now, std::uint64_t token) {
     const Deadlines::Key key = deadlines_.after(from_now, [this, token] {
         alarms_.erase(token);
-        choice_.timer(deadlines_.now(), token);
+        decisions_.timer(deadlines_.now(), token);
     });
     // One that is set twice stays set twice; the later one can be taken back.
     alarms_[token] = key;
@@ -128,21 +128,21 @@
 }
 
 void Node::follow_list() {
-    // Asked for by the Choice, maybe while it is being told that the last try failed.
+    // Asked for by the decision module, maybe while it is being told that the last try failed.
     asio::post(io_, [this] {
         deadlines_.turn();
         discovery_.follow();
     });
 }
 
-void Node::log(Notice notice, std::uint32_t host, const std::string& line) {
-    if (company_ && (notice == Notice::host_shut || notice == Notice::host_back))
-        company_->host_found(hosts_.id_of(host), notice == Notice::host_shut);
-    switch (notice) {
-        case Notice::breaker_open: return log_.tell(Event::breaker_open, line);
-        case Notice::breaker_closed: return log_.tell(Event::breaker_closed, line);
-        case Notice::host_shut: return log_.tell(Event::host_shut, line, {{"host", host}});
-        case Notice::host_back: return log_.tell(Event::host_back, line, {{"host", host}});
+void Node::log(LogEvent event, std::uint32_t host, const std::string& line) {
+    if (company_ && (event == LogEvent::host_shut || event == LogEvent::host_back))
+        company_->host_found(hosts_.id_of(host), event == LogEvent::host_shut);
+    switch (event) {
+        case LogEvent::breaker_open: return log_.tell(Event::breaker_open, line);
+        case LogEvent::breaker_closed: return log_.tell(Event::breaker_closed, line);
+        case LogEvent::host_shut: return log_.tell(Event::host_shut, line, {{"host", host}});
+        case LogEvent::host_back: return log_.tell(Event::host_back, line, {{"host", host}});
     }
 }
 
@@ -162,7 +162,8 @@
     forget_if_over(id);
 }
 
-// The Choice may name a submission for as long as an execution is out; a later mention finds nothing.
+// The Decision module may name a submission for as long as an execution is out; a later mention finds
+// nothing.
 void Node::forget_if_over(Handle id) {
     const Submission* const s = submissions_.find(id);
     if (!s || s->client || s->out) return;
@@ -172,17 +173,17 @@
 
 // ---- what has happened ----
 
-Handle Node::submitted(Handle client, Asked&& asked) {
+Handle Node::request_received(Handle client, Asked&& asked) {
     const Handle id = submissions_.add(client, asked.id, std::move(asked.head), std::move(asked.body));
     if (!id) return 0;
     open_.insert(std::move(asked.id));
     if (tallies_) {
-        tallies_->submitted(asked.units);
+        tallies_->request_received(asked.units);
         Submission& s = *submissions_.find(id);
         s.track = asked.track, s.units = asked.units, s.since = deadlines_.now();
     }
-    choice_.submitted(deadlines_.now(), id, asked.track, asked.plan, asked.customer, asked.units,
-                      asked.gateways, asked.patience);
+    decisions_.request_received(deadlines_.now(), id, asked.track, asked.plan, asked.customer, asked.units,
+                                asked.gateways, asked.patience);
     return id;
 }
 
@@ -191,48 +192,48 @@
     if (!s || !s->client) return;
     s->client = 0;
     if (tallies_) tallies_->client_gone();
-    choice_.client_gone(deadlines_.now(), id);
+    decisions_.client_gone(deadlines_.now(), id);
     forget_if_over(id);
 }
 
-void Node::execution_over(Handle id, std::uint32_t host, Verdict verdict, Time took,
+void Node::execution_over(Handle id, std::uint32_t host, AttemptOutcome outcome, Time took,
                           const Answer& delivered) {
     Submission* const s = submissions_.find(id);
     if (!s) return;
     s->out = false;
     s->execution = 0;
     const int execution = s->executions - 1;
-    if (verdict == Verdict::ok && s->client) {
+    if (outcome == AttemptOutcome::ok && s->client) {
         if (tallies_) tallies_->delivered(s->track, deadlines_.now() - s->since);
         clients_.answer(std::exchange(s->client, 0), 200, delivered.fields, delivered.body);
     }
     const bool settled = s->client == 0;
-    if (company_) company_->host_ended(hosts_.id_of(host), verdict, took);
-    choice_.execution_ended(deadlines_.now(), id, execution, host, verdict, took, settled, 0);
+    if (company_) company_->host_ended(hosts_.id_of(host), outcome, took);
+    decisions_.attempt_ended(deadlines_.now(), id, execution, host, outcome, took, settled, 0);
     forget_if_over(id);
 }
 
-void Node::counted(std::uint64_t name, Verdict verdict, double total, Time took) {
-    choice_.counted(deadlines_.now(), name, verdict, total, took);
+void Node::counted(std::uint64_t name, AttemptOutcome outcome, double total, Time took) {
+    decisions_.counted(deadlines_.now(), name, outcome, total, took);
 }
 
 void Node::list_told(const Listing& listing) {
     const Time now = deadlines_.now();
-    choice_.list_begins(now, listing.whole);
+    decisions_.list_begins(now, listing.whole);
     for (const Entry& entry : listing.entries) {
         const std::uint32_t host = hosts_.listed(entry);
-        if (host) choice_.host_listed(now, host, entry.standing, entry.up_since, entry.zone, entry.cell);
+        if (host) decisions_.host_listed(now, host, entry.state, entry.up_since, entry.zone, entry.cell);
     }
     if (listing.whole) hosts_.keep_only(listing.entries);
-    choice_.list_ends(now);
+    decisions_.list_ends(now);
     if (company_) company_->list_told(listing);
 }
 
-void Node::list_failed() { choice_.list_failed(deadlines_.now()); }
+void Node::list_failed() { decisions_.list_failed(deadlines_.now()); }
 
-void Node::others_found(const std::string& host, const Hearsay& said) {
+void Node::others_found(const std::string& host, const HostReport& said) {
     if (const std::uint32_t number = hosts_.number_of(host))
-        choice_.others_found(deadlines_.now(), number, said);
+        decisions_.others_found(deadlines_.now(), number, said);
 }
 
 }  // namespace dewweir::net
--- a/src/net/node.h
+++ b/src/net/node.h
@@ -1,6 +1,6 @@
-// One gateway: owns the submissions and the Choice that decides on them, and ties clients, hosts, counter and
-// discovery to it. It carries out and reports; it must never decide, nor call the Choice from within a call
-// of the Choice's.
+// One gateway: owns the submissions and the decision module that decides on them, and ties clients, hosts,
+// counter and discovery to it. It carries out and reports; it must never decide, nor call the decision module
+// from within a call of the decision module's.
 #pragma once
 
 #include <string>
@@ -12,7 +12,7 @@
 #include "configuration.h"
 #include "connections.h"
 #include "counter.h"
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 #include "discovery.h"
 #include "hosts.h"
 #include "tallies.h"
@@ -45,15 +45,15 @@
         Time since = 0;
     };
 
-    void execute(std::uint32_t submission, std::uint32_t host, Time give_up_after) override;
-    void bounce(std::uint32_t submission, Time come_back_in) override;
-    void write_off(std::uint32_t submission) override;
+    void start_attempt(std::uint32_t submission, std::uint32_t host, Time give_up_after) override;
+    void refuse(std::uint32_t submission, Time come_back_in) override;
+    void fail(std::uint32_t submission) override;
     void cancel(std::uint32_t submission, int execution) override;
     void count(std::uint64_t name, double amount, Time keep_for) override;
     void arm(Time from_now, std::uint64_t token) override;
     void disarm(std::uint64_t token) override;
     void follow_list() override;
-    void log(Notice notice, std::uint32_t host, const std::string& line) override;
+    void log(LogEvent event, std::uint32_t host, const std::string& line) override;
     void decided(const Decided& often) override;
     void total_known(std::uint64_t name, double total) override;
     void lacks(const PartOf& of, double units) override {
@@ -63,20 +63,20 @@
         return company_ ? company_->others_total(name) : 0;
     }
 
-    Handle submitted(Handle client, Asked&& asked) override;
+    Handle request_received(Handle client, Asked&& asked) override;
     bool has_open(const std::string& id) const override { return open_.contains(id); }
     void client_gone(Handle submission) override;
-    void execution_over(Handle submission, std::uint32_t host, Verdict verdict, Time took,
+    void execution_over(Handle submission, std::uint32_t host, AttemptOutcome outcome, Time took,
                         const Answer& answer) override;
-    void counted(std::uint64_t name, Verdict verdict, double total, Time took) override;
+    void counted(std::uint64_t name, AttemptOutcome outcome, double total, Time took) override;
     void list_told(const Listing& listing) override;
     void list_failed() override;
-    void others_found(const std::string& host, const Hearsay& said) override;
+    void others_found(const std::string& host, const HostReport& said) override;
     double spare(const PartOf& of, double units) override {
-        return choice_.spare(deadlines_.now(), of, units);
+        return decisions_.spare(deadlines_.now(), of, units);
     }
     void lent(std::uint64_t customer, double units, Time until) override {
-        choice_.lent(deadlines_.now(), customer, units, until);
+        decisions_.lent(deadlines_.now(), customer, units, until);
     }
 
     void answer(Handle submission, int status, std::string_view fields, std::string_view body);
@@ -96,7 +96,7 @@
     Hosts hosts_;
     Counter counter_;
     Discovery discovery_;
-    Choice choice_;
+    Decisions decisions_;
     Clients clients_;
 };
 
--- a/src/net/tallies.h
+++ b/src/net/tallies.h
@@ -2,7 +2,7 @@
 // there is none, and nothing is called.
 #pragma once
 
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 
 namespace dewweir::net {
 
@@ -11,7 +11,7 @@
 class Tallies {
   public:
     virtual ~Tallies() = default;
-    virtual void submitted(double units) = 0;
+    virtual void request_received(double units) = 0;
     virtual void executed(bool first, double units) = 0;
     virtual void counted(double units) = 0;  // a call to the counter: added, or given back under 0
     virtual void delivered(int track, Time took) = 0;
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -144,8 +144,8 @@
     if (due < next_.first) wake_at(due);
 }
 
-void Peers::host_ended(const std::string& host, Verdict verdict, Time took) {
-    if (words_) words_->host_ended(part_.deadlines_.now(), host, verdict, took);
+void Peers::host_ended(const std::string& host, AttemptOutcome outcome, Time took) {
+    if (words_) words_->host_ended(part_.deadlines_.now(), host, outcome, took);
 }
 
 void Peers::list_told(const net::Listing& listing) {
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -32,7 +32,7 @@
     void leave() override;
     void host_found(const std::string& host, bool shut) override;
     void host_asked(const std::string& host) override;
-    void host_ended(const std::string& host, Verdict verdict, Time took) override;
+    void host_ended(const std::string& host, AttemptOutcome outcome, Time took) override;
     void list_told(const net::Listing& listing) override;
     void total_known(std::uint64_t name, double total) override;
     void lacks(const PartOf& of, double units) override;
--- a/src/peers/words.cpp
+++ b/src/peers/words.cpp
@@ -52,13 +52,13 @@
     hosts_.found(now, host, shut ? verdicts::Finding::shut : verdicts::Finding::well);
 }
 
-void Words::host_ended(Time now, const std::string& host, Verdict verdict, Time took) {
+void Words::host_ended(Time now, const std::string& host, AttemptOutcome outcome, Time took) {
     using End = verdicts::HostWords::End;
-    const bool nothing = verdict == Verdict::called_off || verdict == Verdict::not_sent;
-    const End end = verdict == Verdict::ok     ? End::well
-                    : verdict == Verdict::full ? End::alive  // which says nothing against the host
-                    : nothing                  ? End::nothing
-                                               : End::failed;
+    const bool nothing = outcome == AttemptOutcome::called_off || outcome == AttemptOutcome::not_sent;
+    const End end = outcome == AttemptOutcome::ok     ? End::well
+                    : outcome == AttemptOutcome::full ? End::alive  // which says nothing against the host
+                    : nothing                         ? End::nothing
+                                                      : End::failed;
     hosts_.ended(now, host, end, took);
 }
 
@@ -70,7 +70,7 @@
 void Words::list_told(Time now, const net::Listing& listing) {
     std::vector<verdicts::ListedHost> hosts;
     for (const net::Entry& one : listing.entries)
-        hosts.push_back({one.id, one.standing == Standing::ready, one.up_since});
+        hosts.push_back({one.id, one.state == HostState::ready, one.up_since});
     lists_.told(now, listing.revision, listing.whole, hosts);
 }
 
@@ -82,7 +82,7 @@
     for (const limits::Want& one : rights_.asked())
         if (const double units = hearer_.spare(one.of, one.units); units >= least_loan)
             rights_.lent(now, one, units, limits::Moved::over_at(now));
-    for (const limits::Loan& one : rights_.loans()) hearer_.lent(one.customer, one.units, one.until);
+    for (const limits::Loan& one : rights_.loans()) hearer_.lent(one.tenant, one.units, one.until);
     for (const Word& one : rights_.to_tell(now)) members_.tell(one);
     std::set<std::string> changed;
     for (const std::string& host : hosts_.changed(now)) changed.insert(host);
@@ -90,11 +90,11 @@
     for (const std::string& host : changed) {
         const verdicts::HostWords::Doubt doubt = hosts_.doubt_of(now, host);
         const verdicts::ListWords::Said listed = lists_.said_of(now, host);
-        const Hearsay said{.doubt = doubt.doubt,
-                           .found = doubt.found,
-                           .until = std::max(doubt.until, listed.until),
-                           .draining = listed.draining,
-                           .up_since = listed.up_since};
+        const HostReport said{.doubt = doubt.doubt,
+                              .found = doubt.found,
+                              .until = std::max(doubt.until, listed.until),
+                              .draining = listed.draining,
+                              .up_since = listed.up_since};
         const bool nothing = doubt.shut_by + doubt.well_by == 0 && listed.until == 0;
         if (nothing ? told_.erase(host) > 0 : (told_[host] = said, true)) hearer_.others_found(host, said);
     }
--- a/src/peers/words.h
+++ b/src/peers/words.h
@@ -25,14 +25,15 @@
 
     void host_found(Time now, const std::string& host, bool shut);
     Time host_asked(Time now, const std::string& host) { return hosts_.asked(now, host); }
-    void host_ended(Time now, const std::string& host, Verdict verdict, Time took);
+    void host_ended(Time now, const std::string& host, AttemptOutcome outcome, Time took);
     bool total_known(Time now, std::uint64_t name, double total);  // whether there is news to tell
     bool lacks(Time now, const PartOf& of, double units);          // whether there is something to tell
     double others_total(Time now, std::uint64_t name) const { return counts_.known(now, name); }
     void list_told(Time now, const net::Listing& listing);
     void gone(const std::string& origin) { hosts_.gone(origin); }
 
-    // What has come to be told, to the others and to the decisions. Not from within a call of the Choice's.
+    // What has come to be told, to the others and to the decisions. Not from within a call of the decision
+    // module's.
     void follow(Time now);
     Time next(Time now) const;
     nlohmann::json status(Time now) const;
@@ -46,7 +47,7 @@
     limits::Rights rights_;
     bool moves_;
     std::uint64_t passed_on_ = 0, dropped_ = 0;
-    std::map<std::string, Hearsay> told_;  // to the decisions, while it stands
+    std::map<std::string, HostReport> told_;  // to the decisions, while it stands
 };
 
 }  // namespace dewweir::peers
--- a/src/policy/attempts.h
+++ b/src/policy/attempts.h
@@ -37,7 +37,7 @@
         ++r.attempts;
         ++h.out, ++out_all;
         h.budget -= 1;
-        gateway.execute(id, h.id, std::max<Time>(step, r.limit_at - now));
+        gateway.start_attempt(id, h.id, std::max<Time>(step, r.limit_at - now));
     }
 
     void close(std::uint32_t id, Request& r) {
@@ -57,8 +57,8 @@
         if (r.attempts == 0) give_back(r);
         if (!r.may_have_run || route.repeats == "retriable" ||
             (route.repeats == "fingerprinted" && route.scope == "all"))
-            gateway.bounce(id, std::min(advice, longest_advice));
-        else gateway.write_off(id);
+            gateway.refuse(id, std::min(advice, longest_advice));
+        else gateway.fail(id);
         close(id, r);
     }
 
@@ -73,20 +73,20 @@
     }
     void free_place(Host& h) { --h.out, --out_all; }
 
-    void attempt_ended(std::uint32_t id, Host& h, Verdict verdict, Time took, bool settled, double billed) {
+    void attempt_ended(std::uint32_t id, Host& h, Outcome outcome, Time took, bool settled, double billed) {
         // Work that is called off may run on unseen: its place is not free before a usual time has passed.
-        if (verdict == Verdict::called_off) arm(whole(h.slowness), place_free, h.id);
+        if (outcome == Outcome::called_off) arm(whole(h.slowness), place_free, h.id);
         else free_place(h);
-        count(static_cast<Decision>(static_cast<int>(Decision::delivered) + static_cast<int>(verdict)));
+        count(static_cast<Decision>(static_cast<int>(Decision::served) + static_cast<int>(outcome)));
         const auto found = requests.find(id);
-        const bool moot = verdict == Verdict::not_sent;
-        const bool ran = verdict != Verdict::full && verdict != Verdict::connect_failed && !moot;
-        const bool answered = verdict == Verdict::ok || verdict == Verdict::full || verdict == Verdict::error;
+        const bool moot = outcome == Outcome::not_sent;
+        const bool ran = outcome != Outcome::full && outcome != Outcome::connect_failed && !moot;
+        const bool answered = outcome == Outcome::ok || outcome == Outcome::full || outcome == Outcome::error;
         h.connected = answered ? now + connection_kept : 0;
-        if (verdict == Verdict::ok) host_served(h, took);
-        else if (verdict == Verdict::full)
+        if (outcome == Outcome::ok) host_served(h, took);
+        else if (outcome == Outcome::full)
             host_full(h, found != requests.end() ? &tenant_of(found->second).plan : nullptr);
-        else if (verdict != Verdict::called_off && !moot) host_failed(h, verdict);
+        else if (outcome != Outcome::called_off && !moot) host_failed(h, outcome);
         // Guards against answers that never count since their clients left first: an overloaded host would be
         // known by its quick ones alone. It took that long at least.
         else if (!moot && few_places() && took > std::max(h.slowness, 2 * aim()))
@@ -95,7 +95,7 @@
         if (found == requests.end() || found->second.stage == Stage::waiting) return place();
         Request& r = found->second;
         // Units settled afterwards: the difference goes to the same name.
-        if (verdict == Verdict::ok && billed > 0 && r.on_counter && billed != r.units)
+        if (outcome == Outcome::ok && billed > 0 && r.on_counter && billed != r.units)
             call(Asked::back, 0, tenant_of(r), r.window, billed - r.units);
         const bool over = r.stage != Stage::out || settled;
         r.stage = Stage::waiting;
@@ -107,7 +107,7 @@
             r.cell = h.cell;
         }
         r.last_host = h.id;
-        if (now + 2 * step >= r.limit_at) gateway.write_off(id), close(id, r);
+        if (now + 2 * step >= r.limit_at) gateway.fail(id), close(id, r);
         else if (!may_run_again(r)) reject(id, r, whole(typical));
         else line.push_front(id);
         place();
@@ -132,7 +132,7 @@
             if (!lost(r)) continue;
             r.given_up = true;
             call_off(id, r);
-            if (Host& h = hosts.at(r.host); h.last_word < r.sent) host_failed(h, Verdict::timeout);
+            if (Host& h = hosts.at(r.host); h.last_word < r.sent) host_failed(h, Outcome::timeout);
         }
         for (const std::uint32_t id : late)
             count(Decision::late), reject(id, requests.at(id), whole(typical));
@@ -160,7 +160,7 @@
         call_off(id, *r);
         if (!gone && r->stage == Stage::out) move(mute, 1, 64);  // no answer in all its time
         if (!gone && r->attempts == 0) return reject(id, *r, 0);
-        if (!gone) gateway.write_off(id);
+        if (!gone) gateway.fail(id);
         if (r->attempts == 0) give_back(*r);
         close(id, *r);
     }
--- a/src/policy/beliefs.h
+++ b/src/policy/beliefs.h
@@ -1,5 +1,5 @@
 // What all parts of the decisions share: records, beliefs of all hosts, alarms and chance. Each part knows
-// those below it and none above: beliefs, hosts, buckets, attempts, quota; the Choice itself stands on the
+// those below it and none above: beliefs, hosts, buckets, attempts, quota; Decisions itself stands on the
 // last.
 #pragma once
 
@@ -33,8 +33,8 @@
     double typical, ease, swing = 0, reach = 1;
     int out_all = 0;
 
-    Beliefs(Gateway& g, const Terms& terms, std::uint64_t seed, Time at)
-        : Readings(terms), gateway(g), chance(static_cast<std::uint32_t>(seed)), now(at), started(at) {
+    Beliefs(Gateway& g, const Settings& settings, std::uint64_t seed, Time at)
+        : Readings(settings), gateway(g), chance(static_cast<std::uint32_t>(seed)), now(at), started(at) {
         goal = static_cast<double>(route_classes[0].goal);
         kept = 4 * warm_after;
         connection_kept = idle_close * 3 / 4;
--- a/src/policy/buckets.h
+++ b/src/policy/buckets.h
@@ -75,12 +75,12 @@
         counted_part = std::max(1.0 / 32, counted_part * 0.85);
         if (++count_failures < 3) return;
         if (count_failures == 3)
-            gateway.log(Notice::breaker_open, 0, "counter silent or failing: breaker open, shares decide");
+            gateway.log(LogEvent::breaker_open, 0, "counter silent or failing: breaker open, shares decide");
         open_until = now + jittered(4 * count_limit);
         probing = false;
     }
     void count_answered(Time took) {
-        if (count_failures >= 3) gateway.log(Notice::breaker_closed, 0, "counter answers: breaker closed");
+        if (count_failures >= 3) gateway.log(LogEvent::breaker_closed, 0, "counter answers: breaker closed");
         counted_part = std::min(1.0, counted_part * 1.02);
         count_failures = 0;
         probing = false;
@@ -113,12 +113,12 @@
     // What our part can do without of what another's lacks; half stays for the tenant's next request here.
     // Parts under a unit let in by chance, each for itself: they do not move.
     double spare(const PartOf& of, double units) {
-        const auto known = tenants.find(of.customer);
+        const auto known = tenants.find(of.tenant);
         const int ours = known == tenants.end() ? gateways : known->second.gateways;
         if (of.plan < 0 || of.plan >= static_cast<int>(plans.size()) || of.gateways != ours) return 0;
         if (plans[of.plan].rate != of.rate || plans[of.plan].burst != of.burst) return 0;
-        meet(of.customer, of.plan, of.gateways);
-        Tenant& t = brought_up(tenants.at(of.customer));
+        meet(of.tenant, of.plan, of.gateways);
+        Tenant& t = brought_up(tenants.at(of.tenant));
         const double spared = tiny_bucket(t) ? 0 : std::min(units, t.local_tokens / 2);
         t.local_tokens -= spared;
         t.moved.lend(now, spared);
--- a/src/policy/hosts.h
+++ b/src/policy/hosts.h
@@ -28,7 +28,7 @@
         arm(whole(std::min(most, std::ldexp(first, std::min(list_failures, 6))) * draw()), follow);
     }
 
-    void listed(std::uint32_t id, Standing standing, Time up_since, int zone_, int cell) {
+    void listed(std::uint32_t id, HostState state, Time up_since, int zone_, int cell) {
         const auto [at, fresh] = hosts.try_emplace(id, Host{id});
         Host& h = at->second;
         if (fresh) {
@@ -38,7 +38,7 @@
         }
         if (up_since > h.up_since) started_again(h, up_since);
         h.list_round = list_round;
-        h.listed = standing == Standing::ready;
+        h.listed = state == HostState::ready;
         h.zone = zone_;
         h.cell = cell;
     }
@@ -60,7 +60,7 @@
     // than ours and says that it drains keeps work off. Guards against words that are wrong: half of the
     // hosts stay open to us whatever is said, and one gateway of all, by chance, tries it every four goals or
     // so, whatever they hold; all wait anew when it was in vain, and try at once when it is well again.
-    void others_found(Host& h, const Hearsay& said) {
+    void others_found(Host& h, const HostReport& said) {
         // One that lies ahead of our clock is nonsense, and would stay cold for good.
         if (said.up_since > h.up_since && said.up_since <= now + fall) started_again(h, said.up_since);
         int closed = 1, all = 0;
@@ -152,20 +152,20 @@
     Time between_pieces() const {
         return std::clamp(whole(1 / std::max(flow, 1e-9)), route_classes[0].goal, 16 * route_classes[0].goal);
     }
-    void told_of(Notice notice, const Host& h, const char* what) {
-        gateway.log(notice, h.id, "host " + std::to_string(h.id) + what);
+    void told_of(LogEvent event, const Host& h, const char* what) {
+        gateway.log(event, h.id, "host " + std::to_string(h.id) + what);
     }
 
-    void host_failed(Host& h, Verdict verdict) {
+    void host_failed(Host& h, Outcome outcome) {
         ++h.failures;
         move(failing, 1, 16);
         move(h.slowness, goal, 4);
         // With few places the next request there may be a minute off: one failure is a row.
-        if (h.failures < (few_places() ? 1 : verdict == Verdict::connect_failed ? 2 : 3) && !h.trial) return;
+        if (h.failures < (few_places() ? 1 : outcome == Outcome::connect_failed ? 2 : 3) && !h.trial) return;
         if (2 * hosts_open < hosts_listed + 2 && !h.trial) return;  // when all fail at once none is to blame
         hosts_open -= !h.trial;
         if (std::exchange(h.by_word, false) || !h.trial)
-            told_of(Notice::host_shut, h, " shut: failures in a row");
+            told_of(LogEvent::host_shut, h, " shut: failures in a row");
         h.shut_for = std::clamp(2 * h.shut_for, between_pieces(), 8 * between_pieces());
         h.shut_until = now + (held_by_others(h) ? fleets_turn() : jittered(h.shut_for));
         h.trial = true;
@@ -187,7 +187,7 @@
     void host_served(Host& h, Time time) {
         const auto took = static_cast<double>(time);
         h.by_word = false;
-        if (std::exchange(h.trial, false)) told_of(Notice::host_back, h, " back");
+        if (std::exchange(h.trial, false)) told_of(LogEvent::host_back, h, " back");
         move(failing, 0, 16), move(mute, 0, 64);
         h.shut_for = h.failures = 0;
         h.last_word = now;
--- a/src/policy/quota.h
+++ b/src/policy/quota.h
@@ -9,8 +9,8 @@
 struct Quota : Attempts {
     using Attempts::Attempts;
 
-    void submitted(std::uint32_t id, int route_class, int plan, std::uint64_t tenant, double units,
-                   int tenant_gateways, Time patience_left) {
+    void request_received(std::uint32_t id, int route_class, int plan, std::uint64_t tenant, double units,
+                          int tenant_gateways, Time patience_left) {
         meet(tenant, plan, tenant_gateways);
         const RouteClass& route = route_classes.at(route_class);
         const Time goal_at = now + std::min(route.goal, patience_left);
@@ -74,7 +74,7 @@
         const bool pass = held >= r.units * draw() || (tiny_bucket(t) && !at_stake(t));
         const double rest = t.moved.use(now, r.units);
         t.local_tokens = std::max(0.0, t.local_tokens - rest);
-        count(pass ? Decision::share_in : Decision::share_over);
+        count(pass ? Decision::local_in : Decision::local_over);
         if (!pass) return gateway.lacks(part_of(t), r.units), beyond(id, r, r.units);
         r.borrowed = r.units - rest;
         t.tokens -= r.units;
@@ -96,7 +96,7 @@
         reject(id, r, std::min(refilled, std::max<Time>(0, r.goal_at - needed(r) - now)));
     }
 
-    void counted(std::uint64_t name, Verdict verdict, double told, Time took) {
+    void counted(std::uint64_t name, Outcome outcome, double told, Time took) {
         const auto found = calls.find(name);
         if (found == calls.end()) return;
         const Call made = found->second.front();
@@ -107,24 +107,24 @@
         Tenant& t = brought_up(known->second);
         const auto waiting = requests.find(made.request);
         const bool awaited = waiting != requests.end() && waiting->second.stage == Stage::counting;
-        if (verdict == Verdict::ok) count_answered(took), total_told(t, made, told);
-        else if (probing || (verdict != Verdict::broken && (awaited || made.asked == Asked::previous)))
+        if (outcome == Outcome::ok) count_answered(took), total_told(t, made, told);
+        else if (probing || (outcome != Outcome::broken && (awaited || made.asked == Asked::previous)))
             count_failed();  // an answer that cannot be read is no sign of a slow counter
-        if (made.asked == Asked::previous) return previous_told(t, made, verdict);
+        if (made.asked == Asked::previous) return previous_told(t, made, outcome);
         if (made.asked == Asked::back || waiting == requests.end()) return;
         Request& r = waiting->second;
         r.call_out = false;
-        if (verdict == Verdict::ok) {
+        if (outcome == Outcome::ok) {
             r.on_counter = true, r.on_bucket = false;
             r.reading = t.current.total;
             if (r.stage == Stage::over) give_back(r);
-        } else if (verdict != Verdict::timeout && verdict != Verdict::broken && made.window == t.window) {
+        } else if (outcome != Outcome::timeout && outcome != Outcome::broken && made.window == t.window) {
             t.owed += made.amount - (r.on_bucket ? 0 : r.units);
             r.window = -1;
         }
         if (r.stage == Stage::over && r.attempts == 0) requests.erase(waiting);
         if (!awaited) return;
-        if (verdict != Verdict::ok) return decide_locally(made.request, r);
+        if (outcome != Outcome::ok) return decide_locally(made.request, r);
         // The window before is read once, where it can matter and no crowded counter is needed for more.
         const double burst = t.plan.burst;
         if (!t.previous_known && r.reading > burst * window_passed(t) &&
@@ -135,8 +135,8 @@
         decide_by_count(made.request, r);
     }
 
-    void previous_told(Tenant& t, const Call& made, Verdict verdict) {
-        t.previous_known |= verdict == Verdict::ok && made.window + 1 == t.window;
+    void previous_told(Tenant& t, const Call& made, Outcome outcome) {
+        t.previous_known |= outcome == Outcome::ok && made.window + 1 == t.window;
         for (const std::uint32_t id : std::exchange(t.readers, {}))
             if (Request* const r = open_one(id); r && r->stage == Stage::counting) decide_by_count(id, *r);
     }
--- a/src/readings.cpp
+++ b/src/readings.cpp
@@ -10,26 +10,28 @@
 namespace {
 
 struct Reader {
-    const Terms& terms;
+    const Settings& settings;
 
-    const std::string* term(const std::string& name) const {
-        const auto found = terms.find(name);
-        return found == terms.end() ? nullptr : &found->second;
+    const std::string* setting(const std::string& name) const {
+        const auto found = settings.find(name);
+        return found == settings.end() ? nullptr : &found->second;
     }
     std::string text(const std::string& name, const std::string& usual) const {
-        return term(name) ? *term(name) : usual;
+        return setting(name) ? *setting(name) : usual;
     }
     double number(const std::string& name) const {
-        const std::string* text = term(name);
+        const std::string* text = setting(name);
         char* end = nullptr;
         const double value = text ? std::strtod(text->c_str(), &end) : 0;
         if (!text || text->empty() || *end || !std::isfinite(value))
             throw errors::BadSetting(name, text ? "term unreadable" : "term missing", !text);
         return value;
     }
-    double number(const std::string& name, double usual) const { return term(name) ? number(name) : usual; }
+    double number(const std::string& name, double usual) const {
+        return setting(name) ? number(name) : usual;
+    }
     Time time(const std::string& name) const { return std::llround(number(name) * 10); }
-    bool holds(const std::string& name) const { return term(name) && *term(name) == "true"; }
+    bool holds(const std::string& name) const { return setting(name) && *setting(name) == "true"; }
 
     RouteClass route_class(const std::string& at) const {
         const std::string repeats = text(at + "repeats", "");
@@ -46,8 +48,8 @@
 
 }  // namespace
 
-Readings::Readings(const Terms& terms) {
-    const Reader read{terms};
+Readings::Readings(const Settings& settings) {
+    const Reader read{settings};
     step = std::max<Time>(1, read.time("step"));
     gateways = std::max(1, static_cast<int>(read.number("gateways")));
     zone = static_cast<int>(read.number("zone", 0));
@@ -60,13 +62,13 @@
     fall_multiple = read.number("rules.fall_multiple");
     cold_from = read.number("rules.cold_from");
     warm_after = std::max<Time>(1, read.time("rules.warm_after"));
-    idle_close = read.term("limits.idle_close") ? read.time("limits.idle_close") : 0;
+    idle_close = read.setting("limits.idle_close") ? read.time("limits.idle_close") : 0;
     for (int n = 0; n < read.number("tracks.count"); ++n)
         route_classes.push_back(read.route_class("tracks." + std::to_string(n) + "."));
     for (int n = 0; n < read.number("plans.count", 0); ++n)
         plans.push_back(read.plan("plans." + std::to_string(n) + "."));
     if (route_classes.empty()) throw errors::BadSetting("tracks.count", "term unreadable");
-    if (read.term("rules.ask_within")) ask_within = read.time("rules.ask_within");
+    if (read.setting("rules.ask_within")) ask_within = read.time("rules.ask_within");
     asks = read.text("discovery", "") == "ask";
 }
 
--- a/src/readings.h
+++ b/src/readings.h
@@ -1,12 +1,12 @@
-// What a Choice reads at its start: the terms' texts as checked values, and no more. What follows from them
-// is decided under src/policy.
+// What the decision module reads at its start: the settings' texts as checked values, and no more. What
+// follows from them is decided under src/policy.
 #pragma once
 
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 
 namespace dewweir {
 
@@ -20,8 +20,8 @@
 };
 
 struct Readings {
-    // Throws errors::BadSetting naming the term that is missing or unreadable.
-    explicit Readings(const Terms& terms);
+    // Throws errors::BadSetting naming the setting that is missing or unreadable.
+    explicit Readings(const Settings& settings);
 
     Time step, count_limit, fall, warm_after, longest_advice, idle_close;  // idle_close 0: not told
     std::optional<Time> ask_within;
--- a/src/records.h
+++ b/src/records.h
@@ -12,6 +12,8 @@
 
 constexpr std::uint32_t nobody = 0xffffffff;
 
+using Outcome = AttemptOutcome;  // of a call to the counter as well
+
 enum class Stage { counting, waiting, out, over };
 enum class Asked { add, previous, back };
 
--- a/src/rollout/machine.h
+++ b/src/rollout/machine.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 #include "rollout/comparison.h"
 
 namespace dewweir::rollout {
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -41,9 +41,9 @@
         std::unique_ptr<Node> node;
         try {
             node = std::make_unique<Node>(io, log, told, tallies.get());
-        } catch (const errors::BadSetting& term) {
-            std::cerr << errors::told(term, "configuration: settings.");
-            return term.exit_code();
+        } catch (const errors::BadSetting& setting) {
+            std::cerr << errors::told(setting, "configuration: settings.");
+            return setting.exit_code();
         }
         std::unique_ptr<Company> company;
         if (extras && extras->company) company = extras->company(node->part(), node->hearer());
--- a/src/terms.cpp
+++ b/src/setting_names.cpp
@@ -1,5 +1,5 @@
 // Our words for the settings of the wire; the table is the only place where the two meet.
-#include "terms.h"
+#include "setting_names.h"
 
 #include <algorithm>
 #include <map>
@@ -69,10 +69,10 @@
 
 }  // namespace
 
-void put_term(Terms& terms, const std::string& path, const std::string& value) {
+void put_setting(Settings& settings, const std::string& path, const std::string& value) {
     // What operators have named is theirs: a plan may well be called `worth`.
     const bool named = path.size() > 5 && path.compare(path.size() - 5, 5, ".name") == 0;
-    terms[our_words(path, '.')] = named ? value : our_words(value, ',');
+    settings[our_words(path, '.')] = named ? value : our_words(value, ',');
 }
 
 std::string their_words(const std::string& ours) {
@@ -91,16 +91,17 @@
     return theirs;
 }
 
-Terms terms_of_lines(const std::string& lines) {
-    Terms terms;
+Settings settings_of_lines(const std::string& lines) {
+    Settings settings;
     for (std::size_t from = 0; from < lines.size();) {
         const std::size_t to = std::min(lines.find('\n', from), lines.size());
         const std::string line = lines.substr(from, to - from);
         const std::size_t equals = line.find('=');
-        if (equals != std::string::npos) put_term(terms, line.substr(0, equals), line.substr(equals + 1));
+        if (equals != std::string::npos)
+            put_setting(settings, line.substr(0, equals), line.substr(equals + 1));
         from = to + 1;
     }
-    return terms;
+    return settings;
 }
 
 }  // namespace dewweir
--- a/tests/limits/choice.cpp
+++ b/tests/limits/decisions.cpp
@@ -1,6 +1,6 @@
 // What moves of parts, as the decisions have it: who lacks says so, who spares has less, what is lent is let
 // in by.
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 
 #include <doctest/doctest.h>
 
@@ -19,18 +19,18 @@
 // Three gateways, 12 units a quota and three hosts; the counter never answers.
 struct Silent {
     Parts stage;
-    Choice choice;
+    Decisions decisions;
     std::uint32_t next = 0;
 
-    Silent() : choice(stage, terms(), 1, stage.now) {
-        choice.list_begins(stage.now, true);
+    Silent() : decisions(stage, settings(), 1, stage.now) {
+        decisions.list_begins(stage.now, true);
         for (std::uint32_t host = 1; host <= 3; ++host)
-            choice.host_listed(stage.now, host, Standing::ready, 0, 0, 0);
-        choice.list_ends(stage.now);
-        // The breaker opens by another customer's calls.
+            decisions.host_listed(stage.now, host, HostState::ready, 0, 0, 0);
+        decisions.list_ends(stage.now);
+        // The breaker opens by another tenant's calls.
         for (int n = 0; n < 3; ++n) submit(99);
     }
-    static Terms terms() {
+    static Settings settings() {
         return {{"step", "1"},
                 {"gateways", "3"},
                 {"zone", "0"},
@@ -61,25 +61,25 @@
                 {"plans.0.overrun_cost", "0.5"}};
     }
     // Whether it is let in. A call that is out is told as failed at once.
-    bool submit(std::uint64_t customer) {
+    bool submit(std::uint64_t tenant) {
         const std::uint32_t id = ++next;
         stage.seen.clear();
-        choice.submitted(stage.now, id, 0, 0, customer, 1, 3, 40000);
+        decisions.request_received(stage.now, id, 0, 0, tenant, 1, 3, 40000);
         while (!stage.asked.empty()) {
             const auto [name, amount] = stage.asked.back();
             stage.asked.pop_back();
-            choice.counted(stage.now, name, Verdict::timeout, 0, 500);
+            decisions.counted(stage.now, name, AttemptOutcome::timeout, 0, 500);
         }
         bool in = false;
         for (const std::string& one : stage.seen) in |= one.rfind("execute", 0) == 0;
         if (in)
-            choice.execution_ended(stage.now, id, 1, static_cast<std::uint32_t>(stage.on.at(id)), Verdict::ok,
-                                   10, true, 0);
+            decisions.attempt_ended(stage.now, id, 1, static_cast<std::uint32_t>(stage.on.at(id)),
+                                    AttemptOutcome::ok, 10, true, 0);
         return in;
     }
-    int let_in(std::uint64_t customer, int tries) {
+    int let_in(std::uint64_t tenant, int tries) {
         int in = 0;
-        for (int n = 0; n < tries; ++n) in += submit(customer);
+        for (int n = 0; n < tries; ++n) in += submit(tenant);
         return in;
     }
 };
@@ -92,11 +92,11 @@
     REQUIRE(gateway.stage.lacking.size() == 4);
     const PartOf of = gateway.stage.lacking[0].first;
     CHECK(of == PartOf{7, 0, 3, 0.0006, 12});
-    gateway.choice.lent(gateway.stage.now, 7, 3, limits::Moved::over_at(gateway.stage.now));
+    gateway.decisions.lent(gateway.stage.now, 7, 3, limits::Moved::over_at(gateway.stage.now));
     CHECK(gateway.let_in(7, 8) == 3);
-    gateway.choice.lent(gateway.stage.now, 7, 3, gateway.stage.now - 1);
-    gateway.choice.lent(gateway.stage.now, 1234, 3,
-                        limits::Moved::over_at(gateway.stage.now));  // of nobody known
+    gateway.decisions.lent(gateway.stage.now, 7, 3, gateway.stage.now - 1);
+    gateway.decisions.lent(gateway.stage.now, 1234, 3,
+                           limits::Moved::over_at(gateway.stage.now));  // of nobody known
     CHECK(gateway.let_in(7, 8) == 0);
 }
 
@@ -108,10 +108,10 @@
     for (const PartOf& other :
          {PartOf{7, 1, 3, 0.0006, 12}, PartOf{7, -1, 3, 0.0006, 12}, PartOf{7, 0, 2, 0.0006, 12},
           PartOf{7, 0, 3, 0.0007, 12}, PartOf{7, 0, 3, 0.0006, 13}})
-        CHECK(gateway.choice.spare(now, other, 9) == 0);
+        CHECK(gateway.decisions.spare(now, other, 9) == 0);
     const PartOf of{7, 0, 3, 0.0006, 12};
-    CHECK(gateway.choice.spare(now, of, 0.5) == 0.5);
-    CHECK(gateway.choice.spare(now, of, 9) == 1.75);  // half of what is left
+    CHECK(gateway.decisions.spare(now, of, 0.5) == 0.5);
+    CHECK(gateway.decisions.spare(now, of, 9) == 1.75);  // half of what is left
     // A second and a half would fill the part; what is out is no room to fill.
     gateway.stage.now += 15000;
     CHECK(gateway.let_in(7, 8) == 1);
--- a/tests/limits/rights.cpp
+++ b/tests/limits/rights.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-constexpr std::uint64_t customer = 77;
-const PartOf part{customer, 1, 2, 0.0005, 20};
+constexpr std::uint64_t tenant = 77;
+const PartOf part{tenant, 1, 2, 0.0005, 20};
 const RightsTerms terms;
 
 // `by` lacks, `from` lends as much as is asked: the word of the loan.
@@ -46,7 +46,7 @@
     CHECK_FALSE(a.came(310, loan));
     const auto taken = a.loans();
     REQUIRE(taken.size() == 1);
-    CHECK(taken[0].customer == customer);
+    CHECK(taken[0].tenant == tenant);
     CHECK(taken[0].units == 3);
     CHECK(taken[0].until == Moved::over_at(100));
     // Long after, by a link that made it young again: its lender's later ones are taken, it is not.
@@ -85,7 +85,7 @@
     CHECK(told >= 10);
     CHECK(told <= 16);  // at first after 250 ms, then doubled up to 4 s: 40 s hold 14
     Rights tiny(terms, "t", 1000, 1);
-    tiny.lacked(100, {customer, 1, 40, 0.0005, 20}, 1);
+    tiny.lacked(100, {tenant, 1, 40, 0.0005, 20}, 1);
     CHECK(tiny.to_tell(100).empty());
 }
 
--- a/tests/model/counts.cpp
+++ b/tests/model/counts.cpp
@@ -15,7 +15,7 @@
 
 TEST_CASE("counts are told typed, with times as buckets of equal ratio, and begin anew") {
     CountsEvent counts(50000, {10000, 500});
-    for (int n = 0; n < 3; ++n) counts.submitted(1.5);
+    for (int n = 0; n < 3; ++n) counts.request_received(1.5);
     counts.executed(true, 1.5);
     counts.executed(false, 1.5);
     counts.counted(2), counts.counted(-0.5);
@@ -23,7 +23,7 @@
     counts.delivered(1, 501);
     counts.bounced(), counts.written_off(), counts.client_gone();
     Decided decided{};
-    decided[static_cast<std::size_t>(Decision::share_over)] = 2;
+    decided[static_cast<std::size_t>(Decision::local_over)] = 2;
     decided[static_cast<std::size_t>(Decision::late)] = 4;
     counts.decided(decided);
     std::ostringstream out;
--- a/tests/run.cpp
+++ b/tests/run.cpp
@@ -13,7 +13,7 @@
 #include <sstream>
 #include <vector>
 
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 #include "errors/errors.h"
 #include "model/list.h"
 #include "scenario_stage.h"
@@ -22,7 +22,7 @@
 
 namespace {
 
-const char* usual_terms =
+const char* usual_settings =
     R"(step=1 gateways=2 zone=0 discovery=push limits.executions=3 limits.cancel=true limits.advice=true
 limits.longest_advice=1000 service.counter=true service.count_limit=50 service.largest=1 rules.fall=2000 rules.fall_multiple=3
 rules.cold_from=0.2 rules.warm_after=15000 rules.ask_within=10000 tracks.count=1 tracks.0.latency_goal=1000
@@ -36,32 +36,32 @@
     return otherwise;
 }
 
-void read_terms(Terms& terms, std::istream& words) {
+void read_settings(Settings& settings, std::istream& words) {
     for (std::string word; words >> word;)
-        terms[word.substr(0, word.find('='))] =
+        settings[word.substr(0, word.find('='))] =
             word.find('=') + 1 < word.size() ? word.substr(word.find('=') + 1) : "";
 }
 
 struct Play {
     Stage stage;
-    Terms terms;
-    std::unique_ptr<Choice> choice;
+    Settings settings;
+    std::unique_ptr<Decisions> decisions;
     std::string counter = "answers";
     double earlier = 0;
     std::map<std::string, double> memory;
     std::uint64_t seed = 1;
 
     Play() {
-        std::istringstream words(usual_terms);
-        read_terms(terms, words);
+        std::istringstream words(usual_settings);
+        read_settings(settings, words);
     }
 
-    Verdict verdict(const std::string& word) {
+    AttemptOutcome outcome(const std::string& word) {
         const std::vector<std::string> words = {"ok",     "error",     "full", "timeout", "no_connection",
                                                 "broken", "called_off"};
         const auto at = std::find(words.begin(), words.end(), word);
         REQUIRE(at != words.end());
-        return static_cast<Verdict>(at - words.begin());
+        return static_cast<AttemptOutcome>(at - words.begin());
     }
 
     void answer_counts() {
@@ -70,10 +70,10 @@
             stage.asked.erase(stage.asked.begin());
             if (amount == 0) stage.counts.try_emplace(name, earlier);
             if (counter != "full") stage.counts[name] += amount;
-            const Verdict said = counter == "answers" ? Verdict::ok
-                                 : counter == "full"  ? Verdict::full
-                                                      : Verdict::broken;
-            choice->counted(stage.now, name, said, stage.counts[name], 20);
+            const AttemptOutcome said = counter == "answers" ? AttemptOutcome::ok
+                                        : counter == "full"  ? AttemptOutcome::full
+                                                             : AttemptOutcome::broken;
+            decisions->counted(stage.now, name, said, stage.counts[name], 20);
         }
     }
 
@@ -83,7 +83,7 @@
             const auto [at, token] = *stage.timers.begin();
             stage.timers.erase(stage.timers.begin());
             stage.now = std::max(stage.now, at);
-            choice->timer(stage.now, token);
+            decisions->timer(stage.now, token);
             answer_counts();
         }
         stage.now = until;
@@ -107,10 +107,10 @@
         std::string word;
         line >> word;
         if (word.empty() || word[0] == '#') return;
-        if (word == "terms") return read_terms(terms, line);
+        if (word == "terms") return read_settings(settings, line);
         if (word == "without") {
             line >> word;
-            terms.erase(word);
+            settings.erase(word);
             return;
         }
         if (word == "feed") {  // bytes for the adapter, and what it must say as it refuses them
@@ -122,14 +122,14 @@
         if (word == "fault") {
             line >> word;
             try {
-                Choice(stage, terms, 1, stage.now);
+                Decisions(stage, settings, 1, stage.now);
                 FAIL_CHECK("no fault named");
             } catch (const errors::BadSetting& fault) {
                 CHECK_MESSAGE(std::string(fault.what()).find(word) != std::string::npos, fault.what());
             }
             return;
         }
-        if (!choice) choice = std::make_unique<Choice>(stage, terms, seed, stage.now);
+        if (!decisions) decisions = std::make_unique<Decisions>(stage, settings, seed, stage.now);
         if (word == "counter") {  // answers, silent, full, spoilt; forgets: answers, with all names gone
             line >> counter;
             if (counter == "forgets") stage.counts.clear(), counter = "answers";
@@ -146,15 +146,15 @@
             return;
         }
         if (word == "hosts" || word == "news") {  // hosts: the whole list; news: a change to it
-            choice->list_begins(stage.now, word == "hosts");
+            decisions->list_begins(stage.now, word == "hosts");
             std::uint32_t id;
             while (line >> id >> word)
-                choice->host_listed(stage.now, id,
-                                    word == "draining" ? Standing::draining
-                                    : word == "gone"   ? Standing::gone
-                                                       : Standing::ready,
-                                    word == "young" ? stage.now : 0, id % 10, id);
-            return choice->list_ends(stage.now);
+                decisions->host_listed(stage.now, id,
+                                       word == "draining" ? HostState::draining
+                                       : word == "gone"   ? HostState::gone
+                                                          : HostState::ready,
+                                       word == "young" ? stage.now : 0, id % 10, id);
+            return decisions->list_ends(stage.now);
         }
         if (word == "heard_total") {  // two others were told so much of every name there was
             double total;
@@ -168,18 +168,18 @@
             line >> id;
             const Time ahead = value(line, "ahead", 0) > 0 ? 1000000000 : 0;
             const bool young = ahead > 0 || value(line, "young", 0) > 0;
-            return choice->others_found(stage.now, id,
-                                        {.doubt = value(line, "doubt", 0),
-                                         .found = value(line, "found", 0) > 0 ? stage.now : 0,
-                                         .until = stage.now + std::llround(value(line, "for", 5000) * 10),
-                                         .draining = value(line, "draining", 0) > 0,
-                                         .up_since = young ? stage.now + ahead : 0});
+            return decisions->others_found(stage.now, id,
+                                           {.doubt = value(line, "doubt", 0),
+                                            .found = value(line, "found", 0) > 0 ? stage.now : 0,
+                                            .until = stage.now + std::llround(value(line, "for", 5000) * 10),
+                                            .draining = value(line, "draining", 0) > 0,
+                                            .up_since = young ? stage.now + ahead : 0});
         }
         if (word == "fleet") {  // so many hosts that no line forms
-            choice->list_begins(stage.now, true);
+            decisions->list_begins(stage.now, true);
             for (std::uint32_t id = 1; id <= 20; ++id)
-                choice->host_listed(stage.now, id, Standing::ready, 0, 0, 0);
-            return choice->list_ends(stage.now);
+                decisions->host_listed(stage.now, id, HostState::ready, 0, 0, 0);
+            return decisions->list_ends(stage.now);
         }
         if (word == "wait") {
             double ms;
@@ -242,20 +242,20 @@
             CHECK(stage.timers.size() == n);
             return;
         }
-        if (word == "follow_failed") return choice->list_failed(stage.now);
+        if (word == "follow_failed") return decisions->list_failed(stage.now);
         std::uint32_t id;
         line >> id;
         // serve ID VERDICT [upto=ID] ...: each submitted, at its customer's only gateway if not told
         // otherwise, and ended, by turns
         if (word == "serve") {
-            std::string verdict, how;
+            std::string outcome, how;
             const std::uint32_t last = value(line, "upto", id);
-            line >> verdict;
+            line >> outcome;
             std::getline(line, how);
             for (; id <= last; ++id) {
                 const std::string one = std::to_string(id), only = " upto=" + one + how;
                 happen("submit " + one + only + " gateways=1");
-                happen("end " + one + " " + verdict + only + " settled=1");
+                happen("end " + one + " " + outcome + only + " settled=1");
             }
             return;
         }
@@ -264,24 +264,24 @@
         if (word == "submit")
             for (std::uint32_t last = value(line, "upto", id); id <= last; ++id) {
                 const double customer = value(line, "customer", 1);
-                choice->submitted(stage.now, id, 0, value(line, "plan", 0), customer ? customer : id,
-                                  value(line, "units", 1), value(line, "gateways", 2),
-                                  value(line, "patience", 4000) * 10);
+                decisions->request_received(stage.now, id, 0, value(line, "plan", 0),
+                                            customer ? customer : id, value(line, "units", 1),
+                                            value(line, "gateways", 2), value(line, "patience", 4000) * 10);
                 answer_counts();
                 wait(std::llround(value(line, "every", 0) * 10));
             }
         else if (word == "end") {  // end ID VERDICT [host=ID] [took=ms] [upto=ID] [settled=1] [billed=]
             line >> word;
             for (std::uint32_t last = value(line, "upto", id); id <= last; ++id) {
-                choice->execution_ended(stage.now, id, stage.runs[id] - 1, value(line, "host", stage.on[id]),
-                                        verdict(word), value(line, "took", 50) * 10,
-                                        value(line, "settled", word == "ok"), value(line, "billed", 0));
+                decisions->attempt_ended(stage.now, id, stage.runs[id] - 1, value(line, "host", stage.on[id]),
+                                         outcome(word), value(line, "took", 50) * 10,
+                                         value(line, "settled", word == "ok"), value(line, "billed", 0));
                 answer_counts();
             }
         } else if (word == "gone") {
-            choice->client_gone(stage.now, id);
+            decisions->client_gone(stage.now, id);
         } else if (word == "stream") {
-            choice->stream_started(stage.now, id, 0);
+            decisions->stream_started(stage.now, id, 0);
         } else {
             FAIL("unknown line: " << text);
         }
@@ -323,7 +323,7 @@
 }
 
 // Plays a fleet that asks one discovery for the list, from one moment on, and says how many have been
-// answered at each whole second. Each whose call is refused asks again when its Choice says so.
+// answered at each whole second. Each whose call is refused asks again when its decision module says so.
 std::vector<int> answered_a_second(int gateways, int seconds, model::List list) {
     std::vector<Play> plays(gateways);
     std::multimap<Time, std::pair<int, bool>> due;  // whose call is answered then, and whether with the list
--- a/tests/scenario_stage.h
+++ b/tests/scenario_stage.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 
 namespace dewweir {
 
@@ -21,12 +21,12 @@
     std::map<std::uint64_t, double> others;  // what others were told of each name
 
     void saw(const std::string& what, std::uint32_t id) { seen.push_back(what + " " + std::to_string(id)); }
-    void execute(std::uint32_t id, std::uint32_t host, Time) override {
+    void start_attempt(std::uint32_t id, std::uint32_t host, Time) override {
         ++runs[id], on[id] = static_cast<int>(host);
         seen.push_back("execute " + std::to_string(id) + " on " + std::to_string(host));
     }
-    void bounce(std::uint32_t id, Time advice) override { saw("bounce", id), last_advice = advice; }
-    void write_off(std::uint32_t id) override { saw("write_off", id); }
+    void refuse(std::uint32_t id, Time advice) override { saw("bounce", id), last_advice = advice; }
+    void fail(std::uint32_t id) override { saw("write_off", id); }
     void cancel(std::uint32_t id, int) override { saw("cancel", id); }
     void count(std::uint64_t name, double amount, Time) override {
         asked.emplace_back(name, amount);
@@ -39,7 +39,7 @@
         std::erase_if(timers, [&](const auto& timer) { return timer.second == token; });
     }
     void follow_list() override { seen.push_back("follow"); }
-    void log(Notice, std::uint32_t, const std::string&) override {}
+    void log(LogEvent, std::uint32_t, const std::string&) override {}
     void decided(const Decided&) override {}
     double others_total(std::uint64_t name) const override {
         const auto known = others.find(name);
