--- a/src/cli/files.cpp
+++ b/src/cli/files.cpp
@@ -94,10 +94,11 @@
         if (const char* const at = std::getenv("EDGE_CONFIG"); at && *at)
             extras.settings = state::digest(file_text(at) + file_text(o->with));
         if (!file.members.listen.empty())
-            extras.company = [&file](const net::Part& part,
-                                     net::Hearer& hearer) -> std::unique_ptr<net::Company> {
+            extras.peer_observer =
+                [&file](const net::Part& part,
+                        net::ReportReceiver& report_receiver) -> std::unique_ptr<net::PeerObserver> {
                 const Time now = part.deadlines_.now();
-                return std::make_unique<peers::Peers>(part, hearer, file.members, part.told_.name,
+                return std::make_unique<peers::Peers>(part, report_receiver, file.members, part.told_.name,
                                                       part.told_.seed, static_cast<std::uint64_t>(now / 10));
             };
         // A second one of the same identity ends here, before it touches anything.
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -178,7 +178,7 @@
 
 void Clients::received(Handle connection, std::uint32_t mark) {
     Client* client = clients_.find(mark);
-    // One submission at a time; what comes early waits in the ring.
+    // One request at a time; what comes early waits in the ring.
     if (!client || client->busy || connections_.unsent(connection)) return;
     const HttpReader::State state = client->reader.read(connections_.in(connection));
     if (state == HttpReader::State::more) {
@@ -201,7 +201,7 @@
 void Clients::whole_message(Handle mark, Client& client) {
     HttpReader& reader = client.reader;
     client.last |= !reader.keep_alive() || stopping_;
-    Asked asked{};
+    ReceivedRequest received{};
     std::string_view wrong;
     int status = 400;
     if (reader.target() == "/health/ready" && reader.method() == HTTP_GET) {
@@ -211,8 +211,8 @@
         status = 405;
         wrong = "GET or POST\n";
     } else {
-        wrong = what_is_wrong(reader, asked);
-        if (wrong.empty() && intake_.has_open(asked.id)) {
+        wrong = what_is_wrong(reader, received);
+        if (wrong.empty() && intake_.has_open(received.id)) {
             status = 409;
             wrong = "X-Request-Id: of a request that is open\n";
         }
@@ -226,39 +226,39 @@
     reader.next();
     client.busy = true;
     // The answer may come within this call; the client's record may be gone after it.
-    const Handle submission = intake_.request_received(mark, std::move(asked));
+    const Handle request = intake_.request_received(mark, std::move(received));
     Client* const still = clients_.find(mark);
-    if (!submission && still) answer(mark, 503, {}, "no room for another submission\n");
-    else if (still && still->busy) still->submission = submission;
+    if (!request && still) answer(mark, 503, {}, "no room for another submission\n");
+    else if (still && still->busy) still->request = request;
 }
 
-std::string_view Clients::what_is_wrong(HttpReader& reader, Asked& asked) const {
+std::string_view Clients::what_is_wrong(HttpReader& reader, ReceivedRequest& received) const {
     const bool get = reader.method() == HTTP_GET;
     if (get && !reader.body().empty()) return "GET has no body\n";
     if (reader.target().front() != '/') return "the path must begin with /\n";
     if (reader.field("X-Request-Id").empty()) return "X-Request-Id: missing or twice\n";
-    asked.id = reader.field("X-Request-Id");
-    asked.track = place_of(told_.tracks, reader.field("X-Class"));
-    if (asked.track < 0) return "X-Class: missing or unknown\n";
-    if (told_.retriable[static_cast<std::size_t>(asked.track)] != get)
+    received.id = reader.field("X-Request-Id");
+    received.route_class = place_of(told_.route_classes, reader.field("X-Class"));
+    if (received.route_class < 0) return "X-Class: missing or unknown\n";
+    if (told_.idempotent[static_cast<std::size_t>(received.route_class)] != get)
         return "the class decides the method: GET if it is safe to repeat, else POST\n";
-    asked.plan = place_of(told_.plans, reader.field("X-Contract"));
-    if (asked.plan < 0) return "X-Contract: missing or unknown\n";
-    const std::string_view customer = reader.field("X-Client-Id");
-    if (customer.size() != 16 || !read_number(customer, asked.customer, 16) || asked.customer >> 33)
+    received.plan = place_of(told_.plans, reader.field("X-Contract"));
+    if (received.plan < 0) return "X-Contract: missing or unknown\n";
+    const std::string_view tenant = reader.field("X-Client-Id");
+    if (tenant.size() != 16 || !read_number(tenant, received.tenant, 16) || received.tenant >> 33)
         return "X-Client-Id: must be 16 hex digits, below 2^33\n";
     double patience = 0;
     if (!read_number(reader.field("X-Deadline"), patience) || !(patience > 0 && patience <= 3600))
         return "X-Deadline: must be seconds, up to 3600\n";
-    asked.patience = static_cast<Time>(patience * tenths_a_second);
-    if (!read_metering(reader.field("X-Metering"), told_, asked.units, asked.gateways))
+    received.patience = static_cast<Time>(patience * tenths_a_second);
+    if (!read_metering(reader.field("X-Metering"), told_, received.units, received.gateways))
         return "X-Metering: must give units, spread and first, each once and in range\n";
-    asked.head.reserve(512);
-    asked.head.append(get ? "GET " : "POST ").append(reader.target()).append(" HTTP/1.1\r\n");
-    reader.pass_on(asked.head, {"X-Deadline"});
+    received.head.reserve(512);
+    received.head.append(get ? "GET " : "POST ").append(reader.target()).append(" HTTP/1.1\r\n");
+    reader.pass_on(received.head, {"X-Deadline"});
     if (!get)
-        asked.head.append("Content-Length: ").append(std::to_string(reader.body().size())).append("\r\n");
-    asked.body = std::move(reader.body());
+        received.head.append("Content-Length: ").append(std::to_string(reader.body().size())).append("\r\n");
+    received.body = std::move(reader.body());
     return {};
 }
 
@@ -283,7 +283,7 @@
     client->last |= stopping_ || crowded_;
     write(*client, status, fields, body);
     client->busy = false;
-    client->submission = 0;
+    client->request = 0;
     if (client->last) return let_go(mark, *client);
     rest(mark, *client);
 }
@@ -308,9 +308,9 @@
 void Clients::ended(Handle, std::uint32_t mark) {
     Client* const client = clients_.find(mark);
     if (!client) return;
-    const Handle submission = client->submission;
+    const Handle request = client->request;
     forget(mark, *client);
-    if (submission) intake_.client_gone(submission);
+    if (request) intake_.client_gone(request);
 }
 
 void Clients::stop(std::function<void()> done) {
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -1,6 +1,6 @@
 // The clients' side: owns the listening socket and what is known of each client's connection. It reads and
-// checks submissions, hands them on, and writes their one answer. It must never answer by its own choice, but
-// for what is no submission at all; nor end a connection that has something unread or unanswered.
+// checks requests, hands them on, and writes their one answer. It must never answer by its own choice, but
+// for what is no request at all; nor end a connection that has something unread or unanswered.
 #pragma once
 
 #include <functional>
@@ -10,9 +10,9 @@
 
 namespace dewweir::net {
 
-struct Asked {  // a submission as a client put it
-    int track, plan;
-    std::uint64_t customer;
+struct ReceivedRequest {  // a request as a client put it
+    int route_class, plan;
+    std::uint64_t tenant;
     double units;
     int gateways;
     Time patience;
@@ -24,9 +24,9 @@
   public:
     virtual ~Intake() = default;
     virtual Handle request_received(Handle client,
-                                    Asked&& asked) = 0;  // 0: no room for it
+                                    ReceivedRequest&& received) = 0;  // 0: no room for it
     virtual bool has_open(const std::string& id) const = 0;
-    virtual void client_gone(Handle submission) = 0;
+    virtual void client_gone(Handle request) = 0;
 };
 
 class Clients : public User, Part {
@@ -45,7 +45,7 @@
   private:
     struct Client {
         HttpReader reader{HTTP_REQUEST};
-        Handle connection = 0, submission = 0;
+        Handle connection = 0, request = 0;
         bool busy = false, last = false;  // `last`: its answer ends the connection
         bool known = false;               // has sent a whole message
         bool late = false;                // its message has a limit from its first byte
@@ -61,7 +61,7 @@
     void overdue(Handle mark);
     void make_room();
     void whole_message(Handle mark, Client& client);
-    std::string_view what_is_wrong(HttpReader& reader, Asked& asked) const;
+    std::string_view what_is_wrong(HttpReader& reader, ReceivedRequest& received) const;
     void plain(Client& client, int status, std::string_view why);
     void write(Client& client, int status, std::string_view fields, std::string_view body);
     void rest(Handle mark, Client& client);
--- a/src/net/configuration.cpp
+++ b/src/net/configuration.cpp
@@ -170,11 +170,11 @@
         const std::string* const counted = setting(c.settings, "service.counter");
         if (counted && *counted == "true") c.counter = address_at(from, "counter");
     });
-    step([&] { c.tracks = names_of(c.settings, "tracks"); });
+    step([&] { c.route_classes = names_of(c.settings, "tracks"); });
     step([&] { c.plans = names_of(c.settings, "plans"); });
-    for (std::size_t n = 0; n < c.tracks.size(); ++n) {
+    for (std::size_t n = 0; n < c.route_classes.size(); ++n) {
         const std::string* const repeats = setting(c.settings, "tracks." + std::to_string(n) + ".repeats");
-        c.retriable.push_back(repeats && *repeats == "retriable");
+        c.idempotent.push_back(repeats && *repeats == "retriable");
         step([&] {
             c.goals.push_back(time_of(c.settings, "tracks." + std::to_string(n) + ".latency_goal", 0));
         });
@@ -190,8 +190,8 @@
     step([&] { c.idle_close = time_of(c.settings, "limits.idle_close", 100000); });
     step([&] { c.count_limit = time_of(c.settings, "service.count_limit", 500); });
     step([&] { c.ask_within = time_of(c.settings, "rules.ask_within", 100000); });
-    const std::string* const way = setting(c.settings, "discovery");
-    c.ask = way && *way == "ask";
+    const std::string* const mode = setting(c.settings, "discovery");
+    c.ask = mode && *mode == "ask";
     step([&] {
         if (from.contains("known") && !from.at("known").is_null())
             c.known = listing_of(member(from, "known"), c.zones);
--- a/src/net/configuration.h
+++ b/src/net/configuration.h
@@ -37,11 +37,11 @@
     std::size_t sockets = 1024;
     Settings settings;
     Listing known;
-    std::vector<std::string> tracks, plans, zones;  // by name; their places are their numbers
-    std::vector<bool> retriable;                    // by track
-    std::vector<Time> goals;                        // by track; 0 where it is not told
+    std::vector<std::string> route_classes, plans, zones;  // by name; their places are their numbers
+    std::vector<bool> idempotent;                          // by route class
+    std::vector<Time> goals;                               // by route class; 0 where it is not told
     int gateways = 1;
-    double largest = 1e6;  // units of one submission
+    double largest = 1e6;  // units of one request
     Time step = 0, connect_within = 0, idle_close = 0, count_limit = 0, ask_within = 0;
     bool ask = false;  // the list is sent only after it was asked for
     Level log_level = Level::info;
--- a/src/net/counts_event.cpp
+++ b/src/net/counts_event.cpp
@@ -39,8 +39,8 @@
     return std::min(bucket, time_buckets - 1);
 }
 
-void CountsEvent::delivered(int track, Time took) {
-    ++(took <= goals_[static_cast<std::size_t>(track)] ? in_goal_ : late_);
+void CountsEvent::served(int route_class, Time took) {
+    ++(took <= goals_[static_cast<std::size_t>(route_class)] ? in_goal_ : late_);
     ++times_[static_cast<std::size_t>(time_bucket(took))];
 }
 
@@ -60,19 +60,19 @@
              // Its end makes each line another: equal ones would be told as repeats.
              "counts until " + std::to_string(now / 10) + ": tries " + std::to_string(tries_) + ", in goal " +
                  std::to_string(in_goal_) + ", late " + std::to_string(late_) + ", bounced " +
-                 std::to_string(bounced_) + ", written off " + std::to_string(written_off_),
+                 std::to_string(refused_) + ", written off " + std::to_string(failed_),
              {{"end_ms", now / 10},
               {"every_ms", every_ / 10},
               {"tries", tries_},
               {"in_goal", in_goal_},
               {"late", late_},
-              {"bounced", bounced_},
+              {"bounced", refused_},
               {"over_quota", quota},
               {"long_line", line},
-              {"written_off", written_off_},
+              {"written_off", failed_},
               {"gone", gone_},
               {"sent_on", sent_on_},
-              {"executions", executions_},
+              {"executions", attempts_},
               {"calls", calls_},
               {"units_asked", thousandths(asked_)},
               {"units_in", thousandths(in_)},
--- a/src/net/counts_event.h
+++ b/src/net/counts_event.h
@@ -1,6 +1,6 @@
 // The counts event: what a gateway did in each stretch of a few seconds, for `dewweir rollout` and whoever
 // else compares gateways. Stretches end at the same moments everywhere, multiples of their length since 1970.
-// Owns the counts; it must never hold a submission.
+// Owns the counts; it must never hold a request.
 #pragma once
 
 #include <array>
@@ -18,17 +18,17 @@
 
 class CountsEvent : public Tallies {
   public:
-    // `goals`: of the tracks, by number.
+    // `goals`: of the route classes, by number.
     CountsEvent(Time every, std::vector<Time> goals) : every_(every), goals_(std::move(goals)) {}
 
     void request_received(double units) override { ++tries_, asked_ += units; }
-    void executed(bool first, double units) override {
-        ++executions_, sent_on_ += first, in_ += first ? units : 0;
+    void attempt_started(bool first, double units) override {
+        ++attempts_, sent_on_ += first, in_ += first ? units : 0;
     }
     void counted(double units) override { ++calls_, counted_ += units; }
-    void delivered(int track, Time took) override;
-    void bounced() override { ++bounced_; }
-    void written_off() override { ++written_off_; }
+    void served(int route_class, Time took) override;
+    void refused() override { ++refused_; }
+    void failed() override { ++failed_; }
     void client_gone() override { ++gone_; }
     void decided(const Decided& often) override;
     void tell(Log& log, Time now) override;
@@ -37,8 +37,8 @@
   private:
     Time every_;
     std::vector<Time> goals_;
-    std::int64_t tries_ = 0, in_goal_ = 0, late_ = 0, bounced_ = 0, written_off_ = 0, gone_ = 0, sent_on_ = 0,
-                 executions_ = 0, calls_ = 0;
+    std::int64_t tries_ = 0, in_goal_ = 0, late_ = 0, refused_ = 0, failed_ = 0, gone_ = 0, sent_on_ = 0,
+                 attempts_ = 0, calls_ = 0;
     double asked_ = 0, in_ = 0, counted_ = 0;  // units
     Decided decided_{};
     std::array<std::int64_t, time_buckets> times_{};
--- a/src/net/node.cpp
+++ b/src/net/node.cpp
@@ -37,9 +37,9 @@
     });
 }
 
-void Node::keep(Company* company) {
-    company_ = company;
-    if (company_) company_->list_told(part_.told_.known);  // what every later list is a change to
+void Node::keep(PeerObserver* peer_observer) {
+    peer_observer_ = peer_observer;
+    if (peer_observer_) peer_observer_->list_told(part_.told_.known);  // what every later list is a change to
 }
 
 void Node::run() {
@@ -71,23 +71,23 @@
 // ---- what the module has done ----
 
 void Node::start_attempt(std::uint32_t id, std::uint32_t host, Time give_up_after) {
-    Submission* const s = submissions_.find(id);
-    if (!s || !s->client || s->out) {
+    Request* const r = requests_.find(id);
+    if (!r || !r->client || r->out) {
         asio::post(io_, [this, id, host] {
             deadlines_.turn();
             decisions_.attempt_ended(deadlines_.now(), id, 0, host, AttemptOutcome::not_sent, 0, true, 0);
         });
         return;
     }
-    ++s->executions;
-    s->out = true;
-    if (tallies_) tallies_->executed(s->executions == 1, s->units);
-    if (company_) company_->host_asked(hosts_.id_of(host));
-    s->execution = hosts_.start_attempt(id, host, s->head, s->body, give_up_after);
+    ++r->attempts;
+    r->out = true;
+    if (tallies_) tallies_->attempt_started(r->attempts == 1, r->units);
+    if (peer_observer_) peer_observer_->host_asked(hosts_.id_of(host));
+    r->attempt = hosts_.start_attempt(id, host, r->head, r->body, give_up_after);
 }
 
 void Node::refuse(std::uint32_t id, Time come_back_in) {
-    if (tallies_) tallies_->bounced();
+    if (tallies_) tallies_->refused();
     char advice[48] = "";
     if (come_back_in > 0)
         std::snprintf(advice, sizeof advice, "Retry-After: %.4f\r\n",
@@ -96,14 +96,14 @@
 }
 
 void Node::fail(std::uint32_t id) {
-    if (tallies_) tallies_->written_off();
+    if (tallies_) tallies_->failed();
     answer(id, 502, {}, "written off\n");
 }
 
-void Node::cancel(std::uint32_t id, int execution) {
-    Submission* const s = submissions_.find(id);
-    if (!s || !s->out || execution != s->executions - 1) return;
-    hosts_.call_off(s->execution);
+void Node::cancel(std::uint32_t id, int attempt) {
+    Request* const r = requests_.find(id);
+    if (!r || !r->out || attempt != r->attempts - 1) return;
+    hosts_.call_off(r->attempt);
 }
 
 void Node::count(std::uint64_t name, double amount, Time keep_for) {
@@ -136,8 +136,8 @@
 }
 
 void Node::log(LogEvent event, std::uint32_t host, const std::string& line) {
-    if (company_ && (event == LogEvent::host_shut || event == LogEvent::host_back))
-        company_->host_found(hosts_.id_of(host), event == LogEvent::host_shut);
+    if (peer_observer_ && (event == LogEvent::host_shut || event == LogEvent::host_back))
+        peer_observer_->host_found(hosts_.id_of(host), event == LogEvent::host_shut);
     switch (event) {
         case LogEvent::breaker_open: return log_.tell(Event::breaker_open, line);
         case LogEvent::breaker_closed: return log_.tell(Event::breaker_closed, line);
@@ -152,64 +152,64 @@
 }
 
 void Node::total_known(std::uint64_t name, double total) {
-    if (company_) company_->total_known(name, total);
+    if (peer_observer_) peer_observer_->total_known(name, total);
 }
 
 void Node::answer(Handle id, int status, std::string_view fields, std::string_view body) {
-    Submission* const s = submissions_.find(id);
-    if (!s || !s->client) return;
-    clients_.answer(std::exchange(s->client, 0), status, fields, body);
+    Request* const r = requests_.find(id);
+    if (!r || !r->client) return;
+    clients_.answer(std::exchange(r->client, 0), status, fields, body);
     forget_if_over(id);
 }
 
-// The Decision module may name a submission for as long as an execution is out; a later mention finds
+// The decision module may name a request for as long as an attempt is out; a later mention finds
 // nothing.
 void Node::forget_if_over(Handle id) {
-    const Submission* const s = submissions_.find(id);
-    if (!s || s->client || s->out) return;
-    open_.erase(s->id);
-    submissions_.remove(id);
+    const Request* const r = requests_.find(id);
+    if (!r || r->client || r->out) return;
+    open_.erase(r->id);
+    requests_.remove(id);
 }
 
 // ---- what has happened ----
 
-Handle Node::request_received(Handle client, Asked&& asked) {
-    const Handle id = submissions_.add(client, asked.id, std::move(asked.head), std::move(asked.body));
+Handle Node::request_received(Handle client, ReceivedRequest&& received) {
+    const Handle id = requests_.add(client, received.id, std::move(received.head), std::move(received.body));
     if (!id) return 0;
-    open_.insert(std::move(asked.id));
+    open_.insert(std::move(received.id));
     if (tallies_) {
-        tallies_->request_received(asked.units);
-        Submission& s = *submissions_.find(id);
-        s.track = asked.track, s.units = asked.units, s.since = deadlines_.now();
+        tallies_->request_received(received.units);
+        Request& r = *requests_.find(id);
+        r.route_class = received.route_class, r.units = received.units, r.since = deadlines_.now();
     }
-    decisions_.request_received(deadlines_.now(), id, asked.track, asked.plan, asked.customer, asked.units,
-                                asked.gateways, asked.patience);
+    decisions_.request_received(deadlines_.now(), id, received.route_class, received.plan, received.tenant,
+                                received.units, received.gateways, received.patience);
     return id;
 }
 
 void Node::client_gone(Handle id) {
-    Submission* const s = submissions_.find(id);
-    if (!s || !s->client) return;
-    s->client = 0;
+    Request* const r = requests_.find(id);
+    if (!r || !r->client) return;
+    r->client = 0;
     if (tallies_) tallies_->client_gone();
     decisions_.client_gone(deadlines_.now(), id);
     forget_if_over(id);
 }
 
-void Node::execution_over(Handle id, std::uint32_t host, AttemptOutcome outcome, Time took,
-                          const Answer& delivered) {
-    Submission* const s = submissions_.find(id);
-    if (!s) return;
-    s->out = false;
-    s->execution = 0;
-    const int execution = s->executions - 1;
-    if (outcome == AttemptOutcome::ok && s->client) {
-        if (tallies_) tallies_->delivered(s->track, deadlines_.now() - s->since);
-        clients_.answer(std::exchange(s->client, 0), 200, delivered.fields, delivered.body);
+void Node::attempt_over(Handle id, std::uint32_t host, AttemptOutcome outcome, Time took,
+                        const Answer& answer) {
+    Request* const r = requests_.find(id);
+    if (!r) return;
+    r->out = false;
+    r->attempt = 0;
+    const int attempt = r->attempts - 1;
+    if (outcome == AttemptOutcome::ok && r->client) {
+        if (tallies_) tallies_->served(r->route_class, deadlines_.now() - r->since);
+        clients_.answer(std::exchange(r->client, 0), 200, answer.fields, answer.body);
     }
-    const bool settled = s->client == 0;
-    if (company_) company_->host_ended(hosts_.id_of(host), outcome, took);
-    decisions_.attempt_ended(deadlines_.now(), id, execution, host, outcome, took, settled, 0);
+    const bool settled = r->client == 0;
+    if (peer_observer_) peer_observer_->host_ended(hosts_.id_of(host), outcome, took);
+    decisions_.attempt_ended(deadlines_.now(), id, attempt, host, outcome, took, settled, 0);
     forget_if_over(id);
 }
 
@@ -226,7 +226,7 @@
     }
     if (listing.whole) hosts_.keep_only(listing.entries);
     decisions_.list_ends(now);
-    if (company_) company_->list_told(listing);
+    if (peer_observer_) peer_observer_->list_told(listing);
 }
 
 void Node::list_failed() { decisions_.list_failed(deadlines_.now()); }
--- a/src/net/company.h
+++ b/src/net/peer_observer.h
@@ -10,31 +10,31 @@
 
 namespace dewweir::net {
 
-class Company {
+class PeerObserver {
   public:
-    virtual ~Company() = default;
+    virtual ~PeerObserver() = default;
     // We are about to end: tells the others, so that they need not find it out.
     virtual void leave() = 0;
 
     // What we found ourselves. May be called from within a call of the decision module's: what follows comes
     // later.
     virtual void host_found(const std::string& host, bool shut) = 0;
-    virtual void host_asked(const std::string& host) = 0;  // an execution goes there
+    virtual void host_asked(const std::string& host) = 0;  // an attempt goes there
     virtual void host_ended(const std::string& host, AttemptOutcome outcome, Time took) = 0;  // it has ended
     virtual void list_told(const Listing& listing) = 0;
     virtual void total_known(std::uint64_t name, double total) = 0;
-    virtual void lacks(const PartOf& of, double units) = 0;  // our part did, of a customer's quota
+    virtual void lacks(const PartOf& of, double units) = 0;  // our part did, of a tenant's quota
     // What two others at least were told of that name, or more; 0: nothing.
     virtual double others_total(std::uint64_t name) const = 0;
 };
 
 // Who is told what the others found.
-class Hearer {
+class ReportReceiver {
   public:
-    virtual ~Hearer() = default;
+    virtual ~ReportReceiver() = default;
     virtual void others_found(const std::string& host, const HostReport& said) = 0;
     virtual double spare(const PartOf& of, double units) = 0;  // how many of these our part can do without
-    virtual void lent(std::uint64_t customer, double units, Time until) = 0;
+    virtual void lent(std::uint64_t tenant, double units, Time until) = 0;
 };
 
 }  // namespace dewweir::net
--- a/src/net/tallies.h
+++ b/src/net/tallies.h
@@ -12,11 +12,11 @@
   public:
     virtual ~Tallies() = default;
     virtual void request_received(double units) = 0;
-    virtual void executed(bool first, double units) = 0;
+    virtual void attempt_started(bool first, double units) = 0;
     virtual void counted(double units) = 0;  // a call to the counter: added, or given back under 0
-    virtual void delivered(int track, Time took) = 0;
-    virtual void bounced() = 0;
-    virtual void written_off() = 0;
+    virtual void served(int route_class, Time took) = 0;
+    virtual void refused() = 0;
+    virtual void failed() = 0;
     virtual void client_gone() = 0;
     virtual void decided(const Decided& often) = 0;
     // Tells the log what was counted since the last time; `now` as the node has it.
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -48,8 +48,8 @@
     return terms;
 }
 
-Peers::Peers(const net::Part& part, net::Hearer& hearer, const MembersFile& file, const std::string& name,
-             std::uint64_t seed, std::uint64_t instance)
+Peers::Peers(const net::Part& part, net::ReportReceiver& report_receiver, const MembersFile& file,
+             const std::string& name, std::uint64_t seed, std::uint64_t instance)
     : part_(part),
       file_(file),
       name_(name),
@@ -72,7 +72,8 @@
     if (!fault) socket_.non_blocking(true, fault);
     if (fault) errors::throw_of_system<errors::CannotListen>(fault.value(), "members.listen " + file.listen);
     if (!file.status.empty()) status_ = std::make_unique<state::LatestFile>(file.status);
-    if (file.verdicts) words_ = std::make_unique<Words>(members_, hearer, name, instance, seed, file.rights);
+    if (file.verdicts)
+        words_ = std::make_unique<Words>(members_, report_receiver, name, instance, seed, file.rights);
     listen();
     follow();
     look_ = part_.deadlines_.after(look_every, [this] { turn(); });
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -13,20 +13,20 @@
 #include "members/envelope.h"
 #include "members/live.h"
 #include "members/members.h"
-#include "net/company.h"
 #include "net/part.h"
+#include "net/peer_observer.h"
 #include "operator/settings.h"
 #include "state/latest_file.h"
 #include "words.h"
 
 namespace dewweir::peers {
 
-class Peers : public net::Company {
+class Peers : public net::PeerObserver {
   public:
     // `name`: ours; `instance`: when this process was started, in ms since 1970. Throws errors::CannotListen,
     // errors::BadSetting.
-    Peers(const net::Part& part, net::Hearer& hearer, const MembersFile& file, const std::string& name,
-          std::uint64_t seed, std::uint64_t instance);
+    Peers(const net::Part& part, net::ReportReceiver& report_receiver, const MembersFile& file,
+          const std::string& name, std::uint64_t seed, std::uint64_t instance);
     ~Peers() override;
 
     void leave() override;
--- a/src/peers/words.cpp
+++ b/src/peers/words.cpp
@@ -19,10 +19,10 @@
 
 }  // namespace
 
-Words::Words(members::Members& members, net::Hearer& hearer, const std::string& name, std::uint64_t instance,
-             std::uint64_t seed, bool rights)
+Words::Words(members::Members& members, net::ReportReceiver& report_receiver, const std::string& name,
+             std::uint64_t instance, std::uint64_t seed, bool rights)
     : members_(members),
-      hearer_(hearer),
+      report_receiver_(report_receiver),
       hosts_({}, name, instance * words_a_ms),
       lists_(list_life),
       counts_({}, name),
@@ -80,9 +80,9 @@
     for (const Word& one : counts_.to_tell()) members_.tell(one);
     counts_.forget(now);
     for (const limits::Want& one : rights_.asked())
-        if (const double units = hearer_.spare(one.of, one.units); units >= least_loan)
+        if (const double units = report_receiver_.spare(one.of, one.units); units >= least_loan)
             rights_.lent(now, one, units, limits::Moved::over_at(now));
-    for (const limits::Loan& one : rights_.loans()) hearer_.lent(one.tenant, one.units, one.until);
+    for (const limits::Loan& one : rights_.loans()) report_receiver_.lent(one.tenant, one.units, one.until);
     for (const Word& one : rights_.to_tell(now)) members_.tell(one);
     std::set<std::string> changed;
     for (const std::string& host : hosts_.changed(now)) changed.insert(host);
@@ -96,7 +96,8 @@
                               .draining = listed.draining,
                               .up_since = listed.up_since};
         const bool nothing = doubt.shut_by + doubt.well_by == 0 && listed.until == 0;
-        if (nothing ? told_.erase(host) > 0 : (told_[host] = said, true)) hearer_.others_found(host, said);
+        if (nothing ? told_.erase(host) > 0 : (told_[host] = said, true))
+            report_receiver_.others_found(host, said);
     }
 }
 
--- a/src/peers/words.h
+++ b/src/peers/words.h
@@ -9,7 +9,7 @@
 
 #include "limits/rights.h"
 #include "members/members.h"
-#include "net/company.h"
+#include "net/peer_observer.h"
 #include "verdicts/count_words.h"
 #include "verdicts/host_words.h"
 #include "verdicts/list_words.h"
@@ -20,8 +20,8 @@
   public:
     // `instance`: of this process, as the members have it; later ones of the name are later by it.
     // `rights`: whether parts of quotas move.
-    Words(members::Members& members, net::Hearer& hearer, const std::string& name, std::uint64_t instance,
-          std::uint64_t seed, bool rights);
+    Words(members::Members& members, net::ReportReceiver& report_receiver, const std::string& name,
+          std::uint64_t instance, std::uint64_t seed, bool rights);
 
     void host_found(Time now, const std::string& host, bool shut);
     Time host_asked(Time now, const std::string& host) { return hosts_.asked(now, host); }
@@ -40,7 +40,7 @@
 
   private:
     members::Members& members_;
-    net::Hearer& hearer_;
+    net::ReportReceiver& report_receiver_;
     verdicts::HostWords hosts_;
     verdicts::ListWords lists_;
     verdicts::CountWords counts_;
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -45,15 +45,16 @@
             std::cerr << errors::told(setting, "configuration: settings.");
             return setting.exit_code();
         }
-        std::unique_ptr<Company> company;
-        if (extras && extras->company) company = extras->company(node->part(), node->hearer());
-        node->keep(company.get());
-        // Whatever ends this: the company goes before the node, which must not call it then.
+        std::unique_ptr<PeerObserver> peer_observer;
+        if (extras && extras->peer_observer)
+            peer_observer = extras->peer_observer(node->part(), node->report_receiver());
+        node->keep(peer_observer.get());
+        // Whatever ends this: the observer goes before the node, which must not call it then.
         const auto leaves = [&](Node* of) { of->keep(nullptr); };
         const std::unique_ptr<Node, decltype(leaves)> kept(node.get(), leaves);
         ends.async_wait([&](const std::error_code& fault, int) {
             if (fault) return;
-            if (company) company->leave();
+            if (peer_observer) peer_observer->leave();
             node->stop([&] { io.stop(); });
         });
         std::function<void(const std::error_code&, int)> reload = [&](const std::error_code& fault, int) {
--- a/src/serve.h
+++ b/src/serve.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "net/company.h"
 #include "net/log.h"
 #include "net/part.h"
+#include "net/peer_observer.h"
 #include "net/tallies.h"
 
 namespace dewweir {
@@ -23,8 +23,8 @@
     std::string version, settings, label;  // what it is, told with its readiness; may be empty
     // Makes what counts, told the goals of the tracks.
     std::function<std::unique_ptr<net::Tallies>(Time every, std::vector<Time> goals)> tallies{};
-    // Makes the company of the other gateways, where the file asks for it.
-    std::function<std::unique_ptr<net::Company>(const net::Part&, net::Hearer&)> company{};
+    // Makes the observer of the other gateways, where the file asks for it.
+    std::function<std::unique_ptr<net::PeerObserver>(const net::Part&, net::ReportReceiver&)> peer_observer{};
 };
 
 // `extras`: nothing on the platform. 0 after a clean end, else the exit code of the
--- a/tests/model/counts.cpp
+++ b/tests/model/counts.cpp
@@ -16,12 +16,12 @@
 TEST_CASE("counts are told typed, with times as buckets of equal ratio, and begin anew") {
     CountsEvent counts(50000, {10000, 500});
     for (int n = 0; n < 3; ++n) counts.request_received(1.5);
-    counts.executed(true, 1.5);
-    counts.executed(false, 1.5);
+    counts.attempt_started(true, 1.5);
+    counts.attempt_started(false, 1.5);
     counts.counted(2), counts.counted(-0.5);
-    counts.delivered(0, 10000);
-    counts.delivered(1, 501);
-    counts.bounced(), counts.written_off(), counts.client_gone();
+    counts.served(0, 10000);
+    counts.served(1, 501);
+    counts.refused(), counts.failed(), counts.client_gone();
     Decided decided{};
     decided[static_cast<std::size_t>(Decision::local_over)] = 2;
     decided[static_cast<std::size_t>(Decision::late)] = 4;
