--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -13,26 +13,26 @@
 #include "members/envelope.h"
 #include "members/live.h"
 #include "members/members.h"
-#include "net/company.h"
 #include "net/part.h"
+#include "net/peer_observer.h"
 #include "operator/settings.h"
 #include "state/latest_file.h"
 #include "words.h"
 
 namespace dewweir::peers {
 
-class Peers : public net::Company {
+class Peers : public net::PeerObserver {
   public:
     // `name`: ours; `instance`: when this process was started, in ms since 1970. Throws errors::CannotListen,
     // errors::BadSetting.
-    Peers(const net::Part& part, net::Hearer& hearer, const MembersFile& file, const std::string& name,
-          std::uint64_t seed, std::uint64_t instance);
+    Peers(const net::Part& part, net::ReportReceiver& report_receiver, const MembersFile& file,
+          const std::string& name, std::uint64_t seed, std::uint64_t instance);
     ~Peers() override;
 
     void leave() override;
     void host_found(const std::string& host, bool shut) override;
     void host_asked(const std::string& host) override;
-    void host_ended(const std::string& host, Verdict verdict, Time took) override;
+    void host_ended(const std::string& host, AttemptOutcome outcome, Time took) override;
     void list_told(const net::Listing& listing) override;
     void total_known(std::uint64_t name, double total) override;
     void lacks(const PartOf& of, double units) override;
--- a/src/readings.cpp
+++ b/src/readings.cpp
@@ -10,34 +10,36 @@
 namespace {
 
 struct Reader {
-    const Terms& terms;
+    const Settings& settings;
 
-    const std::string* term(const std::string& name) const {
-        const auto found = terms.find(name);
-        return found == terms.end() ? nullptr : &found->second;
+    const std::string* setting(const std::string& name) const {
+        const auto found = settings.find(name);
+        return found == settings.end() ? nullptr : &found->second;
     }
     std::string text(const std::string& name, const std::string& usual) const {
-        return term(name) ? *term(name) : usual;
+        return setting(name) ? *setting(name) : usual;
     }
     double number(const std::string& name) const {
-        const std::string* text = term(name);
+        const std::string* text = setting(name);
         char* end = nullptr;
         const double value = text ? std::strtod(text->c_str(), &end) : 0;
         if (!text || text->empty() || *end || !std::isfinite(value))
             throw errors::BadSetting(name, text ? "term unreadable" : "term missing", !text);
         return value;
     }
-    double number(const std::string& name, double usual) const { return term(name) ? number(name) : usual; }
+    double number(const std::string& name, double usual) const {
+        return setting(name) ? number(name) : usual;
+    }
     Time time(const std::string& name) const { return std::llround(number(name) * 10); }
-    bool holds(const std::string& name) const { return term(name) && *term(name) == "true"; }
+    bool holds(const std::string& name) const { return setting(name) && *setting(name) == "true"; }
 
-    Track track(const std::string& at) const {
+    RouteClass route_class(const std::string& at) const {
         const std::string repeats = text(at + "repeats", "");
         if (repeats != "retriable" && repeats != "fingerprinted" && repeats != "binding")
             throw errors::BadSetting(at + "repeats", "term missing or unreadable");
         return {time(at + "latency_goal"), time(at + "remembered"), repeats, text(at + "scope", "all")};
     }
-    Plan plan(const std::string& at) const {
+    QuotaPlan plan(const std::string& at) const {
         const auto of = [&](const char* what) { return number(at + what, 0); };
         return {of("rate") / 10000,         of("burst"),         of("extra_benefit"), of("overrun_cost"),
                 of("ceiling_rate") / 10000, of("ceiling_burst"), of("parallel")};
@@ -46,12 +48,12 @@
 
 }  // namespace
 
-Readings::Readings(const Terms& terms) {
-    const Reader read{terms};
+Readings::Readings(const Settings& settings) {
+    const Reader read{settings};
     step = std::max<Time>(1, read.time("step"));
     gateways = std::max(1, static_cast<int>(read.number("gateways")));
     zone = static_cast<int>(read.number("zone", 0));
-    most_executions = static_cast<int>(read.number("limits.executions", 1));
+    most_attempts = static_cast<int>(read.number("limits.executions", 1));
     may_cancel = read.holds("limits.cancel");
     longest_advice = read.holds("limits.advice") ? read.time("limits.longest_advice") : 0;
     has_counter = read.holds("service.counter");
@@ -62,13 +64,13 @@
     next_zone = read.number("limits.next_zone", 1.1);
     other_zone = read.number("limits.other_zone", 1.1);
     warm_after = std::max<Time>(1, read.time("rules.warm_after"));
-    idle_close = read.term("limits.idle_close") ? read.time("limits.idle_close") : 0;
+    idle_close = read.setting("limits.idle_close") ? read.time("limits.idle_close") : 0;
     for (int n = 0; n < read.number("tracks.count"); ++n)
-        tracks.push_back(read.track("tracks." + std::to_string(n) + "."));
+        route_classes.push_back(read.route_class("tracks." + std::to_string(n) + "."));
     for (int n = 0; n < read.number("plans.count", 0); ++n)
         plans.push_back(read.plan("plans." + std::to_string(n) + "."));
-    if (tracks.empty()) throw errors::BadSetting("tracks.count", "term unreadable");
-    if (read.term("rules.ask_within")) ask_within = read.time("rules.ask_within");
+    if (route_classes.empty()) throw errors::BadSetting("tracks.count", "term unreadable");
+    if (read.setting("rules.ask_within")) ask_within = read.time("rules.ask_within");
     asks = read.text("discovery", "") == "ask";
 }
 
