--- a/src/gateway/proxy.cpp
+++ b/src/gateway/proxy.cpp
@@ -38,17 +38,17 @@
     return text;
 }
 
-Verdict verdict_of(const AttemptResult& result) {
+PolicyOutcome verdict_of(const AttemptResult& result) {
     switch (result.outcome) {
-        case AttemptOutcome::answered: return result.answer.status < 500 ? Verdict::ok : Verdict::error;
-        case AttemptOutcome::not_executed: return Verdict::full;
+        case AttemptOutcome::answered: return result.answer.status < 500 ? PolicyOutcome::ok : PolicyOutcome::error;
+        case AttemptOutcome::not_executed: return PolicyOutcome::full;
         case AttemptOutcome::misdirected:
-        case AttemptOutcome::connect_failed: return Verdict::connect_failed;
-        case AttemptOutcome::broken: return Verdict::broken;
-        case AttemptOutcome::timed_out: return Verdict::timeout;
-        case AttemptOutcome::not_sent: return Verdict::not_sent;
+        case AttemptOutcome::connect_failed: return PolicyOutcome::connect_failed;
+        case AttemptOutcome::broken: return PolicyOutcome::broken;
+        case AttemptOutcome::timed_out: return PolicyOutcome::timeout;
+        case AttemptOutcome::not_sent: return PolicyOutcome::not_sent;
     }
-    return Verdict::broken;
+    return PolicyOutcome::broken;
 }
 
 }  // namespace
@@ -190,7 +190,7 @@
     if (!request) return;
     request->endpoint = endpoint;
     if (!request->client || request->streaming_up || !admit(endpoint)) {
-        return attempt_dropped(id, *request, Verdict::not_sent);
+        return attempt_dropped(id, *request, PolicyOutcome::not_sent);
     }
     const std::string head = request_head(*request, endpoint, std::min(within, request->expires - loop_.now()));
     AttemptRequest sent;
@@ -229,11 +229,11 @@
     Request* const request = requests_.find(id);
     if (!request || !request->attempt) return;
     upstreams_.abandon(std::exchange(request->attempt, 0));
-    attempt_dropped(id, *request, Verdict::called_off);
+    attempt_dropped(id, *request, PolicyOutcome::called_off);
 }
 
 // Tells the pool in the next turn: it may be deciding now.
-void Proxy::attempt_dropped(RequestId id, Request& request, Verdict verdict) {
+void Proxy::attempt_dropped(RequestId id, Request& request, PolicyOutcome verdict) {
     ++request.untold;
     loop_.post([this, id, verdict, pool = request.pool, endpoint = request.endpoint] {
         Request* const late = requests_.find(id);
@@ -250,7 +250,7 @@
     if (!request) return;
     request->attempt = 0;
     request->last_outcome = result.outcome;
-    const Verdict verdict = verdict_of(result);
+    const PolicyOutcome verdict = verdict_of(result);
     ServicePool* const pool = request->pool;
     if (result.streamed && request->client) {
         if (result.outcome == AttemptOutcome::answered) {
@@ -260,9 +260,9 @@
             front_.abort(request->client);
         }
         by_client_.erase(std::exchange(request->client, 0));
-    } else if (verdict == Verdict::ok && request->client) {
+    } else if (verdict == PolicyOutcome::ok && request->client) {
         answer(id, *request, {result.answer.status, result.answer.fields}, result.answer.body);
-    } else if (verdict == Verdict::error) {
+    } else if (verdict == PolicyOutcome::error) {
         request->held = std::move(result.answer);
     }
     Request* const left = requests_.find(id);
--- a/src/gateway/service_pool.cpp
+++ b/src/gateway/service_pool.cpp
@@ -14,19 +14,19 @@
 constexpr double other_region_weight = 12;
 
 // The decision module's settings, under the names it reads.
-Terms terms_of(const PoolSettings& settings) {
-    Terms terms;
-    const auto put = [&](const std::string& name, auto value) { terms[name] = std::to_string(value); };
+Settings decision_settings(const PoolSettings& settings) {
+    Settings values;
+    const auto put = [&](const std::string& name, auto value) { values[name] = std::to_string(value); };
     put("step", decision_step_ms);
     put("gateways", settings.gateways_nearby);
     put("zone", static_cast<int>(Distance::same_zone));
     put("limits.executions", settings.max_tries);
     put("limits.next_zone", next_zone_weight);
     put("limits.other_zone", other_region_weight);
-    terms["limits.cancel"] = "false";
-    terms["limits.advice"] = "true";
+    values["limits.cancel"] = "false";
+    values["limits.advice"] = "true";
     put("limits.longest_advice", 10000);
-    terms["service.counter"] = "false";
+    values["service.counter"] = "false";
     put("rules.fall", 1000);
     put("rules.fall_multiple", 1);
     put("rules.cold_from", 1);
@@ -35,12 +35,12 @@
     for (std::size_t n = 0; n < settings.kinds.size(); ++n) {
         const std::string at = "tracks." + std::to_string(n) + ".";
         const bool idempotent = settings.kinds[n].route_class == configuration::RouteClass::idempotent;
-        terms[at + "repeats"] = idempotent ? "retriable" : "binding";
+        values[at + "repeats"] = idempotent ? "retriable" : "binding";
         put(at + "latency_goal", settings.kinds[n].target_latency.count());
         put(at + "remembered", 0);
     }
     put("plans.count", 1);  // quotas are checked before
-    return terms;
+    return values;
 }
 
 template <class Value> int place_of(const std::vector<Value>& sorted, const Value& value) {
@@ -54,7 +54,7 @@
                          std::uint64_t seed)
     : loop_(loop), user_(user), key_(std::move(key)), settings_(std::move(settings)) {
     Gateway& gateway = *this;
-    choice_ = std::make_unique<Choice>(gateway, terms_of(settings_), seed, loop.now());
+    decisions_ = std::make_unique<Decisions>(gateway, decision_settings(settings_), seed, loop.now());
 }
 
 ServicePool::~ServicePool() {
@@ -68,52 +68,52 @@
 
 void ServicePool::update(const EndpointTable& endpoints, const std::set<EndpointId>& withheld) {
     const runtime::Time now = loop_.now();
-    choice_->list_begins(now, true);
+    decisions_->list_begins(now, true);
     for (const auto& [id, endpoint] : endpoints.all()) {
         if (!holds(endpoint)) continue;
         const bool ready = endpoint.usable && !withheld.contains(id);
         const auto distance = static_cast<int>(endpoint.distance);
-        choice_->host_listed(now, id, ready ? Standing::ready : Standing::draining, 0, distance, distance);
+        decisions_->host_listed(now, id, ready ? HostState::ready : HostState::draining, 0, distance, distance);
     }
-    choice_->list_ends(now);
+    decisions_->list_ends(now);
 }
 
 void ServicePool::set_usable(const Endpoint& endpoint, bool usable) {
     if (!holds(endpoint)) return;
     const runtime::Time now = loop_.now();
     const auto distance = static_cast<int>(endpoint.distance);
-    const Standing standing = usable ? Standing::ready : Standing::draining;
-    choice_->list_begins(now, false);
-    choice_->host_listed(now, endpoint.id, standing, 0, distance, distance);
-    choice_->list_ends(now);
+    const HostState standing = usable ? HostState::ready : HostState::draining;
+    decisions_->list_begins(now, false);
+    decisions_->host_listed(now, endpoint.id, standing, 0, distance, distance);
+    decisions_->list_ends(now);
 }
 
 void ServicePool::submit(const PoolRequest& request) {
     const int kind = place_of(settings_.kinds, request.kind);
-    choice_->submitted(loop_.now(), request.id, kind, 0, 0, 1, 1, request.time_left);
+    decisions_->request_received(loop_.now(), request.id, kind, 0, 0, 1, 1, request.time_left);
 }
 
-void ServicePool::attempt_over(RequestId request, EndpointId endpoint, Verdict verdict, runtime::Time took,
+void ServicePool::attempt_over(RequestId request, EndpointId endpoint, PolicyOutcome verdict, runtime::Time took,
                                bool answered) {
-    choice_->execution_ended(loop_.now(), request, 0, endpoint, verdict, took, answered, 0);
+    decisions_->attempt_ended(loop_.now(), request, 0, endpoint, verdict, took, answered, 0);
 }
 
-void ServicePool::client_left(RequestId request) { choice_->client_gone(loop_.now(), request); }
+void ServicePool::client_left(RequestId request) { decisions_->client_gone(loop_.now(), request); }
 
-void ServicePool::execute(std::uint32_t submission, std::uint32_t host, Time give_up_after) {
-    user_.send(submission, host, give_up_after);
+void ServicePool::start_attempt(std::uint32_t request, std::uint32_t host, Time give_up_after) {
+    user_.send(request, host, give_up_after);
 }
 
-void ServicePool::bounce(std::uint32_t submission, Time come_back_in) { user_.refuse(submission, come_back_in); }
+void ServicePool::refuse(std::uint32_t request, Time come_back_in) { user_.refuse(request, come_back_in); }
 
-void ServicePool::write_off(std::uint32_t submission) { user_.fail(submission); }
+void ServicePool::fail(std::uint32_t request) { user_.fail(request); }
 
-void ServicePool::cancel(std::uint32_t submission, int) { user_.cancel(submission); }
+void ServicePool::cancel(std::uint32_t request, int) { user_.cancel(request); }
 
 void ServicePool::arm(Time from_now, std::uint64_t token) {
     const net::Deadlines::Key key = loop_.deadlines().after(from_now, [this, token] {
         alarms_.erase(alarms_.find(token));
-        choice_->timer(loop_.now(), token);
+        decisions_->timer(loop_.now(), token);
     });
     alarms_.emplace(token, key);
 }
@@ -125,14 +125,14 @@
     alarms_.erase(found);
 }
 
-void ServicePool::log(Notice notice, std::uint32_t host, const std::string&) {
+void ServicePool::log(LogEvent what, std::uint32_t host, const std::string&) {
     using logging::Event;
     Event event = Event::breaker_opened;
-    switch (notice) {
-        case Notice::breaker_open: event = Event::breaker_opened; break;
-        case Notice::breaker_closed: event = Event::breaker_closed; break;
-        case Notice::host_shut: event = Event::endpoint_ejected; break;
-        case Notice::host_back: event = Event::endpoint_restored; break;
+    switch (what) {
+        case LogEvent::breaker_open: event = Event::breaker_opened; break;
+        case LogEvent::breaker_closed: event = Event::breaker_closed; break;
+        case LogEvent::host_shut: event = Event::endpoint_ejected; break;
+        case LogEvent::host_back: event = Event::endpoint_restored; break;
     }
     logging::log(logging::Level::info, event,
                  {{"service", std::string_view(key_.service)}, {"endpoint", static_cast<std::int64_t>(host)}});
--- a/src/gateway/service_pool.h
+++ b/src/gateway/service_pool.h
@@ -9,11 +9,14 @@
 #include <vector>
 
 #include "configuration/configuration.h"
-#include "dewweir/choice.h"
+#include "dewweir/decisions.h"
 #include "gateway/endpoints.h"
 
 namespace dewweir::gateway {
 
+// How an attempt ended, in the decision module's terms.
+using PolicyOutcome = dewweir::AttemptOutcome;
+
 // What a pool's decisions are carried out by.
 class PoolUser {
   public:
@@ -68,21 +71,21 @@
     // One endpoint may be sent to, or not, from now on.
     void set_usable(const Endpoint& endpoint, bool usable);
     void submit(const PoolRequest& request);
-    void attempt_over(RequestId request, EndpointId endpoint, Verdict verdict, runtime::Time took, bool answered);
+    void attempt_over(RequestId request, EndpointId endpoint, PolicyOutcome verdict, runtime::Time took, bool answered);
     void client_left(RequestId request);
 
   private:
     bool holds(const Endpoint& endpoint) const;
-    void execute(std::uint32_t submission, std::uint32_t host, Time give_up_after) override;
-    void bounce(std::uint32_t submission, Time come_back_in) override;
-    void write_off(std::uint32_t submission) override;
-    void cancel(std::uint32_t submission, int execution) override;
+    void start_attempt(std::uint32_t request, std::uint32_t host, Time give_up_after) override;
+    void refuse(std::uint32_t request, Time come_back_in) override;
+    void fail(std::uint32_t request) override;
+    void cancel(std::uint32_t request, int attempt) override;
     // Quotas are checked before a request comes here.
     void count(std::uint64_t, double, Time) override {}
     void arm(Time from_now, std::uint64_t token) override;
     void disarm(std::uint64_t token) override;
     void follow_list() override {}
-    void log(Notice notice, std::uint32_t host, const std::string& line) override;
+    void log(LogEvent what, std::uint32_t host, const std::string& line) override;
     void decided(const Decided&) override {}
 
     runtime::EventLoop& loop_;
@@ -90,7 +93,7 @@
     PoolKey key_;
     PoolSettings settings_;
     std::multimap<std::uint64_t, net::Deadlines::Key> alarms_;  // by token
-    std::unique_ptr<Choice> choice_;
+    std::unique_ptr<Decisions> decisions_;
 };
 
 }  // namespace dewweir::gateway
