--- a/src/control_plane/raft_log.cpp
+++ b/src/control_plane/raft_log.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 
 #include "logging/log.h"
 
@@ -15,7 +16,11 @@
 
 // After so many entries the log is replaced by a snapshot.
 constexpr std::size_t entries_per_snapshot = 64;
-constexpr runtime::Time join_interval = 300 * runtime::tenths_per_millisecond;
+constexpr runtime::Time review_interval = 300 * runtime::tenths_per_millisecond;
+// A replica that has heard no leader for so long asks to be taken in: it may have been removed while it was away.
+constexpr runtime::Time silence_before_join = 3 * runtime::tenths_per_second;
+// A voter beyond the first number of voters that says nothing for so long has been replaced, and is removed.
+constexpr runtime::Time silence_before_removal = 3 * runtime::tenths_per_second;
 constexpr int tenths_in_microseconds = 100;
 
 // Replicas of a group's first start know each other's identity from their addresses; all later ones draw theirs.
@@ -40,7 +45,7 @@
       mailbox_(loop),
       store_(std::make_shared<storage::ReplicaStore>()),
       tick_(loop),
-      join_(loop) {
+      review_(loop) {
     writer_ = std::make_unique<storage::DiskWriter>(
         store_, [this](std::function<void()> call) { mailbox_.post(std::move(call)); },
         [this](const storage::WriteCompletion& completion) { written(completion); });
@@ -88,7 +93,7 @@
                                               loop_.steady_now());
     if (applied_ == 0) user_.state_changed();
     process();
-    ask_to_join();
+    review_membership();
 }
 
 // ---- the replica's work ----
@@ -96,6 +101,7 @@
 void RaftLog::received(const consensus::Envelope& envelope) {
     if (!raft_) return;
     raft_->receive(loop_.steady_now(), envelope);
+    heard_at_[envelope.from.id] = loop_.now();
     const std::optional<consensus::Replica> leader = raft_->leader();
     if (leader && leader->id == envelope.from.id) leader_heard_at_ = loop_.now();
     process();
@@ -140,6 +146,7 @@
     reads_passed();
     if (role_change) {
         if (role_change->role != consensus::Role::leader) fail_pending();
+        if (role_change->role == consensus::Role::leader) leads_since_ = loop_.now();
         logging::log(Level::info, Event::leader_changed,
                      {{"term", static_cast<std::int64_t>(role_change->term)},
                       {"leader", std::string_view(role_change->leader ? role_change->leader->address : "none")}});
@@ -216,13 +223,32 @@
     return consensus::find_voter(membership, self) || consensus::find_learner(membership, self);
 }
 
-// A replica that is no member asks every control plane that it knows, until a leader has taken it in.
+void RaftLog::review_membership() {
+    review_.start(review_interval, [this] { review_membership(); });
+    if (leads()) return remove_dead_voter();
+    if (!is_member() || leader_silence() > silence_before_join) ask_to_join();
+}
+
+// Every control plane that is known is asked; who does not lead passes it on.
 void RaftLog::ask_to_join() {
-    if (is_member()) return;
-    for (const std::string& seed : options_.seeds) {
-        if (seed != options_.address) links_.send_join(seed, raft_->self());
+    std::set<std::string> addresses(options_.seeds.begin(), options_.seeds.end());
+    for (const consensus::Replica& voter : raft_->membership().voters) addresses.insert(voter.address);
+    addresses.erase(options_.address);
+    for (const std::string& address : addresses) links_.send_join(address, raft_->self());
+}
+
+// A machine that is gone for good leaves a voter behind once its substitute votes. With it a majority is needlessly large.
+void RaftLog::remove_dead_voter() {
+    const std::vector<consensus::Replica>& voters = raft_->membership().voters;
+    if (voters.size() <= options_.seeds.size()) return;
+    if (loop_.now() - leads_since_ < silence_before_removal) return;
+    for (const consensus::Replica& voter : voters) {
+        const auto heard = heard_at_.find(voter.id);
+        const bool silent = heard == heard_at_.end() || loop_.now() - heard->second > silence_before_removal;
+        if (voter.id == raft_->self().id || !silent) continue;
+        raft_->propose_membership(loop_.steady_now(), consensus::RemoveReplica{voter.id});
+        return process();
     }
-    join_.start(join_interval, [this] { ask_to_join(); });
 }
 
 void RaftLog::joining(const consensus::Replica& replica) {
--- a/src/control_plane/raft_log.h
+++ b/src/control_plane/raft_log.h
@@ -59,8 +59,10 @@
     void reads_passed();
     void compact_if_long();
     void schedule();
+    void review_membership();
     void ask_to_join();
     bool is_member() const;
+    void remove_dead_voter();
 
     runtime::EventLoop& loop_;
     ConsensusLinks& links_;
@@ -80,8 +82,10 @@
     consensus::ReadToken last_read_ = 0;
     bool processing_ = false;
     runtime::Time leader_heard_at_ = 0;
+    runtime::Time leads_since_ = 0;  // meaningful at the leader
+    std::map<consensus::ReplicaId, runtime::Time> heard_at_;
     runtime::Timer tick_;
-    runtime::Timer join_;
+    runtime::Timer review_;
 };
 
 }  // namespace dewweir::control_plane
