--- a/src/quota/admission.cpp
+++ b/src/quota/admission.cpp
@@ -8,6 +8,8 @@
 constexpr std::chrono::seconds idle_limit{30};
 // The shortest pause that a refused client is told.
 constexpr std::chrono::milliseconds least_retry_after{20};
+// Who was refused in a short rush need not wait for all the others: demand may have fallen by then.
+constexpr std::chrono::milliseconds longest_turn{1000};
 
 double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -128,13 +130,23 @@
     return {Admitted::refused, std::max<Duration>(from_seconds((1 - tenant.tokens) / rate), least_retry_after)};
 }
 
-// The estimate falls at least as fast as what was counted leaves the window.
-Decision Admission::refuse(TimePoint now, Tenant& tenant) const {
+// Not before the estimate has room: it falls at least as fast as what was counted leaves the window. And not before those
+// refused earlier, if all of them came back in turn: of every window's requests so many pass, and so many wait.
+Duration Admission::time_until_served(TimePoint now, Tenant& tenant) const {
     const Duration window = tenant.check.window;
-    const double total = tenant.own.estimate(now, window) + tenant.others;
+    const double own = tenant.own.estimate(now, window);
+    const double total = own + tenant.others;
     const double excess = std::max(0.0, total + 1 - tenant.check.limit);
-    const double wait = seconds(window) * excess / std::max(1.0, total);
-    return {Admitted::refused, std::max<Duration>(from_seconds(wait), least_retry_after)};
+    const double until_room = seconds(window) * excess / std::max(1.0, total);
+    const double waiting = tenant.refused.estimate(now, window) / std::max(1.0, own);
+    const double in_turn = std::min(seconds(window) * waiting, seconds(longest_turn));
+    return std::max<Duration>(from_seconds(std::max(until_room, in_turn)), least_retry_after);
+}
+
+Decision Admission::refuse(TimePoint now, Tenant& tenant) const {
+    const Duration wait = time_until_served(now, tenant);
+    tenant.refused.add(now, tenant.check.window, 1);
+    return {Admitted::refused, wait};
 }
 
 void Admission::forget_idle(TimePoint now) {
--- a/src/quota/admission.h
+++ b/src/quota/admission.h
@@ -53,6 +53,7 @@
         WindowCheck check;
         int gateways = 1;
         SlidingCount own;
+        SlidingCount refused;  // by this gateway
         double others = 0;
         std::optional<TimePoint> answered_at;
         std::uint64_t sequence = 0;
@@ -66,6 +67,7 @@
     Statement state(TimePoint now, TenantId id, Tenant& tenant);
     Decision decide_locally(TimePoint now, Tenant& tenant, bool counted);
     Decision refuse(TimePoint now, Tenant& tenant) const;
+    Duration time_until_served(TimePoint now, Tenant& tenant) const;
     void refill(TimePoint now, Tenant& tenant) const;
 
     GatewayLife self_;
