Statements of counts that no honest gateway sends are refused

Cause: a NaN among the others' counts compares false with every limit, so that one datagram let a tenant pass without limit; an elapsed time beyond the window or a window of any length turned a count into anything. Change: what comes from the network is checked in gateway/count_messages before it reaches a count or a decision; a refused datagram counts as lost.

--- /dev/null
+++ b/src/gateway/count_messages.cpp
@@ -0,0 +1,55 @@
+#include "gateway/count_messages.h"
+
+#include <cmath>
+
+#include "quota/window_check.h"
+
+namespace dewweir::gateway {
+namespace {
+
+std::optional<CountFault> fault_of_count(double count) {
+    if (!std::isfinite(count)) return CountFault::not_finite;
+    if (count < 0 || count > most_counted) return CountFault::out_of_range;
+    return std::nullopt;
+}
+
+std::optional<CountFault> fault_of(const wire::CountStatement& message) {
+    const std::chrono::milliseconds window(message.window_ms);
+    if (window < quota::shortest_window || window > quota::longest_window)
+        return CountFault::window_out_of_range;
+    if (message.elapsed_ms > message.window_ms) return CountFault::elapsed_beyond_window;
+    if (const auto fault = fault_of_count(message.current)) return fault;
+    return fault_of_count(message.previous);
+}
+
+}  // namespace
+
+wire::CountStatement to_wire(const quota::Statement& statement, bool answer) {
+    wire::CountStatement message;
+    message.tenant = statement.tenant;
+    message.gateway = statement.gateway;
+    message.sequence = statement.sequence;
+    message.window_ms = static_cast<std::uint32_t>(statement.window.count());
+    message.elapsed_ms = static_cast<std::uint32_t>(statement.elapsed.count());
+    message.current = statement.current;
+    message.previous = statement.previous;
+    message.answer = answer;
+    return message;
+}
+
+StatementResult from_wire(const wire::CountStatement& message) {
+    if (const auto fault = fault_of(message)) return *fault;
+    quota::Statement statement;
+    statement.tenant = message.tenant;
+    statement.gateway = message.gateway;
+    statement.sequence = message.sequence;
+    statement.window = std::chrono::milliseconds(message.window_ms);
+    statement.elapsed = std::chrono::milliseconds(message.elapsed_ms);
+    statement.current = message.current;
+    statement.previous = message.previous;
+    return statement;
+}
+
+std::optional<CountFault> fault_of(const wire::CountAnswer& answer) { return fault_of_count(answer.others); }
+
+}  // namespace dewweir::gateway
--- a/src/gateway/quota_client.cpp
+++ b/src/gateway/quota_client.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <random>
 
+#include "gateway/count_messages.h"
 #include "logging/log.h"
 #include "transport/addresses.h"
 
@@ -25,31 +26,6 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(duration).count() / 100;
 }
 
-wire::CountStatement to_wire(const quota::Statement& statement, bool answer) {
-    wire::CountStatement message;
-    message.tenant = statement.tenant;
-    message.gateway = statement.gateway;
-    message.sequence = statement.sequence;
-    message.window_ms = static_cast<std::uint32_t>(statement.window.count());
-    message.elapsed_ms = static_cast<std::uint32_t>(statement.elapsed.count());
-    message.current = statement.current;
-    message.previous = statement.previous;
-    message.answer = answer;
-    return message;
-}
-
-quota::Statement from_wire(const wire::CountStatement& message) {
-    quota::Statement statement;
-    statement.tenant = message.tenant;
-    statement.gateway = message.gateway;
-    statement.sequence = message.sequence;
-    statement.window = std::max(std::chrono::milliseconds(message.window_ms), quota::shortest_window);
-    statement.elapsed = std::chrono::milliseconds(message.elapsed_ms);
-    statement.current = message.current;
-    statement.previous = message.previous;
-    return statement;
-}
-
 }  // namespace
 
 QuotaClient::QuotaClient(runtime::EventLoop& loop, std::string self, const quota::QuotaBound& bound)
@@ -116,13 +92,17 @@
 
 void QuotaClient::received(const asio::ip::udp::endpoint& from, const wire::Message& message) {
     if (const auto* const statement = std::get_if<wire::CountStatement>(&message)) {
-        const double others = held_.state(loop_.steady_now(), from_wire(*statement));
+        const StatementResult read = from_wire(*statement);
+        const auto* const stated = std::get_if<quota::Statement>(&read);
+        if (!stated) return;  // as if it had been lost
+        const double others = held_.state(loop_.steady_now(), *stated);
         if (!statement->answer) return;
         datagrams_.send(from, wire::CountAnswer{statement->tenant, statement->gateway, statement->sequence, others});
         return;
     }
     const auto* const answer = std::get_if<wire::CountAnswer>(&message);
-    if (answer && answer->gateway == life_) answered(answer->sequence, answer->tenant, answer->others);
+    if (!answer || fault_of(*answer)) return;
+    if (answer->gateway == life_) answered(answer->sequence, answer->tenant, answer->others);
 }
 
 void QuotaClient::answered(std::uint64_t sequence, quota::TenantId tenant, double others) {
