--- /dev/null
+++ b/tests/quota/admission.cpp
@@ -0,0 +1,131 @@
+// Examples of one gateway's decisions: asked, ahead of the answer, refused, and from the local bucket.
+#include "quota/admission.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dewweir::quota;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint start{1h};
+constexpr QuotaBound rules{5s, 0.1, 20};
+constexpr TenantId tenant = 9;
+const Quota quota{61, 61};
+const double limit = check_for(quota, rules).limit;
+
+// Requests until one is refused, the holder out of reach.
+int passed_locally(Admission& admission, TimePoint now, const Quota& limits, int gateways) {
+    int passed = 0;
+    while (admission.request(now, tenant, limits, gateways, false).result == Admitted::passed) ++passed;
+    return passed;
+}
+
+}  // namespace
+
+TEST_CASE("a tenant without a quota passes and leaves no state") {
+    Admission admission(1, rules);
+    CHECK(admission.request(start, tenant, {}, 4, true).result == Admitted::passed);
+    CHECK(admission.tenants() == 0);
+}
+
+TEST_CASE("the first request asks, and the answer decides") {
+    Admission admission(1, rules);
+    const Decision asked = admission.request(start, tenant, quota, 4, true);
+    CHECK(asked.result == Admitted::asked);
+    REQUIRE(asked.statement);
+    CHECK(asked.statement->tenant == tenant);
+    CHECK(asked.statement->gateway == 1);
+    CHECK(asked.statement->current == 1);
+    CHECK(admission.answered(start, tenant, asked.statement->sequence, limit - 1).result == Admitted::passed);
+
+    const Decision second = admission.request(start, tenant, quota, 4, true);
+    CHECK(second.result == Admitted::refused);  // known before: nothing is asked
+    CHECK_FALSE(second.statement);
+}
+
+TEST_CASE("a request refused by the answer is taken back from the count") {
+    Admission admission(1, rules);
+    const Decision asked = admission.request(start, tenant, quota, 4, true);
+    const Decision refused = admission.answered(start, tenant, asked.statement->sequence, limit);
+    CHECK(refused.result == Admitted::refused);
+    REQUIRE(refused.statement);
+    CHECK(refused.statement->sequence > asked.statement->sequence);
+    CHECK(refused.statement->current == 0);
+}
+
+TEST_CASE("ahead of their answers pass at most this gateway's part of what is left") {
+    Admission admission(1, rules);
+    const Decision asked = admission.request(start, tenant, quota, 4, true);
+    admission.answered(start, tenant, asked.statement->sequence, 0);
+    int ahead = 0;
+    while (admission.request(start, tenant, quota, 4, true).result == Admitted::passed) ++ahead;
+    CHECK(ahead >= 1);
+    // Each also takes from what is left.
+    CHECK(ahead <= (limit - 1 - ahead) / 4 + 1);
+}
+
+TEST_CASE("retry_after says a time at which the request may pass") {
+    Admission admission(1, rules);
+    const Decision asked = admission.request(start, tenant, quota, 4, true);
+    // All of it was let in elsewhere, at the very moment of the answer.
+    const Decision refused = admission.answered(start, tenant, asked.statement->sequence, limit);
+    REQUIRE(refused.result == Admitted::refused);
+    CHECK(refused.retry_after >= 20ms);
+    const Decision early = admission.request(start + refused.retry_after / 2, tenant, quota, 4, true);
+    CHECK(early.result == Admitted::refused);
+    const TimePoint later = start + refused.retry_after + 1ms;
+    CHECK(admission.request(later, tenant, quota, 4, true).result != Admitted::refused);
+}
+
+TEST_CASE("the local bucket holds this gateway's part and says when it has the next") {
+    Admission admission(1, rules);
+    const int passed = passed_locally(admission, start, quota, 4);
+    CHECK(passed == static_cast<int>(limit / 4));
+    const Decision refused = admission.request(start, tenant, quota, 4, false);
+    REQUIRE(refused.result == Admitted::refused);
+    CHECK(admission.request(start + refused.retry_after / 2, tenant, quota, 4, false).result ==
+          Admitted::refused);
+    CHECK(admission.request(start + refused.retry_after + 1ms, tenant, quota, 4, false).result ==
+          Admitted::passed);
+}
+
+TEST_CASE("a quota smaller than the number of gateways leaves each one request") {
+    Admission admission(1, rules);
+    CHECK(passed_locally(admission, start, {0.2, 0}, 500) == 1);
+}
+
+TEST_CASE("going over to the bucket mints no quota") {
+    Admission admission(1, rules);
+    const Decision asked = admission.request(start, tenant, quota, 4, true);
+    admission.answered(start, tenant, asked.statement->sequence, limit - 1);
+    CHECK(passed_locally(admission, start, quota, 4) == 0);
+}
+
+TEST_CASE("without an answer the bucket decides, and what it lets in is stated next") {
+    Admission admission(1, rules);
+    const Decision asked = admission.request(start, tenant, quota, 4, true);
+    CHECK(admission.unanswered(start + 50ms, tenant, asked.statement->sequence).result == Admitted::passed);
+    CHECK(passed_locally(admission, start + 50ms, quota, 4) == static_cast<int>(limit / 4) - 1);
+    const Decision next = admission.request(start + 60ms, tenant, quota, 4, true);
+    REQUIRE(next.statement);
+    CHECK(next.statement->current == static_cast<int>(limit / 4) + 1);
+}
+
+TEST_CASE("a lower quota binds at once") {
+    Admission admission(1, rules);
+    const Decision asked = admission.request(start, tenant, quota, 1, true);
+    admission.answered(start, tenant, asked.statement->sequence, 40);
+    const Decision lowered = admission.request(start, tenant, {1, 0}, 1, true);
+    CHECK(lowered.result == Admitted::asked);  // what others had was counted in other windows
+    CHECK(admission.answered(start, tenant, lowered.statement->sequence, 40).result == Admitted::refused);
+}
+
+TEST_CASE("idle tenants are forgotten") {
+    Admission admission(1, rules);
+    admission.request(start, tenant, quota, 4, true);
+    admission.forget_idle(start + 30s);
+    CHECK(admission.tenants() == 1);
+    admission.forget_idle(start + 30s + 1ms);
+    CHECK(admission.tenants() == 0);
+}
