--- a/cmake/system.cmake
+++ b/cmake/system.cmake
@@ -51,6 +51,7 @@
   add_subdirectory(src/control)
   add_subdirectory(src/control_plane)
   add_subdirectory(src/gateway)
+  add_subdirectory(src/explain)
   add_subdirectory(src/program)
 endif()
 
--- /dev/null
+++ b/src/explain/bounds.cpp
@@ -0,0 +1,98 @@
+#include "explain/bounds.h"
+
+#include <algorithm>
+#include <cstdio>
+
+#include "gateway/cold_budget.h"
+#include "quota/window_check.h"
+
+namespace dewweir::explain {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+// Columns are as wide as their heads; names stand first and are not cut.
+template <class... Values> std::string line(const char* format, Values... values) {
+    char text[256];
+    std::snprintf(text, sizeof text, format, values...);
+    return std::string(text) + "\n";
+}
+
+std::string padded(const std::string& name, std::size_t width) {
+    return name + std::string(width - std::min(width, name.size()), ' ');
+}
+
+template <class Named> std::size_t width_of(const std::vector<Named>& list, std::size_t least) {
+    for (const Named& named : list) least = std::max(least, named.name.size());
+    return least;
+}
+
+// One gateway's local bucket: a request at least, and what its part of the rate brings within the span.
+struct GatewayPart {
+    double bucket = 0;
+    double per_s = 0;
+};
+
+GatewayPart part_of(const quota::Quota& quota, const quota::WindowCheck& check, int gateways) {
+    return {std::max(1.0, check.limit / gateways), quota.rate_per_s / gateways};
+}
+
+std::string tenant_line(const configuration::Tenant& tenant, const quota::QuotaBound& bound, int gateways) {
+    if (!tenant.has_quota()) return "  no limit\n";
+    const quota::Quota quota{tenant.rate_per_s, tenant.burst};
+    const quota::WindowCheck check = quota::check_for(quota, bound);
+    const GatewayPart part = part_of(quota, check, gateways);
+    const double span = Seconds(bound.span).count();
+    const double window = Seconds(check.window).count();
+    const double worst = (span / window + 1) * check.limit;
+    const double with_one_cut = worst + part.bucket + part.per_s * span;
+    const double rule = (quota.rate_per_s * span + quota.burst) * (1 + bound.overshoot) + bound.slack;
+    return line("  %8.2f  %9.1f  %8.1f  %8.1f  %8.1f  %8.1f  %8.2f", window, check.limit, rule, worst,
+                with_one_cut, part.bucket, part.per_s);
+}
+
+std::string tenants_table(const std::vector<configuration::Tenant>& tenants, const quota::QuotaBound& bound,
+                          int gateways) {
+    const std::size_t width = width_of(tenants, std::string("tenant").size());
+    const double span = Seconds(bound.span).count();
+    std::string text = "Quotas over " + std::to_string(gateways) + " gateways, requests in any ";
+    text += line("%.1f s:", span);
+    text +=
+        padded("tenant", width) + "  window s  in window  the rule     worst   one cut    bucket  bucket/s\n";
+    for (const configuration::Tenant& tenant : tenants) {
+        text += padded(tenant.name, width) + tenant_line(tenant, bound, gateways);
+    }
+    return text;
+}
+
+std::string service_line(const configuration::Service& service, const gateway::ColdBound& bound) {
+    if (!service.cold_per_s) return "  not told: as if 0\n";
+    const gateway::ColdRate owner = gateway::rate_of_owner(*service.cold_per_s, bound);
+    const double rule = *service.cold_per_s * bound.overshoot + bound.slack;
+    const double one = owner.per_s + owner.burst;
+    return line("  %8.2f  %8.2f  %9.2f  %10.2f", rule, owner.per_s, one, 2 * one);
+}
+
+std::string services_table(const std::vector<configuration::Service>& services,
+                           const gateway::ColdBound& bound) {
+    const std::size_t width = width_of(services, std::string("service").size());
+    std::string text = "Cold hosts, requests to each in any second:\n";
+    text += padded("service", width) + "  the rule  owner /s  one owner  two owners\n";
+    for (const configuration::Service& service : services) {
+        text += padded(service.name, width) + service_line(service, bound);
+    }
+    return text;
+}
+
+}  // namespace
+
+std::string explain_bounds(const settings::Settings& settings,
+                           const configuration::Configuration& configuration, int gateways) {
+    const settings::Bounds& bounds = settings.invariants.bounds;
+    const quota::QuotaBound quota_bound{bounds.quota_window, bounds.quota_overshoot, bounds.quota_slack};
+    const gateway::ColdBound cold_bound{bounds.cold_overshoot, bounds.cold_slack};
+    return tenants_table(configuration.tenants, quota_bound, std::max(1, gateways)) + "\n" +
+           services_table(configuration.services, cold_bound);
+}
+
+}  // namespace dewweir::explain
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -5,10 +5,12 @@
 #include <fstream>
 #include <iostream>
 #include <sstream>
+#include <string_view>
 
 #include "control_plane/process.h"
 #include "gateway/process.h"
 #include "logging/log.h"
+#include "program/explain_command.h"
 #include "settings/settings.h"
 
 namespace {
@@ -40,6 +42,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+    if (argc > 1 && std::string_view(argv[1]) == program::explain_command_name) {
+        return program::explain_command(argc - 1, argv + 1);
+    }
     try {
         TCLAP::CmdLine line("dewweir, a global load balancer", ' ', "0.10.0");
         std::vector<std::string> names = {"gateway", "control-plane"};
--- /dev/null
+++ b/tests/explain/bounds.cpp
@@ -0,0 +1,52 @@
+// The figures of the table, worked out by hand.
+#include "explain/bounds.h"
+
+#include <catch2/catch.hpp>
+
+using namespace dewweir;
+
+namespace {
+
+settings::Settings rules_of_a_site() {
+    settings::Settings settings;
+    settings.invariants.bounds.quota_window = std::chrono::seconds(5);
+    settings.invariants.bounds.quota_overshoot = 0.1;
+    settings.invariants.bounds.quota_slack = 20;
+    settings.invariants.bounds.cold_overshoot = 1.5;
+    settings.invariants.bounds.cold_slack = 5;
+    return settings;
+}
+
+configuration::Tenant tenant(const std::string& name, double rate_per_s, double burst) {
+    configuration::Tenant made;
+    made.name = name;
+    made.rate_per_s = rate_per_s;
+    made.burst = burst;
+    return made;
+}
+
+}  // namespace
+
+TEST_CASE("bounds of tenants and services as a table") {
+    configuration::Configuration configuration;
+    configuration.tenants = {tenant("alfa", 60, 60), tenant("of-no-limit", 0, 0)};
+    configuration.services.resize(3);
+    configuration.services[0].name = "slow";
+    configuration.services[0].cold_per_s = 4.1;
+    configuration.services[1].name = "fast";
+    configuration.services[1].cold_per_s = 13;
+    configuration.services[2].name = "unknown";
+    // alfa: (60 x 5 + 60) x 1.1 + 20 = 416; of it 0.93 = 386.9; window (386.9 - 300) / 60 = 1.448 s with 60
+    // x 1.448; a gateway of ten has a tenth of both, so that one cut off adds 8.7 + 6 x 5.
+    CHECK(explain::explain_bounds(rules_of_a_site(), configuration, 10) ==
+          "Quotas over 10 gateways, requests in any 5.0 s:\n"
+          "tenant       window s  in window  the rule     worst   one cut    bucket  bucket/s\n"
+          "alfa             1.45       86.9     416.0     386.9     425.6       8.7      6.00\n"
+          "of-no-limit  no limit\n"
+          "\n"
+          "Cold hosts, requests to each in any second:\n"
+          "service  the rule  owner /s  one owner  two owners\n"
+          "slow        11.15      4.10       5.35       10.70\n"
+          "fast        24.50     11.00      12.25       24.50\n"
+          "unknown  not told: as if 0\n");
+}
