What a gateway lets in while its breaker is open is told to the holder

Cause: requests that the local bucket let in were told only with the next call. A breaker that is open at one gateway alone (three lost datagrams do) gave that part to the others too, and when a silent holder came back the first gateways to ask used the whole quota again. Random schedules in virtual time found it. Change: each request let in while the breaker is open is stated by one datagram that nobody waits for.

--- a/src/quota/admission.cpp
+++ b/src/quota/admission.cpp
@@ -51,7 +51,12 @@
 Decision Admission::request(TimePoint now, TenantId id, const Quota& quota, int gateways, bool holder_reachable) {
     if (!quota.limits()) return {Admitted::passed};
     Tenant& tenant = tenant_of(now, id, quota, gateways);
-    if (!holder_reachable) return decide_locally(now, tenant, false);
+    if (!holder_reachable) {
+        Decision decision = decide_locally(now, tenant, false);
+        // Told all the same: the breaker may be open here alone, and the others must not use this part again.
+        if (decision.result == Admitted::passed) decision.statement = state(now, id, tenant);
+        return decision;
+    }
     const Duration window = tenant.check.window;
     const double own = tenant.own.estimate(now, window);
     const bool fresh = tenant.answered_at && now - *tenant.answered_at < window;
@@ -65,6 +70,7 @@
     tenant.own.add(now, window, 1);
     Decision decision{ahead ? Admitted::passed : Admitted::asked};
     decision.statement = state(now, id, tenant);
+    decision.wants_answer = true;
     if (ahead) tenant.ahead.push_back(decision.statement->sequence);
     return decision;
 }
--- a/src/quota/admission.h
+++ b/src/quota/admission.h
@@ -28,6 +28,7 @@
     Admitted result = Admitted::passed;
     Duration retry_after{};              // of a refused one: when it may pass, by what is known
     std::optional<Statement> statement{};  // to be sent to the holder
+    bool wants_answer = false;             // of the statement; one that is only told has none, and no time-out
 };
 
 class Admission {
--- a/tests/quota/admission.cpp
+++ b/tests/quota/admission.cpp
@@ -90,6 +90,15 @@
           Admitted::passed);
 }
 
+TEST_CASE("what the local bucket lets in is told to the holder, and no answer awaited") {
+    Admission admission(1, rules);
+    const Decision passed = admission.request(start, tenant, quota, 4, false);
+    REQUIRE(passed.statement);
+    CHECK(passed.statement->current == 1);
+    CHECK_FALSE(passed.wants_answer);
+    CHECK(admission.request(start, tenant, quota, 4, true).wants_answer);
+}
+
 TEST_CASE("a quota smaller than the number of gateways leaves each one request") {
     Admission admission(1, rules);
     CHECK(passed_locally(admission, start, {0.2, 0}, 500) == 1);
