--- a/src/program/explain_command.cpp
+++ b/src/program/explain_command.cpp
@@ -51,6 +51,7 @@
 int explain_command(int argc, char** argv) {
     try {
         TCLAP::CmdLine line("what the bounds of the rules come to for a configuration", ' ', "0.10.0");
+        line.setExceptionHandling(false);  // it would end the process with a status of its own
         TCLAP::UnlabeledValueArg<std::string> file("configuration", "path of the operator's JSON", true, "",
                                                    "FILE", line);
         TCLAP::ValueArg<int> gateways("g", "gateways", "how many gateways share the quotas", true, 1,
@@ -64,6 +65,8 @@
             return exit_bad_usage;
         }
         return explain(settings.getValue(), file.getValue(), gateways.getValue());
+    } catch (const TCLAP::ExitException& end) {  // after --help or --version
+        return end.getExitStatus();
     } catch (const TCLAP::ArgException& fault) {
         std::cerr << "dewweir: " << fault.argId() << ": " << fault.error() << "\n";
         return exit_bad_usage;
