All gateways' windows of a tenant end together

Cause: each gateway's window began with its first request. Change: the holder's answer tells how old its window is, and a gateway brings its own to it. An answer without it, as of an earlier version, changes no window. The test of fields to come in wire takes six fields, since five are known now.

--- a/src/gateway/count_messages.cpp
+++ b/src/gateway/count_messages.cpp
@@ -50,6 +50,28 @@
     return statement;
 }
 
-std::optional<CountFault> fault_of(const wire::CountAnswer& answer) { return fault_of_count(answer.others); }
+wire::CountAnswer to_wire(const quota::Statement& statement, const quota::HeldCount& held) {
+    wire::CountAnswer answer;
+    answer.tenant = statement.tenant;
+    answer.gateway = statement.gateway;
+    answer.sequence = statement.sequence;
+    answer.others = held.others;
+    if (held.elapsed) answer.elapsed_ms = static_cast<std::uint32_t>(held.elapsed->count());
+    return answer;
+}
+
+std::optional<CountFault> fault_of(const wire::CountAnswer& answer) {
+    const bool known = answer.elapsed_ms != wire::unknown_elapsed_ms;
+    const bool beyond = std::chrono::milliseconds(answer.elapsed_ms) > quota::longest_window;
+    if (known && beyond) return CountFault::elapsed_beyond_window;
+    return fault_of_count(answer.others);
+}
+
+quota::HeldCount from_wire(const wire::CountAnswer& answer) {
+    quota::HeldCount held{answer.others, std::nullopt};
+    if (answer.elapsed_ms != wire::unknown_elapsed_ms)
+        held.elapsed = std::chrono::milliseconds(answer.elapsed_ms);
+    return held;
+}
 
 }  // namespace dewweir::gateway
--- a/src/gateway/count_messages.h
+++ b/src/gateway/count_messages.h
@@ -26,7 +26,12 @@
 wire::CountStatement to_wire(const quota::Statement& statement, bool answer);
 StatementResult from_wire(const wire::CountStatement& message);
 
+// The holder's answer to `statement`.
+wire::CountAnswer to_wire(const quota::Statement& statement, const quota::HeldCount& held);
+
 // Why the answer of a holder can't be believed; nothing for a sound one.
 std::optional<CountFault> fault_of(const wire::CountAnswer& answer);
+// Of an answer without fault.
+quota::HeldCount from_wire(const wire::CountAnswer& answer);
 
 }  // namespace dewweir::gateway
--- a/src/gateway/quota_client.cpp
+++ b/src/gateway/quota_client.cpp
@@ -66,9 +66,9 @@
 void QuotaClient::state(const wire::Member& holder, const quota::Statement& statement, Decided decided) {
     Call call{statement.tenant, holder.node, std::move(decided), loop_.now(), {}};
     if (holder.node == self_) {
-        const double others = held_.state(loop_.steady_now(), statement);
+        const quota::HeldCount held = held_.state(loop_.steady_now(), statement);
         calls_[{statement.tenant, statement.sequence}] = std::move(call);
-        return answered(statement.sequence, statement.tenant, others);
+        return answered(statement.sequence, statement.tenant, held);
     }
     call.deadline = loop_.deadlines().after(
         limit_of(holders_[holder.node]),
@@ -96,17 +96,17 @@
         const StatementResult read = from_wire(*statement);
         const auto* const stated = std::get_if<quota::Statement>(&read);
         if (!stated) return;  // as if it had been lost
-        const double others = held_.state(loop_.steady_now(), *stated);
+        const quota::HeldCount held = held_.state(loop_.steady_now(), *stated);
         if (!statement->answer) return;
-        datagrams_.send(from, wire::CountAnswer{statement->tenant, statement->gateway, statement->sequence, others});
+        datagrams_.send(from, to_wire(*stated, held));
         return;
     }
     const auto* const answer = std::get_if<wire::CountAnswer>(&message);
     if (!answer || fault_of(*answer)) return;
-    if (answer->gateway == life_) answered(answer->sequence, answer->tenant, answer->others);
+    if (answer->gateway == life_) answered(answer->sequence, answer->tenant, from_wire(*answer));
 }
 
-void QuotaClient::answered(std::uint64_t sequence, quota::TenantId tenant, double others) {
+void QuotaClient::answered(std::uint64_t sequence, quota::TenantId tenant, const quota::HeldCount& held) {
     const auto found = calls_.extract({tenant, sequence});
     if (!found) return;  // too late: the bucket has decided
     Call& call = found.mapped();
@@ -121,7 +121,7 @@
         const auto took = static_cast<double>(std::max<runtime::Time>(1, loop_.now() - call.sent));
         holder.round_trip += holder.round_trip <= 0 ? took : (took - holder.round_trip) / round_trip_smoothing;
     }
-    const quota::Decision decision = admission_.answered(loop_.steady_now(), tenant, sequence, others);
+    const quota::Decision decision = admission_.answered(loop_.steady_now(), tenant, sequence, held);
     const wire::Member* const holder = placement_.holder_of(tenant);
     if (decision.statement && holder) tell(*holder, *decision.statement, false);
     conclude(call.decided, decision);
--- a/src/gateway/quota_client.h
+++ b/src/gateway/quota_client.h
@@ -46,7 +46,7 @@
     void received(const asio::ip::udp::endpoint& from, const wire::Message& message);
     void state(const wire::Member& holder, const quota::Statement& statement, Decided decided);
     void tell(const wire::Member& holder, const quota::Statement& statement, bool answer);
-    void answered(std::uint64_t sequence, quota::TenantId tenant, double others);
+    void answered(std::uint64_t sequence, quota::TenantId tenant, const quota::HeldCount& held);
     void timed_out(std::uint64_t sequence, quota::TenantId tenant);
     void conclude(const Decided& decided, const quota::Decision& decision) const;
     runtime::Time limit_of(const Holder& holder) const;
--- a/src/quota/admission.cpp
+++ b/src/quota/admission.cpp
@@ -75,13 +75,15 @@
     return decision;
 }
 
-Decision Admission::answered(TimePoint now, TenantId id, std::uint64_t sequence, double others) {
+Decision Admission::answered(TimePoint now, TenantId id, std::uint64_t sequence, const HeldCount& held) {
     const auto found = tenants_.find(id);
     if (found == tenants_.end()) return {Admitted::passed};
     Tenant& tenant = found->second;
     const bool was_ahead = std::erase(tenant.ahead, sequence) > 0;
     const Duration window = tenant.check.window;
+    if (held.elapsed) tenant.own.align(now, window, now - std::min<Duration>(*held.elapsed, window));
     const double own = tenant.own.estimate(now, window);
+    const double others = held.others;
     tenant.others = others;
     tenant.answered_at = now;
     // Going over to the bucket must mint no quota: it holds this gateway's part of what is left.
--- a/src/quota/admission.h
+++ b/src/quota/admission.h
@@ -37,8 +37,8 @@
 
     // `holder_reachable`: calls to the tenant's holder are worth making now. `gateways`: how many share the quota.
     Decision request(TimePoint now, TenantId tenant, const Quota& quota, int gateways, bool holder_reachable);
-    // The holder's answer to a statement: what all others have let in. Decides on the request that asked, if any did.
-    Decision answered(TimePoint now, TenantId tenant, std::uint64_t sequence, double others);
+    // The holder's answer to a statement. Decides on the request that asked, if any did.
+    Decision answered(TimePoint now, TenantId tenant, std::uint64_t sequence, const HeldCount& held);
     // No answer came in time: the local bucket decides.
     Decision unanswered(TimePoint now, TenantId tenant, std::uint64_t sequence);
 
--- a/src/quota/count_holder.cpp
+++ b/src/quota/count_holder.cpp
@@ -9,7 +9,7 @@
 
 }  // namespace
 
-double CountHolder::state(TimePoint now, const Statement& statement) {
+HeldCount CountHolder::state(TimePoint now, const Statement& statement) {
     Tenant& tenant = tenants_[statement.tenant];
     tenant.spoken_of = now;
     Stated& own = tenant.gateways[statement.gateway];
@@ -24,7 +24,8 @@
         if (!is_own) others += estimate;
         at = !is_own && estimate < negligible ? tenant.gateways.erase(at) : std::next(at);
     }
-    return others;
+    const Duration elapsed = now.time_since_epoch() % Duration(statement.window);
+    return {others, std::chrono::duration_cast<std::chrono::milliseconds>(elapsed)};
 }
 
 void CountHolder::forget_idle(TimePoint now) {
--- a/src/quota/count_holder.h
+++ b/src/quota/count_holder.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include "quota/sliding_count.h"
 
@@ -24,10 +25,17 @@
     double previous = 0;
 };
 
+// The holder's answer to a statement.
+struct HeldCount {
+    double others = 0;  // estimate of all other gateways together, in requests
+    // Of the holder's window, to which all gateways bring theirs; nothing where it is not known.
+    std::optional<std::chrono::milliseconds> elapsed;
+};
+
 class CountHolder {
   public:
-    // Takes the statement over and returns the estimate of all other gateways together, in requests.
-    double state(TimePoint now, const Statement& statement);
+    // Takes the statement over.
+    HeldCount state(TimePoint now, const Statement& statement);
     // Forgets tenants that nobody has spoken of for long.
     void forget_idle(TimePoint now);
     std::size_t tenants() const { return tenants_.size(); }
--- a/src/quota/sliding_count.h
+++ b/src/quota/sliding_count.h
@@ -38,11 +38,28 @@
         return previous_ * (1 - elapsed) + current_;
     }
 
+    // Brings the window to one that began at `boundary`, within the last `window`, once the own one has begun before it.
+    // What was counted goes to both windows as if it had come evenly.
+    void align(TimePoint now, Duration window, TimePoint boundary) {
+        roll(now, window);
+        const Duration late = boundary - began_;
+        const Duration tolerance = window / alignment_parts;
+        if (late <= tolerance || late >= window - tolerance) return;
+        const double moved = std::chrono::duration<double>(late) / std::chrono::duration<double>(window);
+        const double before = current_ * (late / std::chrono::duration<double, Duration::period>(now - began_));
+        previous_ = previous_ * (1 - moved) + before;
+        current_ -= before;
+        began_ = boundary;
+    }
+
     TimePoint began() const { return began_; }
     double current() const { return current_; }
     double previous() const { return previous_; }
 
   private:
+    // Windows this part of their length apart, by delays of the network, count as aligned.
+    static constexpr int alignment_parts = 16;
+
     void roll(TimePoint now, Duration window) {
         if (now - began_ < window) return;
         const bool next = now - began_ < 2 * window;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -140,13 +140,17 @@
     MSGPACK_DEFINE(tenant, gateway, sequence, window_ms, elapsed_ms, current, previous, answer);
 };
 
+// Of an answer whose holder doesn't tell it.
+constexpr std::uint32_t unknown_elapsed_ms = UINT32_MAX;
+
 // What all other gateways have let in, in answer to a statement.
 struct CountAnswer {
     std::uint64_t tenant = 0;
     std::uint64_t gateway = 0;
     std::uint64_t sequence = 0;
     double others = 0;
-    MSGPACK_DEFINE(tenant, gateway, sequence, others);
+    std::uint32_t elapsed_ms = unknown_elapsed_ms;  // of the holder's window
+    MSGPACK_DEFINE(tenant, gateway, sequence, others, elapsed_ms);
 };
 
 using Message = std::variant<Hello, Heartbeat, ConfigurationUpdate, EvacuationsUpdate, InstancesUpdate, MembersUpdate,
--- a/tests/gateway/count_messages.cpp
+++ b/tests/gateway/count_messages.cpp
@@ -63,9 +63,13 @@
         message = honest();
         message.previous = bad.value;
         check_refused(message, bad.fault);
-        CHECK(fault_of(wire::CountAnswer{7, 11, 3, bad.value}) == bad.fault);
+        CHECK(fault_of(wire::CountAnswer{7, 11, 3, bad.value, 0}) == bad.fault);
     }
-    CHECK_FALSE(fault_of(wire::CountAnswer{7, 11, 3, 0}));
+    CHECK_FALSE(fault_of(wire::CountAnswer{7, 11, 3, 0, 5'000}));
+    CHECK_FALSE(from_wire(wire::CountAnswer{7, 11, 3, 0, wire::unknown_elapsed_ms}).elapsed);
+    CHECK(from_wire(wire::CountAnswer{7, 11, 3, 0, 17}).elapsed == std::chrono::milliseconds(17));
+    CHECK_FALSE(fault_of(wire::CountAnswer{}));
+    CHECK(fault_of(wire::CountAnswer{7, 11, 3, 0, 5'001}) == CountFault::elapsed_beyond_window);
 }
 
 TEST_CASE("a window that no quota has, or more elapsed than the window, is refused") {
--- a/tests/quota/admission.cpp
+++ b/tests/quota/admission.cpp
@@ -37,7 +37,8 @@
     CHECK(asked.statement->tenant == tenant);
     CHECK(asked.statement->gateway == 1);
     CHECK(asked.statement->current == 1);
-    CHECK(admission.answered(start, tenant, asked.statement->sequence, limit - 1).result == Admitted::passed);
+    CHECK(admission.answered(start, tenant, asked.statement->sequence, {limit - 1, 0ms}).result ==
+          Admitted::passed);
 
     const Decision second = admission.request(start, tenant, quota, 4, true);
     CHECK(second.result == Admitted::refused);  // known before: nothing is asked
@@ -47,7 +48,7 @@
 TEST_CASE("a request refused by the answer is taken back from the count") {
     Admission admission(1, rules);
     const Decision asked = admission.request(start, tenant, quota, 4, true);
-    const Decision refused = admission.answered(start, tenant, asked.statement->sequence, limit);
+    const Decision refused = admission.answered(start, tenant, asked.statement->sequence, {limit, 0ms});
     CHECK(refused.result == Admitted::refused);
     REQUIRE(refused.statement);
     CHECK(refused.statement->sequence > asked.statement->sequence);
@@ -57,7 +58,7 @@
 TEST_CASE("ahead of their answers pass at most this gateway's part of what is left") {
     Admission admission(1, rules);
     const Decision asked = admission.request(start, tenant, quota, 4, true);
-    admission.answered(start, tenant, asked.statement->sequence, 0);
+    admission.answered(start, tenant, asked.statement->sequence, {0, 0ms});
     int ahead = 0;
     while (admission.request(start, tenant, quota, 4, true).result == Admitted::passed) ++ahead;
     CHECK(ahead >= 1);
@@ -69,7 +70,7 @@
     Admission admission(1, rules);
     const Decision asked = admission.request(start, tenant, quota, 4, true);
     // All of it was let in elsewhere, at the very moment of the answer.
-    const Decision refused = admission.answered(start, tenant, asked.statement->sequence, limit);
+    const Decision refused = admission.answered(start, tenant, asked.statement->sequence, {limit, 0ms});
     REQUIRE(refused.result == Admitted::refused);
     CHECK(refused.retry_after >= 20ms);
     const Decision early = admission.request(start + refused.retry_after / 2, tenant, quota, 4, true);
@@ -107,7 +108,7 @@
 TEST_CASE("going over to the bucket mints no quota") {
     Admission admission(1, rules);
     const Decision asked = admission.request(start, tenant, quota, 4, true);
-    admission.answered(start, tenant, asked.statement->sequence, limit - 1);
+    admission.answered(start, tenant, asked.statement->sequence, {limit - 1, 0ms});
     CHECK(passed_locally(admission, start, quota, 4) == 0);
 }
 
@@ -124,10 +125,11 @@
 TEST_CASE("a lower quota binds at once") {
     Admission admission(1, rules);
     const Decision asked = admission.request(start, tenant, quota, 1, true);
-    admission.answered(start, tenant, asked.statement->sequence, 40);
+    admission.answered(start, tenant, asked.statement->sequence, {40, 0ms});
     const Decision lowered = admission.request(start, tenant, {1, 0}, 1, true);
     CHECK(lowered.result == Admitted::asked);  // what others had was counted in other windows
-    CHECK(admission.answered(start, tenant, lowered.statement->sequence, 40).result == Admitted::refused);
+    CHECK(admission.answered(start, tenant, lowered.statement->sequence, {40, 0ms}).result ==
+          Admitted::refused);
 }
 
 TEST_CASE("idle tenants are forgotten") {
--- a/tests/quota/pieces.cpp
+++ b/tests/quota/pieces.cpp
@@ -39,6 +39,22 @@
     CHECK(count.estimate(start + 20s, 10s) == Approx(2));
 }
 
+TEST_CASE("a window is brought to another's beginning, and its counts as if they had come evenly") {
+    SlidingCount count;
+    count.add(start - 16s, 16s, 4);
+    count.add(start, 16s, 9);
+    count.align(start + 4s, 16s, start - 8s);  // began before: waits for its next one
+    CHECK(count.began() == start);
+    count.align(start + 9s, 16s, start + 8s);
+    CHECK(count.began() == start + 8s);
+    CHECK(count.previous() == Approx(4 * 0.5 + 8));
+    CHECK(count.current() == Approx(1));
+    count.align(start + 9s, 16s, start + 9s);  // within a sixteenth
+    CHECK(count.began() == start + 8s);
+    count.align(start + 23'500ms, 16s, start + 23'500ms);  // its next one, a little early
+    CHECK(count.began() == start + 8s);
+}
+
 TEST_CASE("a count idle for two windows is nothing, and one taken back never falls below nothing") {
     SlidingCount count;
     count.add(start, 10s, 8);
@@ -90,12 +106,12 @@
 
 TEST_CASE("a holder answers what all others have let in") {
     CountHolder holder;
-    CHECK(holder.state(start, statement_of(1, 1, 4)) == 0);
-    CHECK(holder.state(start, statement_of(2, 1, 3)) == Approx(4));
-    CHECK(holder.state(start, statement_of(1, 2, 5)) == Approx(3));
-    CHECK(holder.state(start, statement_of(3, 1, 0)) == Approx(8));
-    CHECK(holder.state(start + 1'500ms, statement_of(3, 2, 0)) == Approx(4));
-    CHECK(holder.state(start + 2s, statement_of(3, 3, 0)) == 0);
+    CHECK(holder.state(start, statement_of(1, 1, 4)).others == 0);
+    CHECK(holder.state(start, statement_of(2, 1, 3)).others == Approx(4));
+    CHECK(holder.state(start, statement_of(1, 2, 5)).others == Approx(3));
+    CHECK(holder.state(start, statement_of(3, 1, 0)).others == Approx(8));
+    CHECK(holder.state(start + 1'500ms, statement_of(3, 2, 0)).others == Approx(4));
+    CHECK(holder.state(start + 2s, statement_of(3, 3, 0)).others == 0);
 }
 
 TEST_CASE("statements that are doubled, late or overtaken change nothing") {
@@ -103,10 +119,10 @@
     holder.state(start, statement_of(1, 2, 7));
     holder.state(start, statement_of(1, 2, 7));
     holder.state(start, statement_of(1, 1, 6));
-    CHECK(holder.state(start, statement_of(2, 1, 0)) == Approx(7));
+    CHECK(holder.state(start, statement_of(2, 1, 0)).others == Approx(7));
     // Another life of the same machine counts beside the first.
     holder.state(start, statement_of(3, 1, 2));
-    CHECK(holder.state(start, statement_of(2, 2, 0)) == Approx(9));
+    CHECK(holder.state(start, statement_of(2, 2, 0)).others == Approx(9));
 }
 
 TEST_CASE("a holder forgets tenants that nobody speaks of") {
--- a/tests/quota/schedule.cpp
+++ b/tests/quota/schedule.cpp
@@ -175,13 +175,13 @@
     void state(int index, const Statement& statement, bool answer) {
         send(index, [this, index, statement, answer] {
             if (silent()) return;
-            double others = holder_.state(agenda_.now(), statement);
-            if (sabotage_ == Sabotage::never_counted) others = 0;
-            if (answer) send(index, [this, index, statement, others] { answered(index, statement, others); });
+            HeldCount held = holder_.state(agenda_.now(), statement);
+            if (sabotage_ == Sabotage::never_counted) held.others = 0;
+            if (answer) send(index, [this, index, statement, held] { answered(index, statement, held); });
         });
     }
 
-    void answered(int index, const Statement& statement, double others) {
+    void answered(int index, const Statement& statement, const HeldCount& held) {
         Gateway& here = gateway(index);
         if (here.life != statement.gateway) return;
         const auto found = here.calls.extract({statement.tenant, statement.sequence});
@@ -192,7 +192,7 @@
         const bool first = here.round_trip.count() == 0;
         here.round_trip += first ? took : (took - here.round_trip) / round_trip_smoothing;
         const Decision decision =
-            here.admission.answered(agenda_.now(), statement.tenant, statement.sequence, others);
+            here.admission.answered(agenda_.now(), statement.tenant, statement.sequence, held);
         if (decision.statement) state(index, *decision.statement, false);
         if (call.waits) conclude(call.tenant, decision);
     }
--- a/tests/wire/codec.cpp
+++ b/tests/wire/codec.cpp
@@ -44,7 +44,7 @@
         wrap({{1, "10.0.0.1:7000"}, {2, "10.0.0.2:7000"}, consensus::AppendRequest{3, 4, 5, 6, {some_entry()}}}),
         JoinRequest{{9, "10.0.0.3:7000"}},
         CountStatement{1ull << 63, 2, 3, 1500, 20, 0.25, 7, false},
-        CountAnswer{6, 7, 8, 1e300},
+        CountAnswer{6, 7, 8, 1e300, 9},
     };
 }
 
@@ -156,14 +156,15 @@
 
 TEST_CASE(
     "fields that a later version adds are ignored and those that an earlier lacks have their defaults") {
-    using Later = std::tuple<std::uint64_t, std::uint64_t, std::uint64_t, double, std::string>;
-    const auto later = decode(packed(answer_kind, Later{1, 2, 3, 3.5, "new"}));
+    using Later = std::tuple<std::uint64_t, std::uint64_t, std::uint64_t, double, std::uint32_t, std::string>;
+    const auto later = decode(packed(answer_kind, Later{1, 2, 3, 3.5, 4, "new"}));
     REQUIRE(later);
     CHECK(std::get<CountAnswer>(*later).others == 3.5);
     const auto earlier = decode(packed(answer_kind, std::tuple<std::uint64_t>{1}));
     REQUIRE(earlier);
     CHECK(std::get<CountAnswer>(*earlier).tenant == 1);
     CHECK(std::get<CountAnswer>(*earlier).others == 0);
+    CHECK(std::get<CountAnswer>(*earlier).elapsed_ms == unknown_elapsed_ms);
 }
 
 TEST_CASE("lengths claimed without the bytes are refused") {
