--- a/src/gateway/quota_client.cpp
+++ b/src/gateway/quota_client.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <random>
 
+#include "gateway/count_messages.h"
 #include "logging/log.h"
 #include "transport/addresses.h"
 
@@ -25,31 +26,6 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(duration).count() / 100;
 }
 
-wire::CountStatement to_wire(const quota::Statement& statement, bool answer) {
-    wire::CountStatement message;
-    message.tenant = statement.tenant;
-    message.gateway = statement.gateway;
-    message.sequence = statement.sequence;
-    message.window_ms = static_cast<std::uint32_t>(statement.window.count());
-    message.elapsed_ms = static_cast<std::uint32_t>(statement.elapsed.count());
-    message.current = statement.current;
-    message.previous = statement.previous;
-    message.answer = answer;
-    return message;
-}
-
-quota::Statement from_wire(const wire::CountStatement& message) {
-    quota::Statement statement;
-    statement.tenant = message.tenant;
-    statement.gateway = message.gateway;
-    statement.sequence = message.sequence;
-    statement.window = std::max(std::chrono::milliseconds(message.window_ms), quota::shortest_window);
-    statement.elapsed = std::chrono::milliseconds(message.elapsed_ms);
-    statement.current = message.current;
-    statement.previous = message.previous;
-    return statement;
-}
-
 }  // namespace
 
 QuotaClient::QuotaClient(runtime::EventLoop& loop, std::string self, const quota::QuotaBound& bound)
@@ -76,7 +52,8 @@
     const bool reachable = holder && (holder->node == self_ || holders_[holder->node].breaker.allows(now));
     const quota::Decision decision = admission_.request(now, tenant, quota, placement_.gateways(), reachable);
     if (decision.result != quota::Admitted::asked) conclude(decided, decision);
-    if (!decision.statement) return;
+    if (!decision.statement || !holder) return;
+    if (!decision.wants_answer) return tell(*holder, *decision.statement, false);
     const bool waits = decision.result == quota::Admitted::asked;
     state(*holder, *decision.statement, waits ? std::move(decided) : Decided());
 }
@@ -89,9 +66,9 @@
 void QuotaClient::state(const wire::Member& holder, const quota::Statement& statement, Decided decided) {
     Call call{statement.tenant, holder.node, std::move(decided), loop_.now(), {}};
     if (holder.node == self_) {
-        const double others = held_.state(loop_.steady_now(), statement);
+        const quota::HeldCount held = held_.state(loop_.steady_now(), statement);
         calls_[{statement.tenant, statement.sequence}] = std::move(call);
-        return answered(statement.sequence, statement.tenant, others);
+        return answered(statement.sequence, statement.tenant, held);
     }
     call.deadline = loop_.deadlines().after(
         limit_of(holders_[holder.node]),
@@ -116,16 +93,20 @@
 
 void QuotaClient::received(const asio::ip::udp::endpoint& from, const wire::Message& message) {
     if (const auto* const statement = std::get_if<wire::CountStatement>(&message)) {
-        const double others = held_.state(loop_.steady_now(), from_wire(*statement));
+        const StatementResult read = from_wire(*statement);
+        const auto* const stated = std::get_if<quota::Statement>(&read);
+        if (!stated) return;  // as if it had been lost
+        const quota::HeldCount held = held_.state(loop_.steady_now(), *stated);
         if (!statement->answer) return;
-        datagrams_.send(from, wire::CountAnswer{statement->tenant, statement->gateway, statement->sequence, others});
+        datagrams_.send(from, to_wire(*stated, held));
         return;
     }
     const auto* const answer = std::get_if<wire::CountAnswer>(&message);
-    if (answer && answer->gateway == life_) answered(answer->sequence, answer->tenant, answer->others);
+    if (!answer || fault_of(*answer)) return;
+    if (answer->gateway == life_) answered(answer->sequence, answer->tenant, from_wire(*answer));
 }
 
-void QuotaClient::answered(std::uint64_t sequence, quota::TenantId tenant, double others) {
+void QuotaClient::answered(std::uint64_t sequence, quota::TenantId tenant, const quota::HeldCount& held) {
     const auto found = calls_.extract({tenant, sequence});
     if (!found) return;  // too late: the bucket has decided
     Call& call = found.mapped();
@@ -140,7 +121,7 @@
         const auto took = static_cast<double>(std::max<runtime::Time>(1, loop_.now() - call.sent));
         holder.round_trip += holder.round_trip <= 0 ? took : (took - holder.round_trip) / round_trip_smoothing;
     }
-    const quota::Decision decision = admission_.answered(loop_.steady_now(), tenant, sequence, others);
+    const quota::Decision decision = admission_.answered(loop_.steady_now(), tenant, sequence, held);
     const wire::Member* const holder = placement_.holder_of(tenant);
     if (decision.statement && holder) tell(*holder, *decision.statement, false);
     conclude(call.decided, decision);
--- a/src/quota/admission.cpp
+++ b/src/quota/admission.cpp
@@ -53,7 +53,12 @@
 Decision Admission::request(TimePoint now, TenantId id, const Quota& quota, int gateways, bool holder_reachable) {
     if (!quota.limits()) return {Admitted::passed};
     Tenant& tenant = tenant_of(now, id, quota, gateways);
-    if (!holder_reachable) return decide_locally(now, tenant, false);
+    if (!holder_reachable) {
+        Decision decision = decide_locally(now, tenant, false);
+        // Told all the same: the breaker may be open here alone, and the others must not use this part again.
+        if (decision.result == Admitted::passed) decision.statement = state(now, id, tenant);
+        return decision;
+    }
     const Duration window = tenant.check.window;
     const double own = tenant.own.estimate(now, window);
     const bool fresh = tenant.answered_at && now - *tenant.answered_at < window;
@@ -67,17 +72,20 @@
     tenant.own.add(now, window, 1);
     Decision decision{ahead ? Admitted::passed : Admitted::asked};
     decision.statement = state(now, id, tenant);
+    decision.wants_answer = true;
     if (ahead) tenant.ahead.push_back(decision.statement->sequence);
     return decision;
 }
 
-Decision Admission::answered(TimePoint now, TenantId id, std::uint64_t sequence, double others) {
+Decision Admission::answered(TimePoint now, TenantId id, std::uint64_t sequence, const HeldCount& held) {
     const auto found = tenants_.find(id);
     if (found == tenants_.end()) return {Admitted::passed};
     Tenant& tenant = found->second;
     const bool was_ahead = std::erase(tenant.ahead, sequence) > 0;
     const Duration window = tenant.check.window;
+    if (held.elapsed) tenant.own.align(now, window, now - std::min<Duration>(*held.elapsed, window));
     const double own = tenant.own.estimate(now, window);
+    const double others = held.others;
     tenant.others = others;
     tenant.answered_at = now;
     // Going over to the bucket must mint no quota: it holds this gateway's part of what is left.
