--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -151,6 +151,11 @@
         """Whether the process has not ended."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self):
+        """The number of the process that runs."""
+        return self._process.pid
+
     @property
     def exit_code(self):
         """The code it ended with (negative: the signal), or None."""
