--- a/tests/capacity/inputs.py
+++ b/tests/capacity/inputs.py
@@ -34,14 +34,15 @@
 
 
 def configuration(sizes, epoch, seed):
-    """The text of a configuration; two epochs of one seed differ in their epoch and in one tenant's keys alone."""
+    """The text of a configuration; two epochs of one seed differ in one tenant's keys alone."""
     drawn = random.Random(seed)
     routes = [_route(number, sizes) for number in range(sizes.routes)]
     tenants = [_tenant(number, drawn) for number in range(sizes.tenants)]
     if tenants:
         tenants[0].keys[0] = f"key-of-epoch-{epoch:07d}"
     services = [service_name(number) for number in range(SERVICES)]
-    return json.dumps(ConfigurationPlan(epoch, routes, services, tenants).render(), separators=(",", ":")).encode()
+    body = ConfigurationPlan(epoch, routes, services, tenants).render()
+    return json.dumps(body, separators=(",", ":")).encode()
 
 
 def _route(number, sizes):
@@ -52,7 +53,8 @@
 
 
 def _tenant(number, drawn):
-    keys = ["".join(drawn.choices(string.ascii_lowercase + string.digits, k=KEY_LENGTH)) for _ in range(KEYS_PER_TENANT)]
+    letters = string.ascii_lowercase + string.digits
+    keys = ["".join(drawn.choices(letters, k=KEY_LENGTH)) for _ in range(KEYS_PER_TENANT)]
     return TenantPlan(f"tenant-{number:05d}", keys, QUOTA, QUOTA)
 
 
--- a/tests/capacity/series.py
+++ b/tests/capacity/series.py
@@ -35,14 +35,16 @@
     part = 1.0 / sampled / gateways
 
     def processor(name):
-        used = [b.processor_s - a.processor_s for a, b in zip(getattr(before, name), getattr(after, name))]
-        return used
+        return [b.processor_s - a.processor_s for a, b in zip(getattr(before, name), getattr(after, name))]
+
+    def moved(name):
+        return after.sample[name] - before.sample[name]
 
     return {
-        "bytes_in_per_gateway_s": round((after.sample["bytes_in"] - before.sample["bytes_in"]) * part, 1),
-        "bytes_out_per_gateway_s": round((after.sample["bytes_out"] - before.sample["bytes_out"]) * part, 1),
-        "segments_per_gateway_s": round((after.sample["segments_in"] - before.sample["segments_in"]) * part, 2),
-        "member_lists_taken": after.sample["members_taken"] - before.sample["members_taken"],
+        "bytes_in_per_gateway_s": round(moved("bytes_in") * part, 1),
+        "bytes_out_per_gateway_s": round(moved("bytes_out") * part, 1),
+        "segments_per_gateway_s": round(moved("segments_in") * part, 2),
+        "member_lists_taken": moved("members_taken"),
         "control_processor_most_percent": round(100 * max(processor("control")) / span, 2),
         "control_processor_all_percent": round(100 * sum(processor("control")) / span, 2),
         "hollow_processor_percent_per_gateway": round(100 * sum(processor("hollow")) / span / gateways, 4),
@@ -67,7 +69,8 @@
     after = await world.mark()
     among = (world.control_bytes() - between) / (after.at - before.at)
     found = rates(before, after, world.plan.gateways) | memory(after)
-    return found | {"bytes_among_control_planes_s": round(among, 1), "calls_of_list": world.platform.counts.calls}
+    found["bytes_among_control_planes_s"] = round(among, 1)
+    return found | {"calls_of_list": world.platform.counts.calls}
 
 
 async def configuration_change(world, sizes, bound_s=CHANGE_S):
@@ -122,11 +125,12 @@
     gateways = world.plan.gateways
     lists = (after.sample["members_taken"] - before.sample["members_taken"]) / gateways
     span = (after.sample["at"] - before.sample["at"]) / len(after.hollow) / 1e6
+    moved = after.sample["bytes_in"] - before.sample["bytes_in"]
     used = [b.processor_s - a.processor_s for a, b in zip(before.control, after.control)]
     return {
         "lists_per_restart": round(lists, 2),
         "restart_seconds": round(span, 2),
-        "restart_bytes_in_per_gateway": round((after.sample["bytes_in"] - before.sample["bytes_in"]) / gateways),
+        "restart_bytes_in_per_gateway": round(moved / gateways),
         "restart_control_processor_most_ms": round(1000 * max(used)),
         "restart_hollow_processor_ms_per_gateway": round(_hollow_ms(before, after) / gateways, 2),
     }
@@ -143,8 +147,7 @@
         row["start_bytes_in_per_gateway"] = round(sample["bytes_in"] / plan.gateways)
         row["start_lists_per_gateway"] = round(sample["members_taken"] / plan.gateways, 1)
         row["start_processor_control_s"] = round(max(u.processor_s for u in (await world.mark()).control), 2)
-        yield_rows = await measure(world)
-        return [row | found for found in yield_rows]
+        return [row | found for found in await measure(world)]
     except (WorldError, TimeoutError, ProcessLookupError, FileNotFoundError) as error:
         print(f"not measured: {error}", flush=True)
         return [row | {"not_measured": str(error)}]
@@ -192,8 +195,9 @@
             await world.put(inputs.DESIGN)
             if change % 8 != 0:
                 continue
-            folders = [processes.folder_kib(world.fleet.folder / "state" / m.name) for m in world.fleet.plan.machines]
-            row = {"varied": "changes", "size": change, "disk_mib": round(max(folders) / 1024, 1)}
+            state = world.fleet.folder / "state"
+            kept = max(processes.folder_kib(state / machine.name) for machine in world.fleet.plan.machines)
+            row = {"varied": "changes", "size": change, "disk_mib": round(kept / 1024, 1)}
             rows.append(row | memory(await world.mark()))
         return rows
 
@@ -211,7 +215,8 @@
         asked = after.sample["quota_asked"] - before.sample["quota_asked"]
         passed = after.sample["quota_passed"] - before.sample["quota_passed"]
         used = _hollow_ms(before, after)
-        row = {"quota_asked": asked, "quota_passed": passed, "processor_us_per_request": round(1000 * used / asked, 1)}
+        row = {"quota_asked": asked, "quota_passed": passed}
+        row["processor_us_per_request"] = round(1000 * used / asked, 1)
         return [row | rates(before, after, gateways) | memory(after)]
 
     load = Load(QUOTA_RATE, QUOTA_TENANTS)
@@ -219,7 +224,7 @@
 
 
 async def at_design_size(base, gateways):
-    """Many gateways, the whole list, and a change from a small to a whole configuration of the design size."""
+    """Many gateways, the whole list, and a change from a small configuration to one of the design size."""
 
     async def measure(world):
         row = await at_rest(world)
--- a/tests/capacity/slopes.py
+++ b/tests/capacity/slopes.py
@@ -1,4 +1,4 @@
-"""How a figure grows with a size: the slope by least squares, and whether it is straight, logarithmic or worse.
+"""How a figure grows with a size: its slope, and whether it is straight, logarithmic or worse.
 
 Source of the fits: ordinary least squares of y = a + b f(x). Pure.
 """
@@ -56,7 +56,7 @@
 
 
 def shape_of(points):
-    """The shape that explains the points best; flat where they hardly differ, unclear where none explains them."""
+    """The shape that explains the points best; flat where they hardly differ, unclear where none does."""
     figures = [y for _, y in points]
     largest = max(abs(y) for y in figures)
     if largest == 0 or (max(figures) - min(figures)) / largest < LEAST_GROWTH:
--- a/tests/capacity/world.py
+++ b/tests/capacity/world.py
@@ -1,4 +1,4 @@
-"""A world of real control planes, hollow gateways, a stand-in list and an operator, all on loopback addresses.
+"""A world of real control planes, hollow gateways, a stand-in list and an operator, all on loopback.
 
 It keeps to bounds on the machine's memory, stops what it started, and measures at rest and over changes.
 """
@@ -74,11 +74,13 @@
         self._spare = FIRST_GATEWAY + plan.gateways
         ips = [f"{CONTROL_IPS}{number + 1}" for number in range(plan.control_planes)]
         ports = choose_ports(ips + [PLATFORM_IP, str(ipaddress.IPv4Address(FIRST_GATEWAY))])
-        self.platform = Platform(PlatformPlan(wire.Address(PLATFORM_IP, ports.front), 0.0, PLATFORM_RATE, PAGE_SIZE))
+        list_address = wire.Address(PLATFORM_IP, ports.front)
+        self.platform = Platform(PlatformPlan(list_address, 0.0, PLATFORM_RATE, PAGE_SIZE))
         self.platform.hosts = inputs.hosts(plan.instances)
         zones = list(inputs.ZONES)
         machines = [
-            Machine(f"control-{n}", "control-plane", ip, zones[n], inputs.ZONES[zones[n]]) for n, ip in enumerate(ips)
+            Machine(f"control-{n}", "control-plane", ip, zone, inputs.ZONES[zone])
+            for n, (ip, zone) in enumerate(zip(ips, zones))
         ]
         fleet_plan = FleetPlan([plan.program], machines, inputs.ZONES, self.platform.plan.address, ports)
         self.fleet = Fleet(fleet_plan, Ledger())
@@ -162,7 +164,7 @@
     # ---- the operator ----
 
     async def put(self, sizes, bound_s=CALL_S):
-        """Puts a new configuration of this size in force; the acknowledgement's moment is kept. Returns its bytes."""
+        """Puts a configuration of this size in force; keeps when it was acknowledged. Returns its bytes."""
         base, self.epoch = self.epoch, self.epoch + 1
         body = inputs.configuration(sizes, self.epoch, self.plan.seed)
         headers = [("If-Match", f"{base:08x}"), ("Content-Type", "application/json")]
@@ -193,9 +195,11 @@
         """What all have used until now."""
         samples = [await process.next_sample() for process in self.hollow if process.running]
         self.check()
-        summed = {name: sum(sample[name] for sample in samples) for name in samples[0] if name not in ("event",)}
+        names = [name for name in samples[0] if name != "event"]
+        summed = {name: sum(sample[name] for sample in samples) for name in names}
         controls = [processes.usage(process.pid) for process in self.fleet.control_planes]
-        return Mark(time.monotonic(), summed, controls, [processes.usage(p.pid) for p in self.hollow if p.running])
+        hollow = [processes.usage(process.pid) for process in self.hollow if process.running]
+        return Mark(time.monotonic(), summed, controls, hollow)
 
     def control_bytes(self):
         """Payload bytes on TCP sessions among the control planes."""
@@ -203,14 +207,20 @@
         return processes.bytes_opened(pids, self.fleet.plan.ports.internal)
 
     async def wait_configuration(self, bound_s):
-        """Waits until all gateways have the newest configuration in force; the moments of those that have it."""
+        """Waits until all gateways have the newest configuration in force.
+
+        Returns the moments when gateways had it in force and those when they heard it, in order.
+        """
+
         def in_force():
             self.check()
-            return [moment for process in self.hollow for moment in process.configurations.get(self.epoch, [])]
+            return self._moments("configurations")
 
         await until(lambda: len(in_force()) >= self.plan.gateways, bound_s)
-        heard = [moment for process in self.hollow for moment in process.heard.get(self.epoch, [])]
-        return sorted(in_force()), sorted(heard)
+        return sorted(in_force()), sorted(self._moments("heard"))
+
+    def _moments(self, name):
+        return [moment for process in self.hollow for moment in getattr(process, name).get(self.epoch, [])]
 
     async def change_list(self, count, bound_s):
         """Makes the list one of `count` hosts; the moments when gateways had it, counted from the change."""
