--- a/src/api/client.h
+++ b/src/api/client.h
@@ -1,4 +1,5 @@
-// Calls HTTP interfaces of others (the platform's list): one GET at a time over a kept connection, with a time-out.
+// Calls HTTP interfaces of others (the platform's list): one GET at a time over a kept connection, with a
+// time-out.
 #pragma once
 
 #include <functional>
--- a/src/api/server.cpp
+++ b/src/api/server.cpp
@@ -38,7 +38,8 @@
         query.remove_prefix(std::min(field.size() + 1, query.size()));
         const std::size_t equals = field.find('=');
         if (field.substr(0, equals) != name) continue;
-        return decode_escapes(equals == std::string_view::npos ? std::string_view() : field.substr(equals + 1));
+        return decode_escapes(equals == std::string_view::npos ? std::string_view()
+                                                               : field.substr(equals + 1));
     }
     return std::nullopt;
 }
@@ -102,7 +103,8 @@
     }
 }
 
-const Server::Call* Server::find_call(std::string_view method, std::string_view path, bool& path_known) const {
+const Server::Call* Server::find_call(std::string_view method, std::string_view path,
+                                      bool& path_known) const {
     for (const Call& call : calls_) {
         const bool prefix = call.path.back() == '/';
         const bool matches = prefix ? path.starts_with(call.path) : path == call.path;
@@ -127,7 +129,8 @@
     const Call* const call = find_call(request.method, request.path, path_known);
     if (!call) {
         const Status status = path_known ? Status::method_not_allowed : Status::not_found;
-        return respond(mark, {status, error_body("no such call", "see the operator's page for the calls there are")});
+        return respond(
+            mark, {status, error_body("no such call", "see the operator's page for the calls there are")});
     }
     request.rest = request.path.substr(std::min(call->path.size(), request.path.size()));
     call->handler(request, [this, mark](const Response& response) { respond(mark, response); });
@@ -141,7 +144,8 @@
     head.append(status_line(response.status)).append("\r\n");
     if (!response.body.empty()) head.append("Content-Type: application/json\r\n");
     if (!response.location.empty()) head.append("Location: ").append(response.location).append("\r\n");
-    if (!response.retry_after.empty()) head.append("Retry-After: ").append(response.retry_after).append("\r\n");
+    if (!response.retry_after.empty())
+        head.append("Retry-After: ").append(response.retry_after).append("\r\n");
     if (!keep) head.append("Connection: close\r\n");
     head.append("Content-Length: ").append(std::to_string(response.body.size())).append("\r\n\r\n");
     loop_.connections().send(client->connection, {head, response.body});
--- a/src/api/server.h
+++ b/src/api/server.h
@@ -1,5 +1,5 @@
-// The system's own HTTP interfaces (operator calls, readiness, directory): a server of small calls with whole bodies. Calls
-// are declared beside their handlers. It must never carry client traffic.
+// The system's own HTTP interfaces (operator calls, readiness, directory): a server of small calls with whole
+// bodies. Calls are declared beside their handlers. It must never carry client traffic.
 #pragma once
 
 #include <functional>
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -1,5 +1,5 @@
-// The data that agreement works on and that storage keeps: entries of the replicated log, the state a replica must
-// not forget, snapshots and memberships. Data alone.
+// The data that agreement works on and that storage keeps: entries of the replicated log, the state a replica
+// must not forget, snapshots and memberships. Data alone.
 #pragma once
 
 #include <cstdint>
--- a/src/control/instance_poller.h
+++ b/src/control/instance_poller.h
@@ -1,5 +1,5 @@
-// Reads the platform's whole list at an interval, page after page. Owns the connection to the platform. It must never
-// run in more than one process at a time for long: calls are priced and limited for all together.
+// Reads the platform's whole list at an interval, page after page. Owns the connection to the platform. It
+// must never run in more than one process at a time for long: calls are priced and limited for all together.
 #pragma once
 
 #include <functional>
--- a/src/control/member_table.cpp
+++ b/src/control/member_table.cpp
@@ -12,7 +12,8 @@
         entries_[member.node] = {member, reporter, std::nullopt};
     }
     for (auto& [node, entry] : entries_) {
-        if (entry.reporter == reporter && !reported.contains(node)) unreport(now, entry, options_.reconnect_grace);
+        if (entry.reporter == reporter && !reported.contains(node))
+            unreport(now, entry, options_.reconnect_grace);
     }
 }
 
--- a/src/control/member_table.h
+++ b/src/control/member_table.h
@@ -1,5 +1,6 @@
-// Which processes are members, by what the control planes report of their sessions: a lease each, renewed by reports. Pure.
-// The leader owns one. A member whose session ends is kept for a short time, since it may be opening another elsewhere.
+// Which processes are members, by what the control planes report of their sessions: a lease each, renewed by
+// reports. Pure. The leader owns one. A member whose session ends is kept for a short time, since it may be
+// opening another elsewhere.
 #pragma once
 
 #include <chrono>
@@ -44,7 +45,7 @@
   private:
     struct Entry {
         wire::Member member;
-        std::string reporter;                          // empty: nobody reports it now
+        std::string reporter;                         // empty: nobody reports it now
         std::optional<Clock::time_point> expires_at;  // while nobody reports it
     };
     void unreport(Clock::time_point now, Entry& entry, std::chrono::milliseconds grace);
--- a/src/control/state_machine.cpp
+++ b/src/control/state_machine.cpp
@@ -111,9 +111,7 @@
         evacuated_ = {content.evacuated.begin(), content.evacuated.end()};
         evacuations_index_ = content.evacuations_index;
         return true;
-    } catch (const std::exception&) {
-        return false;
-    }
+    } catch (const std::exception&) { return false; }
 }
 
 }  // namespace dewweir::control
--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -1,5 +1,6 @@
-// The state that all control planes agree on: the configuration and the evacuated zones, changed by commands in the order
-// of the replicated log. Pure and deterministic: the same commands give the same state and the same results everywhere.
+// The state that all control planes agree on: the configuration and the evacuated zones, changed by commands
+// in the order of the replicated log. Pure and deterministic: the same commands give the same state and the
+// same results everywhere.
 #pragma once
 
 #include <cstdint>
--- a/src/distribution/view.h
+++ b/src/distribution/view.h
@@ -1,5 +1,6 @@
-// What every process of the system knows of the whole: the configuration in force, evacuated zones, the instances of all
-// services and the members. Pure: updates are applied in any order, any number of times, and only move it forward.
+// What every process of the system knows of the whole: the configuration in force, evacuated zones, the
+// instances of all services and the members. Pure: updates are applied in any order, any number of times, and
+// only move it forward.
 #pragma once
 
 #include <map>
--- a/src/logging/log.h
+++ b/src/logging/log.h
@@ -1,5 +1,5 @@
-// Structured logs: one JSON object a line on standard output, written by easylogging++. Each line names an event of the
-// closed list below. It must never be used on the path of a single request at the default level.
+// Structured logs: one JSON object a line on standard output, written by easylogging++. Each line names an
+// event of the closed list below. It must never be used on the path of a single request at the default level.
 #pragma once
 
 #include <cstdint>
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -1,5 +1,5 @@
-// One process's event loop: the io context, the clock with its deadlines, and the table of connections. Owns all three;
-// one thread runs it. It must never be entered again from within a callback.
+// One process's event loop: the io context, the clock with its deadlines, and the table of connections. Owns
+// all three; one thread runs it. It must never be entered again from within a callback.
 #pragma once
 
 #include <asio/io_context.hpp>
--- a/src/runtime/mailbox.h
+++ b/src/runtime/mailbox.h
@@ -1,4 +1,5 @@
-// Brings calls from other threads to the event loop: a queue under a lock, and an eventfd that wakes the loop.
+// Brings calls from other threads to the event loop: a queue under a lock, and an eventfd that wakes the
+// loop.
 #pragma once
 
 #include <asio/posix/stream_descriptor.hpp>
--- a/src/transport/sessions.cpp
+++ b/src/transport/sessions.cpp
@@ -5,7 +5,8 @@
 Sessions::Sessions(runtime::EventLoop& loop) : loop_(loop) {}
 
 std::optional<std::string> Sessions::listen(const asio::ip::tcp::endpoint& address, SessionUser& user) {
-    listener_.emplace(loop_, [this, &user](asio::ip::tcp::socket socket) { accepted(std::move(socket), user); });
+    listener_.emplace(loop_,
+                      [this, &user](asio::ip::tcp::socket socket) { accepted(std::move(socket), user); });
     return listener_->listen(address);
 }
 
@@ -30,7 +31,9 @@
     return id;
 }
 
-void Sessions::send(SessionId session, const wire::Message& message) { send_frame(session, wire::frame(message)); }
+void Sessions::send(SessionId session, const wire::Message& message) {
+    send_frame(session, wire::frame(message));
+}
 
 void Sessions::send_frame(SessionId id, const std::string& frame) {
     const Session* const session = sessions_.find(id);
--- a/src/transport/sessions.h
+++ b/src/transport/sessions.h
@@ -1,5 +1,6 @@
-// Streams of messages between the system's processes, over TCP. Owns every such connection and its framing; it must never
-// know what a message means. A session that has ended is not opened again here: its user does that.
+// Streams of messages between the system's processes, over TCP. Owns every such connection and its framing;
+// it must never know what a message means. A session that has ended is not opened again here: its user does
+// that.
 #pragma once
 
 #include <optional>
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -28,7 +28,8 @@
 }
 
 std::optional<Message> decode(std::string_view bytes) {
-    // Every entry takes a byte at least: more than there are bytes can't be, and nothing is laid out for them.
+    // Every entry takes a byte at least: more than there are bytes can't be, and nothing is laid out for
+    // them.
     const msgpack::unpack_limit limit(bytes.size(), bytes.size(), bytes.size(), bytes.size(), bytes.size());
     try {
         std::size_t taken = 0;
@@ -39,9 +40,7 @@
         if (message.type != msgpack::type::ARRAY || message.via.array.size != 2) return std::nullopt;
         const auto kind = message.via.array.ptr[0].as<std::size_t>();
         return decode_kind<Message>(kind, message.via.array.ptr[1]);
-    } catch (const std::exception&) {
-        return std::nullopt;
-    }
+    } catch (const std::exception&) { return std::nullopt; }
 }
 
 ConsensusMessage wrap(const consensus::Envelope& envelope) {
@@ -61,16 +60,15 @@
         auto body = decode_kind<consensus::Message>(message.kind, handle.get());
         if (!body) return std::nullopt;
         return consensus::Envelope{message.from, message.to, std::move(*body)};
-    } catch (const std::exception&) {
-        return std::nullopt;
-    }
+    } catch (const std::exception&) { return std::nullopt; }
 }
 
 std::string frame(const Message& message) {
     const std::string bytes = encode(message);
     std::string framed;
     framed.reserve(frame_header_bytes + bytes.size());
-    for (int shift = 24; shift >= 0; shift -= 8) framed.push_back(static_cast<char>(bytes.size() >> shift & 0xff));
+    for (int shift = 24; shift >= 0; shift -= 8)
+        framed.push_back(static_cast<char>(bytes.size() >> shift & 0xff));
     framed += bytes;
     return framed;
 }
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -1,5 +1,5 @@
-// Turns messages into bytes and back: an array of the message's kind and its fields, in msgpack. Bytes from outside are
-// never trusted: what can't be read is no message.
+// Turns messages into bytes and back: an array of the message's kind and its fields, in msgpack. Bytes from
+// outside are never trusted: what can't be read is no message.
 #pragma once
 
 #include <cstddef>
--- a/src/wire/consensus_messages.h
+++ b/src/wire/consensus_messages.h
@@ -7,19 +7,18 @@
 #include "consensus/messages.h"
 
 // Teaches msgpack a plain struct: its fields as an array, `value` standing for the struct.
-#define DEWWEIR_WIRE_STRUCT(TYPE, ...)                                                                 \
-    template <> struct convert<TYPE> {                                                                 \
-        const msgpack::object& operator()(const msgpack::object& object, TYPE& value) const {          \
-            msgpack::type::make_define_array(__VA_ARGS__).msgpack_unpack(object);                      \
-            return object;                                                                             \
-        }                                                                                              \
-    };                                                                                                 \
-    template <> struct pack<TYPE> {                                                                    \
-        template <typename Stream>                                                                     \
-        packer<Stream>& operator()(packer<Stream>& to, const TYPE& value) const {                      \
-            msgpack::type::make_define_array(__VA_ARGS__).msgpack_pack(to);                            \
-            return to;                                                                                 \
-        }                                                                                              \
+#define DEWWEIR_WIRE_STRUCT(TYPE, ...)                                                                       \
+    template <> struct convert<TYPE> {                                                                       \
+        const msgpack::object& operator()(const msgpack::object& object, TYPE& value) const {                \
+            msgpack::type::make_define_array(__VA_ARGS__).msgpack_unpack(object);                            \
+            return object;                                                                                   \
+        }                                                                                                    \
+    };                                                                                                       \
+    template <> struct pack<TYPE> {                                                                          \
+        template <typename Stream> packer<Stream>& operator()(packer<Stream>& to, const TYPE& value) const { \
+            msgpack::type::make_define_array(__VA_ARGS__).msgpack_pack(to);                                  \
+            return to;                                                                                       \
+        }                                                                                                    \
     };
 
 MSGPACK_ADD_ENUM(dewweir::consensus::EntryKind);
@@ -29,7 +28,8 @@
     namespace adaptor {
 
     template <> struct convert<std::chrono::microseconds> {
-        const msgpack::object& operator()(const msgpack::object& object, std::chrono::microseconds& value) const {
+        const msgpack::object& operator()(const msgpack::object& object,
+                                          std::chrono::microseconds& value) const {
             value = std::chrono::microseconds(object.as<std::int64_t>());
             return object;
         }
@@ -51,16 +51,18 @@
     DEWWEIR_WIRE_STRUCT(dewweir::consensus::VoteRequest, value.term, value.last_index, value.last_term,
                         value.leadership_transfer)
     DEWWEIR_WIRE_STRUCT(dewweir::consensus::VoteResponse, value.term, value.granted)
-    DEWWEIR_WIRE_STRUCT(dewweir::consensus::AppendRequest, value.term, value.previous_index, value.previous_term,
-                        value.commit, value.entries)
+    DEWWEIR_WIRE_STRUCT(dewweir::consensus::AppendRequest, value.term, value.previous_index,
+                        value.previous_term, value.commit, value.entries)
     DEWWEIR_WIRE_STRUCT(dewweir::consensus::AppendResponse, value.term, value.accepted, value.index,
                         value.previous_index)
     DEWWEIR_WIRE_STRUCT(dewweir::consensus::HeartbeatRequest, value.term, value.round, value.commit,
                         value.widest_round_trip)
-    DEWWEIR_WIRE_STRUCT(dewweir::consensus::HeartbeatResponse, value.term, value.round, value.received, value.synced)
+    DEWWEIR_WIRE_STRUCT(dewweir::consensus::HeartbeatResponse, value.term, value.round, value.received,
+                        value.synced)
     DEWWEIR_WIRE_STRUCT(dewweir::consensus::SnapshotChunk, value.term, value.index, value.snapshot_term,
                         value.membership, value.offset, value.data, value.last)
-    DEWWEIR_WIRE_STRUCT(dewweir::consensus::SnapshotChunkResponse, value.term, value.index, value.received_bytes)
+    DEWWEIR_WIRE_STRUCT(dewweir::consensus::SnapshotChunkResponse, value.term, value.index,
+                        value.received_bytes)
     DEWWEIR_WIRE_STRUCT(dewweir::consensus::TimeoutNow, value.term)
 
     }  // namespace adaptor
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -1,5 +1,5 @@
-// What the system's processes say to each other, as typed messages with msgpack encoding. Data alone. The version of
-// the protocol stands in every session's first message; later versions add fields at the end.
+// What the system's processes say to each other, as typed messages with msgpack encoding. Data alone. The
+// version of the protocol stands in every session's first message; later versions add fields at the end.
 #pragma once
 
 #include <cstdint>
@@ -20,15 +20,15 @@
 
 // One process of the system, as others know it.
 struct Member {
-    std::string node;         // the machine's name
-    std::uint64_t life = 0;   // drawn anew at every start
+    std::string node;        // the machine's name
+    std::uint64_t life = 0;  // drawn anew at every start
     Role role = Role::gateway;
     std::string zone;
     std::string region;
-    std::string internal;   // "IPv4:port" for messages of the system
-    std::string front;      // where clients connect; empty for none
-    std::string control;    // where operators call; empty for none
-    bool ready = false;     // takes new clients
+    std::string internal;  // "IPv4:port" for messages of the system
+    std::string front;     // where clients connect; empty for none
+    std::string control;   // where operators call; empty for none
+    bool ready = false;    // takes new clients
     MSGPACK_DEFINE(node, life, role, zone, region, internal, front, control, ready);
     bool operator==(const Member&) const = default;
 };
@@ -63,9 +63,9 @@
 
 // Tells the receiver that the sender lives and what it has; sent by both ends at every heartbeat interval.
 struct Heartbeat {
-    std::uint32_t configuration = 0;   // the version in force at the sender, 0 for none
+    std::uint32_t configuration = 0;      // the version in force at the sender, 0 for none
     std::uint64_t leader_contact_ms = 0;  // age of the sender's last contact with the leader
-    std::string leader_control;        // where the leader's operator calls go, if known
+    std::string leader_control;           // where the leader's operator calls go, if known
     MSGPACK_DEFINE(configuration, leader_contact_ms, leader_control);
 };
 
@@ -120,7 +120,8 @@
     MSGPACK_DEFINE(from, to, kind, body);
 };
 
-// A replica that is no member asks to become one; sent to any control plane, which passes it on to the leader.
+// A replica that is no member asks to become one; sent to any control plane, which passes it on to the
+// leader.
 struct JoinRequest {
     consensus::Replica replica;
     MSGPACK_DEFINE(replica);
@@ -149,9 +150,9 @@
     MSGPACK_DEFINE(tenant, gateway, sequence, others);
 };
 
-using Message = std::variant<Hello, Heartbeat, ConfigurationUpdate, EvacuationsUpdate, InstancesUpdate, MembersUpdate,
-                             MemberChanged, MembersReport, ConsensusMessage, JoinRequest,
-                             CountStatement, CountAnswer>;
+using Message =
+    std::variant<Hello, Heartbeat, ConfigurationUpdate, EvacuationsUpdate, InstancesUpdate, MembersUpdate,
+                 MemberChanged, MembersReport, ConsensusMessage, JoinRequest, CountStatement, CountAnswer>;
 
 }  // namespace dewweir::wire
 
@@ -168,35 +169,37 @@
 
 namespace msgpack {
 MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS) {
-namespace adaptor {
-
-template <> struct convert<dewweir::wire::Role> {
-    const msgpack::object& operator()(const msgpack::object& object, dewweir::wire::Role& value) const {
-        dewweir::wire::read_enum(object, value, dewweir::wire::Role::control_plane);
-        return object;
-    }
-};
-
-template <> struct convert<dewweir::wire::InstanceState> {
-    const msgpack::object& operator()(const msgpack::object& object, dewweir::wire::InstanceState& value) const {
-        dewweir::wire::read_enum(object, value, dewweir::wire::InstanceState::draining);
-        return object;
-    }
-};
-
-template <> struct pack<dewweir::wire::Role> {
-    template <class Stream> packer<Stream>& operator()(packer<Stream>& packer, dewweir::wire::Role value) const {
-        return packer.pack(static_cast<std::uint8_t>(value));
-    }
-};
-
-template <> struct pack<dewweir::wire::InstanceState> {
-    template <class Stream>
-    packer<Stream>& operator()(packer<Stream>& packer, dewweir::wire::InstanceState value) const {
-        return packer.pack(static_cast<std::uint8_t>(value));
-    }
-};
-
-}  // namespace adaptor
+    namespace adaptor {
+
+    template <> struct convert<dewweir::wire::Role> {
+        const msgpack::object& operator()(const msgpack::object& object, dewweir::wire::Role& value) const {
+            dewweir::wire::read_enum(object, value, dewweir::wire::Role::control_plane);
+            return object;
+        }
+    };
+
+    template <> struct convert<dewweir::wire::InstanceState> {
+        const msgpack::object& operator()(const msgpack::object& object,
+                                          dewweir::wire::InstanceState& value) const {
+            dewweir::wire::read_enum(object, value, dewweir::wire::InstanceState::draining);
+            return object;
+        }
+    };
+
+    template <> struct pack<dewweir::wire::Role> {
+        template <class Stream>
+        packer<Stream>& operator()(packer<Stream>& packer, dewweir::wire::Role value) const {
+            return packer.pack(static_cast<std::uint8_t>(value));
+        }
+    };
+
+    template <> struct pack<dewweir::wire::InstanceState> {
+        template <class Stream>
+        packer<Stream>& operator()(packer<Stream>& packer, dewweir::wire::InstanceState value) const {
+            return packer.pack(static_cast<std::uint8_t>(value));
+        }
+    };
+
+    }  // namespace adaptor
 }
 }  // namespace msgpack
--- a/tests/wire/codec.cpp
+++ b/tests/wire/codec.cpp
@@ -41,7 +41,9 @@
         MembersUpdate{{2, 10}, {some_member(), {}}},
         MemberChanged{some_member()},
         MembersReport{{some_member()}},
-        wrap({{1, "10.0.0.1:7000"}, {2, "10.0.0.2:7000"}, consensus::AppendRequest{3, 4, 5, 6, {some_entry()}}}),
+        wrap({{1, "10.0.0.1:7000"},
+              {2, "10.0.0.2:7000"},
+              consensus::AppendRequest{3, 4, 5, 6, {some_entry()}}}),
         JoinRequest{{9, "10.0.0.3:7000"}},
         CountStatement{1ull << 63, 2, 3, 1500, 20, 0.25, 7, false},
         CountAnswer{6, 7, 8, 1e300},
@@ -90,7 +92,8 @@
 }
 
 TEST_CASE("consensus messages come back with their sender, receiver and fields") {
-    const consensus::Envelope envelope{{1, "a"}, {2, "b"}, consensus::AppendRequest{3, 4, 5, 6, {some_entry()}}};
+    const consensus::Envelope envelope{
+        {1, "a"}, {2, "b"}, consensus::AppendRequest{3, 4, 5, 6, {some_entry()}}};
     const auto back = unwrap(std::get<ConsensusMessage>(*decode(encode(wrap(envelope)))));
     REQUIRE(back);
     CHECK(back->from == envelope.from);
