--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -18,6 +18,7 @@
       log_(log),
       heartbeat_(loop),
       expiry_(loop),
+      publication_(loop),
       reconnect_(loop) {
     heartbeat_.start(heartbeat_interval, [this] { beat(); });
 }
@@ -93,7 +94,18 @@
     if (to_leader_) sessions_.send(to_leader_, wire::MembersReport{direct_members()});
 }
 
+// The first change goes out at once, those that follow it closely together: every list names all members.
 void FleetServer::publish_members() {
+    if (publication_.pending()) return;
+    const runtime::Time passed = loop_.now() - published_members_at_;
+    if (passed >= distribution::publication_gap) return publish_members_now();
+    publication_.start(distribution::publication_gap - passed, [this] {
+        if (log_.leads()) publish_members_now();
+    });
+}
+
+void FleetServer::publish_members_now() {
+    published_members_at_ = loop_.now();
     wire::MembersUpdate update{next_revision(), members_.members()};
     if (view_.apply(update).members) broadcast(update);
     expire_members();
--- a/src/control_plane/fleet_server.h
+++ b/src/control_plane/fleet_server.h
@@ -50,6 +50,7 @@
     void from_leader(const wire::Message& message);
     void members_changed();
     void publish_members();
+    void publish_members_now();
     void report_members();
     std::vector<wire::Member> direct_members() const;
     void broadcast(const wire::Message& message);
@@ -73,6 +74,8 @@
     bool led_ = false;
     runtime::Timer heartbeat_;
     runtime::Timer expiry_;
+    runtime::Timer publication_;  // pending while changes of the members are gathered
+    runtime::Time published_members_at_ = 0;
     runtime::Timer reconnect_;
 };
 
--- a/src/control_plane/raft_log.cpp
+++ b/src/control_plane/raft_log.cpp
@@ -14,8 +14,9 @@
 using logging::Event;
 using logging::Level;
 
-// After so many entries the log is replaced by a snapshot.
+// After so many entries, or bytes of them, the log is replaced by a snapshot.
 constexpr std::size_t entries_per_snapshot = 64;
+constexpr std::size_t bytes_per_snapshot = 4u << 20;
 constexpr runtime::Time review_interval = 300 * runtime::tenths_per_millisecond;
 // A replica that has heard no leader for so long asks to be taken in: it may have been removed while it was away.
 constexpr runtime::Time silence_before_join = 3 * runtime::tenths_per_second;
@@ -182,6 +183,7 @@
 void RaftLog::apply(const consensus::Entry& entry) {
     applied_ = entry.index;
     ++entries_since_snapshot_;
+    bytes_since_snapshot_ += entry.payload.size();
     control::Outcome outcome = control::Outcome::accepted;
     if (entry.kind == consensus::EntryKind::command) {
         const std::optional<control::Command> command = control::decode_command(entry.payload);
@@ -210,8 +212,10 @@
 }
 
 void RaftLog::compact_if_long() {
-    if (entries_since_snapshot_ < entries_per_snapshot) return;
+    const bool is_long = entries_since_snapshot_ >= entries_per_snapshot || bytes_since_snapshot_ >= bytes_per_snapshot;
+    if (!is_long) return;
     entries_since_snapshot_ = 0;
+    bytes_since_snapshot_ = 0;
     raft_->compact(applied_, state_.snapshot());
 }
 
--- a/src/control_plane/raft_log.h
+++ b/src/control_plane/raft_log.h
@@ -75,6 +75,7 @@
     control::StateMachine state_;
     consensus::Index applied_ = 0;
     std::size_t entries_since_snapshot_ = 0;
+    std::size_t bytes_since_snapshot_ = 0;  // of payloads
     std::optional<consensus::Replica> store_self_;  // to be stored with the first write
     std::map<consensus::Index, Pending> pending_;
     std::map<consensus::ReadToken, std::function<void(ProposalError)>> reads_;
--- a/src/gateway/control_session.cpp
+++ b/src/gateway/control_session.cpp
@@ -1,6 +1,7 @@
 #include "gateway/control_session.h"
 
 #include <algorithm>
+#include <functional>
 
 #include "distribution/intervals.h"
 #include "logging/log.h"
@@ -23,6 +24,8 @@
       reconnect_(loop) {}
 
 void ControlSession::start() {
+    // Gateways begin with different control planes, so that none has them all.
+    next_candidate_ = std::hash<std::string>{}(self_.node);
     heartbeat_.start(distribution::heartbeat_interval, [this] { beat(); });
     connect();
 }
