Control planes tell their place in the log, members, instances and accepted versions

Operators could see of a control plane only whether it leads, its term and names of members.

GET /v1/status now also holds the commit and applied index, the leader, members with zone, role, readiness and addresses, instances by service and state, and evacuated zones; `instances` and `members` became lists of objects. GET /v1/history lists the versions that were accepted with their hashes, after a read barrier. Sizes are told of the version in force alone: of earlier ones the state machine keeps a hash and nothing else.

--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -46,6 +46,8 @@
 
     const wire::ConfigurationUpdate& configuration() const { return configuration_; }
     wire::EvacuationsUpdate evacuations() const;
+    // The versions accepted, the last 1024 of them, each with a hash of its text.
+    const std::map<std::uint32_t, std::uint64_t>& accepted() const { return accepted_; }
     // Whether exactly this configuration was accepted under its version, now or earlier.
     bool has_accepted(std::uint32_t version, std::string_view text) const;
 
--- a/src/control_plane/fleet_server.h
+++ b/src/control_plane/fleet_server.h
@@ -31,6 +31,7 @@
     void instances_read(const control::Instances& instances);
 
     const distribution::View& view() const { return view_; }
+    const wire::Member& self() const { return self_; }
     // Where the leader takes operators' calls; nothing while it is not known.
     std::optional<std::string> leader_control() const;
 
--- a/src/control_plane/operator_api.cpp
+++ b/src/control_plane/operator_api.cpp
@@ -1,8 +1,5 @@
 #include "control_plane/operator_api.h"
 
-#include <rapidjson/stringbuffer.h>
-#include <rapidjson/writer.h>
-
 #include "configuration/parser.h"
 #include "logging/log.h"
 
@@ -12,6 +9,7 @@
 constexpr std::string_view configuration_path = "/v1/config";
 constexpr std::string_view evacuation_path = "/v1/evacuation/";
 constexpr std::string_view status_path = "/v1/status";
+constexpr std::string_view history_path = "/v1/history";
 // When a caller may come back while no leader is known, in seconds.
 constexpr std::string_view retry_without_leader = "0.3";
 
@@ -27,47 +25,52 @@
     declare_configuration();
     declare_evacuation();
     declare_status();
+    declare_history();
 }
 
 void OperatorApi::declare_configuration() {
-    server_.declare("PUT", configuration_path, [this](const api::Request& request, const api::Respond& respond) {
-        put_configuration(request, respond);
-    });
+    server_.declare("PUT", configuration_path,
+                    [this](const api::Request& request, const api::Respond& respond) {
+                        put_configuration(request, respond);
+                    });
     server_.declare("GET", configuration_path,
                     [this](const api::Request&, const api::Respond& respond) { get_configuration(respond); });
 }
 
 void OperatorApi::declare_evacuation() {
-    server_.declare("POST", evacuation_path, [this](const api::Request& request, const api::Respond& respond) {
-        set_evacuation(request, respond, true);
-    });
-    server_.declare("DELETE", evacuation_path, [this](const api::Request& request, const api::Respond& respond) {
-        set_evacuation(request, respond, false);
-    });
+    server_.declare("POST", evacuation_path,
+                    [this](const api::Request& request, const api::Respond& respond) {
+                        set_evacuation(request, respond, true);
+                    });
+    server_.declare("DELETE", evacuation_path,
+                    [this](const api::Request& request, const api::Respond& respond) {
+                        set_evacuation(request, respond, false);
+                    });
 }
 
 void OperatorApi::declare_status() {
     server_.declare("GET", status_path, [this](const api::Request&, const api::Respond& respond) {
-        rapidjson::StringBuffer buffer;
-        rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
-        writer.StartObject();
-        writer.Key("leads");
-        writer.Bool(log_.leads());
-        writer.Key("term");
-        writer.Uint64(log_.term());
-        writer.Key("configuration");
-        writer.String(configuration::to_string(configuration::Version{log_.state().configuration().version}).c_str());
-        writer.Key("instances");
-        writer.Uint64(fleet_.view().instances().size());
-        writer.Key("members");
-        writer.StartArray();
-        for (const auto& [node, member] : fleet_.view().members()) writer.String(node.c_str());
-        writer.EndArray();
-        writer.EndObject();
-        respond({api::Status::ok, buffer.GetString()});
+        respond(
+            {api::Status::ok, status_body(fleet_.self().node, log_status(), log_.state(), fleet_.view())});
     });
 }
 
+void OperatorApi::declare_history() {
+    server_.declare("GET", history_path,
+                    [this](const api::Request&, const api::Respond& respond) { get_history(respond); });
+}
+
+LogStatus OperatorApi::log_status() const {
+    LogStatus status;
+    status.leads = log_.leads();
+    status.term = log_.term();
+    status.commit_index = log_.commit_index();
+    status.applied_index = log_.applied_index();
+    status.leader = log_.leader_address().value_or("");
+    status.leader_control = fleet_.leader_control().value_or("");
+    return status;
+}
+
 void OperatorApi::redirect(const std::string& path, const api::Respond& respond) const {
     const std::optional<std::string> leader = log_.leads() ? std::nullopt : fleet_.leader_control();
     if (leader && !leader->empty()) {
@@ -91,8 +94,8 @@
         return respond(rejected(*rejection));
     }
     if (!base) {
-        return respond({api::Status::bad_request,
-                        api::error_body("If-Match is missing or malformed", "send the version this one builds on")});
+        return respond({api::Status::bad_request, api::error_body("If-Match is missing or malformed",
+                                                                  "send the version this one builds on")});
     }
     const std::uint32_t version = std::get<configuration::Configuration>(parsed).epoch.number;
     propose(control::PutConfiguration{base->number, version, request.body}, path, respond);
@@ -103,13 +106,20 @@
         if (error != ProposalError::none) return redirect(std::string(configuration_path), respond);
         const wire::ConfigurationUpdate& configuration = log_.state().configuration();
         if (configuration.version == 0) {
-            return respond({api::Status::not_found,
-                            api::error_body("no configuration is in force", "put the first one with If-Match: 0")});
+            return respond({api::Status::not_found, api::error_body("no configuration is in force",
+                                                                    "put the first one with If-Match: 0")});
         }
         respond({api::Status::ok, configuration.text});
     });
 }
 
+void OperatorApi::get_history(const api::Respond& respond) {
+    log_.read_barrier([this, respond](ProposalError error) {
+        if (error != ProposalError::none) return redirect(std::string(history_path), respond);
+        respond({api::Status::ok, history_body(log_.state())});
+    });
+}
+
 void OperatorApi::set_evacuation(const api::Request& request, const api::Respond& respond, bool evacuated) {
     const std::string path(request.path);
     if (request.rest.empty()) {
@@ -118,7 +128,8 @@
     propose(control::SetEvacuation{std::string(request.rest), evacuated}, path, respond);
 }
 
-void OperatorApi::propose(const control::Command& command, const std::string& path, const api::Respond& respond) {
+void OperatorApi::propose(const control::Command& command, const std::string& path,
+                          const api::Respond& respond) {
     log_.propose(command, [this, path, respond](const ProposalResult& result) {
         if (result.error != ProposalError::none) return redirect(path, respond);
         switch (result.outcome) {
@@ -127,8 +138,9 @@
                 return respond({api::Status::precondition_failed,
                                 api::error_body("another version is in force", "read it and build on it")});
             case control::Outcome::not_newer:
-                return respond({api::Status::bad_request,
-                                api::error_body("epoch is not greater than the one in force", "raise epoch")});
+                return respond(
+                    {api::Status::bad_request,
+                     api::error_body("epoch is not greater than the one in force", "raise epoch")});
         }
     });
 }
--- a/src/control_plane/operator_api.h
+++ b/src/control_plane/operator_api.h
@@ -1,10 +1,11 @@
-// The calls of operators: configuration and evacuations. Each call is declared beside its handler. Calls that need the
-// leader are sent on to it by a redirect.
+// The calls of operators: configuration, evacuations, status and history. Each call is declared beside its
+// handler. Calls that need the leader are sent on to it by a redirect.
 #pragma once
 
 #include "api/server.h"
 #include "control_plane/fleet_server.h"
 #include "control_plane/replicated_log.h"
+#include "control_plane/status_report.h"
 
 namespace dewweir::control_plane {
 
@@ -16,9 +17,12 @@
     void declare_configuration();
     void declare_evacuation();
     void declare_status();
+    void declare_history();
 
     void put_configuration(const api::Request& request, const api::Respond& respond);
     void get_configuration(const api::Respond& respond);
+    void get_history(const api::Respond& respond);
+    LogStatus log_status() const;
     void set_evacuation(const api::Request& request, const api::Respond& respond, bool evacuated);
     void propose(const control::Command& command, const std::string& path, const api::Respond& respond);
     // Sends the caller on to the leader, or tells it to come back where none is known.
--- a/src/control_plane/raft_log.cpp
+++ b/src/control_plane/raft_log.cpp
@@ -247,6 +247,8 @@
 
 std::uint64_t RaftLog::term() const { return raft_ ? raft_->term() : 0; }
 
+std::uint64_t RaftLog::commit_index() const { return raft_ ? raft_->commit_index() : 0; }
+
 runtime::Time RaftLog::leader_silence() const { return leads() ? 0 : loop_.now() - leader_heard_at_; }
 
 std::optional<std::string> RaftLog::leader_address() const {
--- a/src/control_plane/raft_log.h
+++ b/src/control_plane/raft_log.h
@@ -36,6 +36,8 @@
 
     bool leads() const override;
     std::uint64_t term() const override;
+    std::uint64_t commit_index() const override;
+    std::uint64_t applied_index() const override { return applied_; }
     runtime::Time leader_silence() const override;
     std::optional<std::string> leader_address() const override;
     const control::StateMachine& state() const override { return state_; }
--- a/src/control_plane/replicated_log.h
+++ b/src/control_plane/replicated_log.h
@@ -38,6 +38,9 @@
     virtual bool leads() const = 0;
     // Grows with every leader.
     virtual std::uint64_t term() const = 0;
+    // The last entry that this process knows to be agreed on, and the last one that its state holds.
+    virtual std::uint64_t commit_index() const = 0;
+    virtual std::uint64_t applied_index() const = 0;
     // How long ago the leader was last heard, 0 at the leader itself.
     virtual runtime::Time leader_silence() const = 0;
     // The leader's address for the system's own messages; nothing while none is known.
