Operator's commands: config, evacuate, members, status and checks of files

Operators had to write HTTP calls by hand and to know which control plane leads.

Roles are started as before: a command line that begins with one never reaches the operator's part.

--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -1,57 +1,40 @@
 // The system's program: `dewweir gateway`, `dewweir control-plane` and the operator's commands.
-#include <tclap/CmdLine.h>
-
+#include <algorithm>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
-#include "control_plane/process.h"
-#include "gateway/process.h"
-#include "logging/log.h"
-#include "settings/settings.h"
+#include "program/command.h"
+#include "program/roles.h"
 
 namespace {
 
-using namespace dewweir;
-
-constexpr const char* settings_variable = "DEWWEIR_CONFIG";
-constexpr int exit_bad_settings = 2;
-constexpr int exit_bad_usage = 64;
-
-int run_role(const std::string& role, const std::string& path) {
-    std::ifstream file(path);
-    std::stringstream text;
-    text << file.rdbuf();
-    if (!file) {
-        std::cerr << "dewweir: settings file " << path << " cannot be read: name it in " << settings_variable << "\n";
-        return exit_bad_settings;
-    }
-    const settings::SettingsResult read = settings::read_settings(text.str());
-    if (const auto* const error = std::get_if<settings::SettingsError>(&read)) {
-        std::cerr << "dewweir: settings: " << error->key << ": " << error->advice << "\n";
-        return exit_bad_settings;
-    }
-    const auto& settings = std::get<settings::Settings>(read);
-    logging::start(settings.self.node, logging::Level::info);
-    return role == "gateway" ? gateway::run(settings, path) : control_plane::run(settings);
+using namespace dewweir::program;
+
+bool wants_json(const std::vector<std::string>& words) {
+    return std::find(words.begin(), words.end(), "--json") != words.end();
+}
+
+int fail(const Failure& failure, bool as_json) {
+    std::cerr << describe_failure(failure, as_json);
+    return number_of(failure.code);
+}
+
+int run_operator(const std::vector<std::string>& words) {
+    Environment environment;
+    if (const char* const control = std::getenv(control_variable)) environment.control = control;
+    const ArgumentResult parsed = parse_arguments(words, environment);
+    if (const auto* const failure = std::get_if<Failure>(&parsed)) return fail(*failure, wants_json(words));
+    const Arguments& arguments = std::get<Arguments>(parsed);
+    RealTransport transport;
+    const CommandResult result = run_command({arguments, transport, std::cout, std::cerr});
+    std::cout.flush();
+    if (const auto* const failure = std::get_if<Failure>(&result)) return fail(*failure, arguments.json);
+    return number_of(std::get<ExitCode>(result));
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-    try {
-        TCLAP::CmdLine line("dewweir, a global load balancer", ' ', "0.10.0");
-        std::vector<std::string> names = {"gateway", "control-plane"};
-        TCLAP::ValuesConstraint<std::string> roles(names);
-        TCLAP::UnlabeledValueArg<std::string> role("role", "what this process does", true, "", &roles, line);
-        const char* const from_environment = std::getenv(settings_variable);
-        TCLAP::ValueArg<std::string> file("s", "settings", "path of the settings file", false,
-                                          from_environment ? from_environment : "", "FILE", line);
-        line.parse(argc, argv);
-        return run_role(role.getValue(), file.getValue());
-    } catch (const TCLAP::ArgException& fault) {
-        std::cerr << "dewweir: " << fault.argId() << ": " << fault.error() << "\n";
-        return exit_bad_usage;
-    }
+    if (names_role(argc, argv)) return run_role(argc, argv);
+    return run_operator(std::vector<std::string>(argv + 1, argv + argc));
 }
