--- a/src/program/control_client.cpp
+++ b/src/program/control_client.cpp
@@ -62,7 +62,7 @@
 
 // One try at one address, with the redirects that follow from it.
 ControlClient::Try ControlClient::try_once(const ControlAddress& address, HttpRequest request) {
-    Try made{address, {}};
+    Try made{address, address, {}};
     for (int redirects = 0; redirects <= most_redirects; ++redirects) {
         const ExchangeResult result = transport_.exchange(made.address, request, silence_for(request));
         if (const auto* const fault = std::get_if<ExchangeFault>(&result)) {
@@ -110,7 +110,10 @@
     bool may_have_arrived = false;
     for (const Try& made : last_tries) {
         if (made.outcome.empty()) continue;
-        reason.append(" ").append(to_string(made.address)).append(" (").append(made.outcome).append(")");
+        reason.append(" ").append(to_string(made.asked)).append(" (");
+        if (made.address != made.asked)
+            reason.append("sent on to ").append(to_string(made.address)).append(": ");
+        reason.append(made.outcome).append(")");
         may_have_arrived |= made.may_have_arrived;
     }
     const bool unclear = may_have_arrived && request.method != "GET";
--- a/src/program/control_client.h
+++ b/src/program/control_client.h
@@ -53,8 +53,9 @@
 
   private:
     struct Try {
-        ControlAddress address;
-        std::string outcome;  // in words; empty where the answer is clear
+        ControlAddress asked;    // first, before any redirect
+        ControlAddress address;  // asked last
+        std::string outcome;     // in words; empty where the answer is clear
         bool may_have_arrived = false;
         HttpResponse answer{};
     };
--- a/tests/program/control_client.cpp
+++ b/tests/command_line/control_client.cpp
@@ -115,6 +115,13 @@
     unled.scripts["10.0.0.2:80"] = {ExchangeFault::silent};
     CHECK(failure_of_call(unled, put).code == ExitCode::unclear);
     CHECK(unled.passed <= milliseconds(9000));
+    ScriptedTransport stale;
+    stale.scripts["10.0.0.1:80"] = {redirect({"10.0.0.3", "80"})};
+    stale.scripts["10.0.0.2:80"] = {ExchangeFault::not_connected};
+    stale.scripts["10.0.0.3:80"] = {ExchangeFault::not_connected};
+    CHECK(failure_of_call(stale, put).reason ==
+          "no clear answer in 8000 ms: 10.0.0.1:80 (sent on to 10.0.0.3:80: no connection) 10.0.0.2:80 (no "
+          "connection)");
     unled.passed = milliseconds(0);
     CHECK(failure_of_call(unled, {"GET", "/v1/config"}).code == ExitCode::unreachable);
 }
