A page for operators, whose examples a test runs

Operators need to know what each command prints and what to do when control planes are gone or replaced.

docs/operating.md; tests/program/page_examples runs its examples and its actions on a fleet in their order and compares loosely (addresses, roles, hashes and counts may differ).

--- a/cmake/system.cmake
+++ b/cmake/system.cmake
@@ -67,7 +67,7 @@
   endif()
   set_tests_properties(whole_path PROPERTIES TIMEOUT 75 RUN_SERIAL ON)
   if(TARGET dewweir_system)
-    foreach(name operator_commands)
+    foreach(name operator_commands page_examples)
       add_test(NAME ${name}
         COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/program/${name} $<TARGET_FILE:dewweir_system>)
       set_tests_properties(${name} PROPERTIES TIMEOUT 75 RUN_SERIAL ON)
