--- a/src/program/help.cpp
+++ b/src/program/help.cpp
@@ -23,6 +23,7 @@
   dewweir status                 show who leads and the state of the whole
   dewweir explain-settings       describe every key of the settings file
   dewweir check-settings FILE    check a settings file
+  dewweir explain-bounds FILE    what the rules' bounds come to for a configuration; see its --help
 
 Options:
   --control HOST:PORT[,...]      control planes to call; without it DEWWEIR_CONTROL counts
