The gateway's sockets: tests on real sockets, and mends of what they found

Need: the data plane was never run against hostile clients and hosts.

Mended: a connection whose request was not wholly sent was used again (the next request became its body); answers begun before the request was whole were taken; request bodies were read without bound while a host was slow; a host's own 408, 429 or 503 to a mutating request became a promise; time running out in a streamed answer wrote a second head into it; a streamed rest was lost when its host closed; what was left for a slow client was cut after a second; fields named in Connection passed; Expect got no 100; HEAD and 204 got a wrong length; HEAD after an interim answer hung; a coded answer passed; a client that half-closes got no answer; a body that stops coming was held for ever; a mutating request's attempt ended with its client; the end of grace did not wait for what was being sent. A settings file that changes without a signal is read again (not tested).

--- a/src/gateway/front.cpp
+++ b/src/gateway/front.cpp
@@ -10,6 +10,9 @@
 // Part of all connections that stays free for upstream hosts.
 constexpr double reserved_connections = 0.3;
 constexpr int request_timeout = 408;
+// A client that ends its sending with its request, or so soon after, still reads; one that does later has
+// left.
+constexpr runtime::Time half_close_limit = 100 * runtime::tenths_per_millisecond;
 
 }  // namespace
 
@@ -75,7 +78,13 @@
     client->deadline = {};
     if (client->state == State::idle) return close(id, *client);
     if (client->state == State::head) return refuse(id, *client, request_timeout);
-    if (client->state == State::refused) return close(id, *client);
+    if (client->state != State::body) return;
+    if (!client->reader.body().empty()) {  // it waits for a host, not for the client
+        return set_deadline(id, *client, runtime::tenths(limits_.idle_timeout));
+    }
+    // Its body has stopped coming. Part of it may be with a host, so this is no promise.
+    close(id, *client);
+    user_.client_left(id);
 }
 
 void Front::received(net::Handle, std::uint32_t id) {
@@ -83,12 +92,11 @@
 }
 
 void Front::read(ClientId id, Client& client) {
-    if (client.state == State::answering) return;  // waits in the ring until this one is answered
-    net::Ring& ring = loop_.connections().in(client.connection);
-    if (client.state == State::refused) {
-        ring.consume(ring.size());
+    if (client.state == State::answering) {     // what comes waits in the ring until this one is answered
+        user_.request_body(id, client.reader);  // that it did not take all of before
         return;
     }
+    net::Ring& ring = loop_.connections().in(client.connection);
     const net::HttpReader::State state = client.reader.read(ring);
     if (state == net::HttpReader::State::bad) {
         if (client.state != State::body) return refuse(id, client, client.reader.fault());
@@ -102,24 +110,47 @@
         set_deadline(id, client, runtime::tenths(limits_.header_timeout));
     }
     if (client.state == State::head && client.reader.head_read()) return head_read(id);
-    if (client.state != State::body) return;
-    if (client.reader.whole()) client.state = State::answering;
+    if (client.state == State::body) body_read(id, client);
+}
+
+void Front::body_read(ClientId id, Client& client) {
+    if (client.reader.whole()) {
+        client.state = State::answering;
+        client.request_ended = loop_.now();
+        loop_.deadlines().drop(client.deadline);
+    } else {
+        set_deadline(id, client, runtime::tenths(limits_.idle_timeout));
+    }
     user_.request_body(id, client.reader);
+    Client* const left = clients_.find(id);
+    // What the user did not take stays, and is read on by `read_on`.
+    if (!left || left->state != State::body || !left->reader.body().empty()) return;
+    if (!loop_.connections().in(left->connection).empty()) loop_.connections().again(left->connection);
+}
+
+void Front::invite_body(Client& client) {
+    if (!client.reader.begun() || client.reader.body_read() > 0) return;
+    if (!net::same_word(client.reader.field("Expect"), "100-continue")) return;
+    loop_.connections().send(client.connection, {"HTTP/1.1 100 Continue\r\n\r\n"});
 }
 
 void Front::head_read(ClientId id) {
     Client* client = clients_.find(id);
     loop_.deadlines().drop(client->deadline);
     client->state = client->reader.whole() ? State::answering : State::body;
+    client->request_ended = loop_.now();
     user_.request_begun(id, client->reader);
     client = clients_.find(id);
     if (!client || !client->reader.begun()) return;  // answered at once
-    if (client->state == State::answering || client->state == State::body) user_.request_body(id, client->reader);
+    if (client->state == State::body) invite_body(*client);
+    if (client->state == State::answering || client->state == State::body) body_read(id, *client);
 }
 
 void Front::read_on(ClientId id) {
     Client* const client = clients_.find(id);
-    if (client && client->state == State::body) loop_.connections().again(client->connection);
+    if (!client) return;
+    if (client->state == State::body || client->state == State::answering)
+        loop_.connections().again(client->connection);
 }
 
 // Wrong in itself: answered and closed, and nothing behind it is read as a request.
@@ -135,6 +166,7 @@
 void Front::send_head(Client& client, const AnswerHead& head, std::string_view body) {
     const bool keep = client.reader.keep_alive() && client.state == State::answering && !draining_;
     client.close_after |= !keep;
+    client.close_after |= client.half_closed && loop_.connections().in(client.connection).empty();
     std::string text = "HTTP/1.1 ";
     const std::string_view line = api::status_line(head.status);
     if (line.empty()) {
@@ -144,12 +176,14 @@
     }
     text.append("\r\n").append(head.fields);
     if (client.close_after) text.append("Connection: close\r\n");
-    if (head.length) {
+    if (head.bodiless && !head.length) {
+        text.append("\r\n");
+    } else if (head.length) {
         text.append("Content-Length: ").append(std::to_string(*head.length)).append("\r\n\r\n");
     } else {
         text.append("Transfer-Encoding: chunked\r\n\r\n");
     }
-    client.chunked_answer = !head.length;
+    client.chunked_answer = !head.length && !head.bodiless;
     loop_.connections().send(client.connection, {text, body});
 }
 
@@ -157,7 +191,7 @@
     Client* const client = clients_.find(id);
     if (!client) return;
     AnswerHead sized = head;
-    sized.length = body.size();
+    if (!head.bodiless) sized.length = body.size();
     send_head(*client, sized, body);
     answered(id, *client);
 }
@@ -218,6 +252,14 @@
     if (told) user_.client_left(id);
 }
 
+bool Front::keeps_half_closed(net::Handle, std::uint32_t id) {
+    Client* const client = clients_.find(id);
+    if (!client || client->state != State::answering) return false;
+    if (loop_.now() - client->request_ended > half_close_limit) return false;
+    client->half_closed = true;
+    return true;
+}
+
 void Front::drained(net::Handle, std::uint32_t id) {
     if (clients_.find(id)) user_.client_writable(id);
 }
--- a/src/gateway/front.h
+++ b/src/gateway/front.h
@@ -1,5 +1,5 @@
-// Client connections: reads requests one at a time on each, and writes their answers. Owns every client's connection and its
-// time-outs. It must never decide where a request goes.
+// Client connections: reads requests one at a time on each, and writes their answers. Owns every client's
+// connection and its time-outs. It must never decide where a request goes.
 #pragma once
 
 #include <functional>
@@ -21,6 +21,7 @@
     int status = 0;
     std::string fields{};                   // each line with its end
     std::optional<std::uint64_t> length{};  // nothing: in chunks
+    bool bodiless = false;  // of HEAD, 204 or 304: `length` is what the host stated, if it did
 };
 
 class RequestUser {
@@ -60,11 +61,10 @@
 
   private:
     enum class State : std::uint8_t {
-        idle,        // nothing of a request has come
-        head,        // part of a head has come
-        body,        // the head was told to the user, the body is coming
-        answering,   // the request is whole
-        refused,     // answered before its body was read: what comes is dropped
+        idle,       // nothing of a request has come
+        head,       // part of a head has come
+        body,       // the head was told to the user, the body is coming
+        answering,  // the request is whole
     };
     struct Client {
         explicit Client(const net::HttpLimits& limits) : reader(HTTP_REQUEST, limits) {}
@@ -73,16 +73,21 @@
         State state = State::idle;
         bool chunked_answer = false;
         bool close_after = false;
+        bool half_closed = false;         // the client sends no more, but reads
+        runtime::Time request_ended = 0;  // when the request was whole
         net::Deadlines::Key deadline{};
     };
 
     void accepted(asio::ip::tcp::socket socket);
     void received(net::Handle connection, std::uint32_t mark) override;
     void ended(net::Handle connection, std::uint32_t mark) override;
+    bool keeps_half_closed(net::Handle connection, std::uint32_t mark) override;
     void drained(net::Handle connection, std::uint32_t mark) override;
 
     void read(ClientId id, Client& client);
     void head_read(ClientId id);
+    void body_read(ClientId id, Client& client);
+    void invite_body(Client& client);
     void refuse(ClientId id, Client& client, int status);
     void send_head(Client& client, const AnswerHead& head, std::string_view body);
     void answered(ClientId id, Client& client);
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -32,6 +32,7 @@
 // Before the end of `grace` the process must have ended by itself.
 constexpr runtime::Time end_margin = 400 * runtime::tenths_per_millisecond;
 constexpr runtime::Time drain_check = 50 * runtime::tenths_per_millisecond;
+constexpr runtime::Time watch_interval = runtime::tenths_per_second;
 constexpr std::string_view directory_ttl = "2s";
 
 wire::Member describe_self(const settings::Settings& settings) {
@@ -95,6 +96,8 @@
     int run() {
         if (!listen()) return exit_cannot_listen;
         loop_.on_signals([this] { terminate(); }, [this] { reload(); });
+        settings_text_ = read_file();
+        watch_settings();
         control_.start();
         logging::log(Level::info, Event::started, {});
         loop_.run();
@@ -106,13 +109,14 @@
         readiness_.declare("GET", "/v1/ready", [this](const api::Request&, const api::Respond& respond) {
             respond({ready() ? api::Status::ok : api::Status::service_unavailable});
         });
-        directory_.declare("GET", "/v1/resolve", [this](const api::Request& request, const api::Respond& respond) {
-            const ClientPlace place{api::query_field(request.query, "region").value_or(""),
-                                    api::query_field(request.query, "zone").value_or("")};
-            const std::vector<std::string> addresses = resolve(control_.view().members(), place);
-            if (addresses.empty()) return respond({api::Status::service_unavailable});
-            respond({api::Status::ok, resolve_body(addresses)});
-        });
+        directory_.declare(
+            "GET", "/v1/resolve", [this](const api::Request& request, const api::Respond& respond) {
+                const ClientPlace place{api::query_field(request.query, "region").value_or(""),
+                                        api::query_field(request.query, "zone").value_or("")};
+                const std::vector<std::string> addresses = resolve(control_.view().members(), place);
+                if (addresses.empty()) return respond({api::Status::service_unavailable});
+                respond({api::Status::ok, resolve_body(addresses)});
+            });
     }
 
     std::optional<std::string> listen_all() {
@@ -154,11 +158,22 @@
                      {{"version", static_cast<std::int64_t>(update.version)}});
     }
 
-    void reload() {
+    std::string read_file() const {
         std::ifstream file(path_);
         std::stringstream text;
         text << file.rdbuf();
-        const settings::SettingsResult read = settings::read_settings(text.str());
+        return text.str();
+    }
+
+    // The file may change without a signal.
+    void watch_settings() {
+        if (read_file() != settings_text_) reload();
+        watch_.start(watch_interval, [this] { watch_settings(); });
+    }
+
+    void reload() {
+        settings_text_ = read_file();
+        const settings::SettingsResult read = settings::read_settings(settings_text_);
         if (const auto* const error = std::get_if<settings::SettingsError>(&read)) {
             logging::log(Level::error, Event::settings_refused, {{"key", std::string_view(error->key)}});
             return;
@@ -182,7 +197,8 @@
     void check_drained() {
         const bool accepting = loop_.now() < accept_until_;
         if (!accepting) proxy_.front().stop_listening();
-        const bool empty = proxy_.open_requests() == 0 && proxy_.front().connections() == 0;
+        const bool empty = proxy_.open_requests() == 0 && proxy_.front().connections() == 0 &&
+                           loop_.connections().finishing() == 0;
         if ((!accepting && empty) || loop_.now() >= end_at_) return loop_.stop();
         end_.start(drain_check, [this] { check_drained(); });
     }
@@ -197,6 +213,8 @@
     api::Server readiness_;
     api::Server directory_;
     runtime::Timer end_;
+    runtime::Timer watch_{loop_};
+    std::string settings_text_;  // as last read
     bool terminating_ = false;
     runtime::Time accept_until_ = 0;
     runtime::Time end_at_ = 0;
--- a/src/gateway/proxy.cpp
+++ b/src/gateway/proxy.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <charconv>
 
-
 namespace dewweir::gateway {
 namespace {
 
@@ -19,9 +18,7 @@
 constexpr runtime::Time answer_margin = 20 * runtime::tenths_per_millisecond;
 constexpr std::string_view retry_without_configuration = "Retry-After: 0.5\r\n";
 
-quota::TenantId number_of(std::string_view tenant) {
-    return XXH3_64bits(tenant.data(), tenant.size());
-}
+quota::TenantId number_of(std::string_view tenant) { return XXH3_64bits(tenant.data(), tenant.size()); }
 
 std::optional<runtime::Time> parse_time_left(std::string_view text) {
     double milliseconds = 0;
@@ -40,7 +37,8 @@
 
 PolicyOutcome verdict_of(const AttemptResult& result) {
     switch (result.outcome) {
-        case AttemptOutcome::answered: return result.answer.status < 500 ? PolicyOutcome::ok : PolicyOutcome::error;
+        case AttemptOutcome::answered:
+            return result.answer.status < 500 ? PolicyOutcome::ok : PolicyOutcome::error;
         case AttemptOutcome::not_executed: return PolicyOutcome::full;
         case AttemptOutcome::misdirected:
         case AttemptOutcome::connect_failed: return PolicyOutcome::connect_failed;
@@ -74,7 +72,8 @@
     const RoutingResult result = route_request(table_.get(), address);
     if (const auto* const error = std::get_if<RoutingError>(&result)) {
         switch (*error) {
-            case RoutingError::no_configuration: return answer_error(client, 503, retry_without_configuration);
+            case RoutingError::no_configuration:
+                return answer_error(client, 503, retry_without_configuration);
             case RoutingError::no_route: return answer_error(client, 404, {});
             case RoutingError::unknown_key: return answer_error(client, 401, {});
             // Nothing is wrong with the request, so this is no 4xx; it can't run anywhere.
@@ -96,7 +95,7 @@
     const runtime::Time deadline = runtime::tenths(request.routed.route->deadline);
     const runtime::Time patience = parse_time_left(reader.field("X-Time-Left-Ms")).value_or(deadline);
     request.expires = loop_.now() + std::min(deadline, patience);
-    if (!reader.chunked() && reader.body_length() > 0) {
+    if (!reader.chunked() && reader.has_field("Content-Length")) {
         request.fields.append("Content-Length: ").append(std::to_string(reader.body_length())).append("\r\n");
     }
     PoolEntry& entry = pool_for(request.routed.pool);
@@ -110,10 +109,12 @@
     if (found == by_client_.end()) return;
     const RequestId id = found->second;
     Request& request = *requests_.find(id);
+    if (request.complete) return;
+    if (request.streaming_up) return forward_body(request, reader);
+    if (request.body.size() >= held_body) return;  // waits with the reader until a host takes it
     request.body.append(reader.body());
     reader.body().clear();
     request.complete = reader.whole();
-    if (request.submitted) return forward_body(request);
     const bool enough = request.complete || request.body.size() >= held_body;
     if (enough && !request.asked) check_quota(id, request);
 }
@@ -131,13 +132,12 @@
     });
 }
 
-// Only what an attempt is out for can be passed on; the rest waits with the client.
-void Proxy::forward_body(Request& request) {
-    if (!request.attempt || !request.streaming_up) return;
-    upstreams_.send_body(request.attempt, request.body, request.complete);
-    request.body.clear();
-    const bool slow_host = upstreams_.unsent(request.attempt) > most_unsent;
-    if (!request.complete && !slow_host) front_.read_on(request.client);
+// What a slow host does not take waits with the client's reader, until `attempt_writable`.
+void Proxy::forward_body(Request& request, net::HttpReader& reader) {
+    if (!request.attempt || upstreams_.unsent(request.attempt) > most_unsent) return;
+    request.complete = reader.whole();
+    upstreams_.send_body(request.attempt, reader.body(), request.complete);
+    reader.body().clear();
 }
 
 void Proxy::submit(RequestId id, Request& request) {
@@ -157,7 +157,11 @@
     by_client_.erase(found);
     Request& request = *requests_.find(id);
     request.client = 0;
-    if (request.streaming_down) cancel(id);
+    // Nobody reads a repeatable one's answer, and one whose body is missing can't run. Any other goes on
+    // unseen.
+    const bool repeatable = request.routed.route->route_class == RouteClass::idempotent;
+    if (repeatable || !request.complete) cancel(id);
+    if (request.attempt) upstreams_.read_on(request.attempt);
     if (request.submitted) request.pool->client_left(id);
     forget_if_over(id);
 }
@@ -174,9 +178,14 @@
 std::string Proxy::request_head(const Request& request, EndpointId endpoint, runtime::Time time_left) const {
     std::string head;
     head.reserve(request.fields.size() + request.target.size() + 160);
-    head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n").append(request.fields);
+    head.append(request.method)
+        .append(" ")
+        .append(request.target)
+        .append(" HTTP/1.1\r\n")
+        .append(request.fields);
     if (request.chunked) head.append("Transfer-Encoding: chunked\r\n");
-    const runtime::Time milliseconds = std::max<runtime::Time>(1, time_left / runtime::tenths_per_millisecond);
+    const runtime::Time milliseconds =
+        std::max<runtime::Time>(1, time_left / runtime::tenths_per_millisecond);
     head.append("X-Time-Left-Ms: ").append(std::to_string(milliseconds)).append("\r\n");
     if (const Endpoint* const known = endpoints_.find(endpoint)) {
         head.append("X-Expect-Instance: ").append(known->instance.id).append("\r\n");
@@ -192,7 +201,8 @@
     if (!request->client || request->streaming_up || !admit(endpoint)) {
         return attempt_dropped(id, *request, PolicyOutcome::not_sent);
     }
-    const std::string head = request_head(*request, endpoint, std::min(within, request->expires - loop_.now()));
+    const std::string head =
+        request_head(*request, endpoint, std::min(within, request->expires - loop_.now()));
     AttemptRequest sent;
     sent.head = head;
     sent.attempt_id = request->attempt_id;
@@ -217,9 +227,13 @@
 void Proxy::fail(RequestId id) {
     Request* const request = requests_.find(id);
     if (!request || !request->client) return;
+    if (request->streaming_down) {
+        by_client_.erase(request->client);
+        return front_.abort(std::exchange(request->client, 0));
+    }
     if (request->held) {
         const HostAnswer held = std::move(*request->held);
-        return answer(id, *request, {held.status, held.fields}, held.body);
+        return answer(id, *request, {held.status, held.fields, held.length, held.bodiless}, held.body);
     }
     const bool timed_out = request->last_outcome == AttemptOutcome::timed_out || request->attempt != 0;
     answer(id, *request, {timed_out ? 504 : 502, {}}, {});
@@ -245,11 +259,20 @@
 
 // ---- what hosts answer ----
 
+// A host's own 408, 429 or 503 may come after it has run the request; from here it would be a promise that it
+// has not.
+int Proxy::status_for(const Request& request, int status) const {
+    const bool promise = status == 408 || status == 429 || status == 503;
+    const bool repeatable = request.routed.route->route_class == RouteClass::idempotent;
+    return promise && !repeatable ? 502 : status;
+}
+
 void Proxy::attempt_over(RequestId id, EndpointId endpoint, AttemptResult&& result) {
     Request* const request = requests_.find(id);
     if (!request) return;
     request->attempt = 0;
     request->last_outcome = result.outcome;
+    if (!result.streamed) result.answer.status = status_for(*request, result.answer.status);
     const PolicyOutcome verdict = verdict_of(result);
     ServicePool* const pool = request->pool;
     if (result.streamed && request->client) {
@@ -261,7 +284,8 @@
         }
         by_client_.erase(std::exchange(request->client, 0));
     } else if (verdict == PolicyOutcome::ok && request->client) {
-        answer(id, *request, {result.answer.status, result.answer.fields}, result.answer.body);
+        const HostAnswer& host = result.answer;
+        answer(id, *request, {host.status, host.fields, host.length, host.bodiless}, host.body);
     } else if (verdict == PolicyOutcome::error) {
         request->held = std::move(result.answer);
     }
@@ -275,7 +299,8 @@
     Request* const request = requests_.find(id);
     if (!request || !request->client) return;
     request->streaming_down = true;
-    front_.begin_answer(request->client, {host.status, host.fields, host.length});
+    const int status = status_for(*request, host.status);
+    front_.begin_answer(request->client, {status, host.fields, host.length});
     attempt_continues(id, std::move(host.body));
 }
 
--- a/src/gateway/proxy.h
+++ b/src/gateway/proxy.h
@@ -86,7 +86,8 @@
 
     void check_quota(RequestId id, Request& request);
     void submit(RequestId id, Request& request);
-    void forward_body(Request& request);
+    void forward_body(Request& request, net::HttpReader& reader);
+    int status_for(const Request& request, int status) const;
     void attempt_dropped(RequestId id, Request& request, PolicyOutcome verdict);
     void answer(RequestId id, Request& request, const AnswerHead& head, std::string_view body);
     void answer_error(ClientId client, int status, std::string_view fields);
--- a/src/gateway/upstreams.cpp
+++ b/src/gateway/upstreams.cpp
@@ -50,7 +50,8 @@
 
 Upstreams::Upstreams(runtime::EventLoop& loop, AttemptUser& user) : loop_(loop), user_(user) {}
 
-void Upstreams::add(EndpointId endpoint, const asio::ip::tcp::endpoint& address, std::size_t most_connections) {
+void Upstreams::add(EndpointId endpoint, const asio::ip::tcp::endpoint& address,
+                    std::size_t most_connections) {
     Host& host = hosts_[endpoint];
     host.address = address;
     host.most_connections = most_connections;
@@ -95,7 +96,8 @@
     return id;
 }
 
-AttemptId Upstreams::start(RequestId request, EndpointId endpoint, const AttemptRequest& sent, runtime::Time within) {
+AttemptId Upstreams::start(RequestId request, EndpointId endpoint, const AttemptRequest& sent,
+                           runtime::Time within) {
     const auto found = hosts_.find(endpoint);
     AttemptId id = 0;
     if (found != hosts_.end() && !found->second.leaving) {
@@ -111,9 +113,12 @@
     connection.attempt_id = sent.attempt_id;
     connection.started = loop_.now();
     connection.chunked_request = sent.chunked;
+    connection.request_complete = sent.complete;
+    connection.bodiless_answer = sent.bodiless_answer;
     connection.skipped = 0;
     if (sent.bodiless_answer) connection.reader.expect_no_body();
-    connection.deadline = loop_.deadlines().after(within, [this, id] { over(id, AttemptOutcome::timed_out); });
+    connection.deadline =
+        loop_.deadlines().after(within, [this, id] { over(id, AttemptOutcome::timed_out); });
     std::string bytes;
     bytes.reserve(sent.head.size() + sent.body.size() + 32);
     bytes.append(sent.head).append("\r\n");
@@ -138,6 +143,7 @@
 void Upstreams::send_body(AttemptId attempt, std::string_view body, bool complete) {
     Connection* const connection = connections_.find(attempt);
     if (!connection || !connection->request) return;
+    connection->request_complete = complete;
     if (!connection->chunked_request) return write(*connection, body);
     if (!body.empty()) write(*connection, chunk(body));
     if (complete) write(*connection, "0\r\n\r\n");
@@ -177,6 +183,7 @@
     connection->up = true;
     loop_.connections().send(connection->socket, {connection->waiting});
     connection->waiting = {};
+    if (loop_.connections().unsent(connection->socket) == 0) user_.attempt_writable(connection->request);
 }
 
 void Upstreams::received(net::Handle socket, std::uint32_t id) {
@@ -194,11 +201,21 @@
         return over(id, AttemptOutcome::broken);  // where its body ends can't be told
     }
     if (state == net::HttpReader::State::whole) return answer_read(id);
-    if (connection->reader.head_read() && connection->reader.body().size() >= held_answer) stream(id, *connection);
+    if (connection->reader.head_read() && connection->reader.body().size() >= held_answer)
+        stream(id, *connection);
+    const Connection* const left = connections_.find(id);
+    // The rest of the ring is read in the next turn; nothing else may come to ask for it.
+    if (left && left->request && !left->paused && !loop_.connections().in(socket).empty()) {
+        loop_.connections().again(socket);
+    }
+}
+
+bool Upstreams::sent_wholly(const Connection& connection) const {
+    return connection.request_complete && loop_.connections().unsent(connection.socket) == 0;
 }
 
-// An answer to an earlier request may stand in the place of this one's: the id shows which it is. An answer without an
-// id is taken only as a refusal, which says nothing of another request's result.
+// An answer to an earlier request may stand in the place of this one's: the id shows which it is. An answer
+// without an id is taken only as a refusal, which says nothing of another request's result.
 bool Upstreams::belongs(const Connection& connection) const {
     const std::string_view id = connection.reader.field("X-Attempt-Id");
     if (!id.empty()) return id == connection.attempt_id;
@@ -209,13 +226,15 @@
     Connection& connection = *connections_.find(id);
     const bool interim = connection.reader.status() < 200;
     if (interim || !belongs(connection)) {
-        if (connection.streaming || ++connection.skipped > most_skipped) return over(id, AttemptOutcome::broken);
+        if (connection.streaming || ++connection.skipped > most_skipped)
+            return over(id, AttemptOutcome::broken);
         connection.reader.next();
+        if (connection.bodiless_answer) connection.reader.expect_no_body();
         loop_.connections().again(connection.socket);
         return;
     }
     // Before its last byte was written the host can't have run it: whatever this is, it is no answer to it.
-    if (loop_.connections().unsent(connection.socket) > 0 && outcome_of(connection) == AttemptOutcome::answered) {
+    if (!sent_wholly(connection) && outcome_of(connection) == AttemptOutcome::answered) {
         return over(id, AttemptOutcome::broken);
     }
     over(id, outcome_of(connection));
@@ -229,12 +248,16 @@
     // A success without the host's stamp is not the host's.
     if (success && !connection.reader.has_field("X-Server-Seal")) return AttemptOutcome::broken;
     if (connection.reader.has_field("Content-Encoding")) return AttemptOutcome::broken;
+    const bool coded = connection.reader.has_field("Transfer-Encoding");
+    if (coded && !net::same_word(connection.reader.field("Transfer-Encoding"), "chunked")) {
+        return AttemptOutcome::broken;
+    }
     return AttemptOutcome::answered;
 }
 
 void Upstreams::stream(AttemptId id, Connection& connection) {
     if (!connection.streaming) {
-        if (!belongs(connection)) return over(id, AttemptOutcome::broken);
+        if (!belongs(connection) || !sent_wholly(connection)) return over(id, AttemptOutcome::broken);
         if (outcome_of(connection) != AttemptOutcome::answered) return over(id, AttemptOutcome::broken);
         connection.streaming = true;
         return user_.attempt_streams(connection.request, take_answer(connection));
@@ -247,13 +270,20 @@
     answer.status = static_cast<int>(connection.reader.status());
     connection.reader.pass_on(answer.fields, {"X-Server-Load", "X-Instance-Id", "X-Cold-Ms"});
     answer.body = std::exchange(connection.reader.body(), {});
-    if (!connection.reader.chunked()) answer.length = connection.reader.body_length();
+    answer.length = connection.reader.stated_length();
+    answer.bodiless = connection.bodiless_answer || answer.status == 204 || answer.status == 304;
     return answer;
 }
 
 void Upstreams::ended(net::Handle, std::uint32_t id) {
-    Connection* const connection = connections_.find(id);
+    Connection* connection = connections_.find(id);
     if (!connection) return;
+    if (connection->paused) {  // what came before the end may complete the answer
+        connection->paused = false;
+        received(connection->socket, id);
+        connection = connections_.find(id);
+        if (!connection) return;
+    }
     connection->socket = 0;  // given back right after this
     if (!connection->request) return close(id);
     over(id, AttemptOutcome::broken);
@@ -277,8 +307,8 @@
     const bool spoken = outcome == AttemptOutcome::answered || outcome == AttemptOutcome::not_executed;
     if (outcome == AttemptOutcome::answered) result.answer = take_answer(*connection);
     const bool fit = spoken && connection->reader.keep_alive() && connection->skipped == 0 &&
-                     loop_.connections().in(connection->socket).empty() &&
-                     loop_.connections().unsent(connection->socket) == 0 && !hosts_.at(endpoint).leaving;
+                     loop_.connections().in(connection->socket).empty() && sent_wholly(*connection) &&
+                     !hosts_.at(endpoint).leaving;
     if (fit) {
         rest(id, *connection);
     } else {
--- a/src/gateway/upstreams.h
+++ b/src/gateway/upstreams.h
@@ -1,5 +1,5 @@
-// Connections to hosts and the attempts made on them. Owns every such connection. It carries out one attempt at a time on
-// each and tells how it ended; it must never send anything twice by itself.
+// Connections to hosts and the attempts made on them. Owns every such connection. It carries out one attempt
+// at a time on each and tells how it ended; it must never send anything twice by itself.
 #pragma once
 
 #include <asio/ip/tcp.hpp>
@@ -31,20 +31,22 @@
     std::string fields{};                   // to pass on, each line with its end
     std::optional<std::uint64_t> length{};  // of the whole body; nothing: in chunks
     std::string body{};                     // what has come of it
+    bool bodiless = false;                  // of HEAD, 204 or 304: `length` is only what its head states
 };
 
 struct AttemptResult {
     AttemptOutcome outcome = AttemptOutcome::broken;
-    HostAnswer answer{};      // of `answered`
-    runtime::Time took = 0;   // from its start
-    bool streamed = false;    // its head was told before, and `answer.body` holds only the rest
+    HostAnswer answer{};     // of `answered`
+    runtime::Time took = 0;  // from its start
+    bool streamed = false;   // its head was told before, and `answer.body` holds only the rest
 };
 
 class AttemptUser {
   public:
     virtual ~AttemptUser() = default;
     virtual void attempt_over(RequestId request, EndpointId endpoint, AttemptResult&& result) = 0;
-    // The answer is too long to be held whole: its head and a first part, then more parts, then `attempt_over`.
+    // The answer is too long to be held whole: its head and a first part, then more parts, then
+    // `attempt_over`.
     virtual void attempt_streams(RequestId request, HostAnswer&& answer) = 0;
     virtual void attempt_continues(RequestId request, std::string&& body) = 0;
     // What was sent of the request has been handed to the system.
@@ -53,12 +55,12 @@
 
 // What is sent of a request.
 struct AttemptRequest {
-    std::string_view head;        // with its first line, without the empty line at its end
-    std::string_view attempt_id;  // that the answer must carry
-    std::string_view body;        // as far as it is known
-    bool chunked = false;         // the length is not known yet
-    bool complete = true;         // all of the body is here
-    bool bodiless_answer = false; // of HEAD
+    std::string_view head;         // with its first line, without the empty line at its end
+    std::string_view attempt_id;   // that the answer must carry
+    std::string_view body;         // as far as it is known
+    bool chunked = false;          // the length is not known yet
+    bool complete = true;          // all of the body is here
+    bool bodiless_answer = false;  // of HEAD
 };
 
 class Upstreams : net::User {
@@ -92,6 +94,8 @@
         bool streaming = false;
         bool paused = false;
         bool chunked_request = false;
+        bool request_complete = true;  // all of the request has been given to it
+        bool bodiless_answer = false;
         int skipped = 0;  // answers to earlier requests, found in place of this one's
         RequestId request = 0;
         std::string attempt_id{};
@@ -117,6 +121,8 @@
     AttemptId open(EndpointId endpoint, Host& host);
     void write(Connection& connection, std::string_view bytes);
     void answer_read(AttemptId id);
+    // Whether the host has all of the request: no answer but a refusal can come before.
+    bool sent_wholly(const Connection& connection) const;
     bool belongs(const Connection& connection) const;
     void stream(AttemptId id, Connection& connection);
     HostAnswer take_answer(Connection& connection) const;
--- a/src/net/connections.cpp
+++ b/src/net/connections.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::size_t least_read = 4096, most_held = 16384;  // of what has come and waits in the ring
 constexpr Time linger = 10000;                               // a second for a peer to close
+constexpr Time stalled = 300000;                             // half a minute in which a peer takes nothing
 constexpr std::size_t most_discarded = 65536;                // of what it still sends meanwhile
 
 }  // namespace
@@ -74,7 +75,7 @@
     Connection* const c = connections_.find(handle);
     if (!c) return;
     c->in.trim();
-    if (!c->up || c->reading || c->in.size() >= most_held) return;
+    if (!c->up || c->reading || c->half_closed || c->in.size() >= most_held) return;
     c->reading = true;
     c->socket.async_wait(tcp::socket::wait_read,
                          [this, handle](const std::error_code& fault) { readable(handle, fault); });
@@ -93,6 +94,10 @@
                                                         asio::buffer(space[1].at, space[1].size)};
         n = c->socket.read_some(to, fault);
     }
+    if (fault == asio::error::eof && !c->finishing && c->user->keeps_half_closed(handle, c->mark)) {
+        c->half_closed = true;
+        return;
+    }
     if (fault && fault != asio::error::would_block && fault != asio::error::try_again) return ended(handle);
     c->in.commit(n);
     if (c->finishing) {
@@ -147,9 +152,10 @@
         }
         if (fault) return later_ended(handle);
         c.out.consume(n);
+        if (c.finishing) close_after(handle, stalled);
     }
     c.out.trim();
-    if (c.finishing) end_sending(c);
+    if (c.finishing) end_sending(handle);
 }
 
 void Connections::later_ended(Handle handle) {
@@ -188,15 +194,21 @@
     c.finishing = true;
     ++finishing_;
     c.in.consume(c.in.size());
-    deadlines_.drop(c.deadline);
-    c.deadline = deadlines_.after(linger, [this, handle] { close(handle); });
-    if (c.out.empty()) end_sending(c);
+    close_after(handle, stalled);
+    if (c.out.empty()) end_sending(handle);
     read(handle);
 }
 
-void Connections::end_sending(Connection& connection) {
+void Connections::close_after(Handle handle, Time from_now) {
+    Connection& c = *connections_.find(handle);
+    deadlines_.drop(c.deadline);
+    c.deadline = deadlines_.after(from_now, [this, handle] { close(handle); });
+}
+
+void Connections::end_sending(Handle handle) {
     std::error_code ignored;
-    connection.socket.shutdown(tcp::socket::shutdown_send, ignored);
+    connections_.find(handle)->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    close_after(handle, linger);
 }
 
 }  // namespace dewweir::net
--- a/src/net/connections.h
+++ b/src/net/connections.h
@@ -25,6 +25,8 @@
     // The peer has closed or broken it; it is given back right after.
     virtual void ended(Handle, std::uint32_t mark) = 0;
     virtual void drained(Handle, std::uint32_t /*mark*/) {}
+    // The peer sends no more. True: it may still read, so the connection stays; false: `ended` follows.
+    virtual bool keeps_half_closed(Handle, std::uint32_t /*mark*/) { return false; }
 };
 
 class Connections {
@@ -54,8 +56,8 @@
     void close(Handle handle);
     // Closes it so that the peer hears of a reset, not of an end.
     void reset(Handle handle);
-    // Sends what is left, then ends its sending and waits a little for the peer to close: closing over unread
-    // bytes would take the last answer away from it. The user hears no more of it.
+    // Sends what is left for as long as the peer takes some of it now and then, ends its sending and waits a little
+    // for the peer to close: closing over unread bytes would take the last answer away from it. The user hears no more of it.
     void finish(Handle handle);
     std::size_t finishing() const { return finishing_; }
 
@@ -65,6 +67,7 @@
         User* user;
         std::uint32_t mark;
         bool up = false, reading = false, writing = false, finishing = false;
+        bool half_closed = false;  // the peer sends no more
         Ring in{}, out{};
         std::size_t discarded = 0;  // of what came once it was finishing
         Deadlines::Key deadline{};
@@ -76,7 +79,8 @@
     void write(Handle handle);
     void later_ended(Handle handle);
     void ended(Handle handle);
-    static void end_sending(Connection& connection);
+    void close_after(Handle handle, Time from_now);
+    void end_sending(Handle handle);
 
     asio::io_context& io_;
     Deadlines& deadlines_;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -12,6 +12,21 @@
 constexpr std::string_view ours[] = {"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
                                      "TE",         "Trailer",    "Upgrade",          "Content-Length",
                                      "Expect"};
+// Fields for all on the way, which no Connection field may name (RFC 9110, section 7.6.1).
+constexpr std::string_view for_all[] = {"Host", "X-Attempt-Id", "X-Server-Seal", "X-Not-Executed"};
+
+// Whether a list of words, separated by commas, holds this one.
+bool lists(std::string_view list, std::string_view wanted) {
+    while (!list.empty()) {
+        const std::size_t comma = std::min(list.find(','), list.size());
+        std::string_view word = list.substr(0, comma);
+        list.remove_prefix(std::min(comma + 1, list.size()));
+        while (word.starts_with(' ') || word.starts_with('\t')) word.remove_prefix(1);
+        while (word.ends_with(' ') || word.ends_with('\t')) word.remove_suffix(1);
+        if (same_word(word, wanted)) return true;
+    }
+    return false;
+}
 
 }  // namespace
 
@@ -173,11 +188,19 @@
     return found ? value(*found) : std::string_view{};
 }
 
+bool HttpReader::of_one_connection(std::string_view wanted) const {
+    const auto is = [&](std::string_view other) { return same_word(wanted, other); };
+    if (std::any_of(std::begin(ours), std::end(ours), is)) return true;
+    if (std::any_of(std::begin(for_all), std::end(for_all), is)) return false;
+    return std::any_of(index_.begin(), index_.end(), [&](const Field& f) {
+        return same_word(name(f), "Connection") && lists(value(f), wanted);
+    });
+}
+
 void HttpReader::pass_on(std::string& to, std::initializer_list<std::string_view> but) const {
     for (const Field& f : index_) {
         const auto is = [&](std::string_view other) { return same_word(name(f), other); };
-        if (std::any_of(std::begin(ours), std::end(ours), is) || std::any_of(but.begin(), but.end(), is))
-            continue;
+        if (of_one_connection(name(f)) || std::any_of(but.begin(), but.end(), is)) continue;
         to.append(name(f)).append(": ").append(value(f)).append("\r\n");
     }
 }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +47,11 @@
     // The message's body comes in chunks; else its length is told, 0 where it has none.
     bool chunked() const { return chunked_; }
     std::uint64_t body_length() const { return body_length_; }
+    // The length that the head states; nothing where it states none, or the body comes in chunks.
+    std::optional<std::uint64_t> stated_length() const {
+        if (chunked_ || !(parser_.flags & F_CONTENTLENGTH)) return std::nullopt;
+        return body_length_;
+    }
     // An answer whose body only ends with the connection: that it is whole can't be told.
     bool ends_with_connection() const;
     // Of a body read so far, taken or not.
@@ -76,6 +82,8 @@
     int drop(std::size_t n);
     int stop(int status) { return fault_ = status, 1; }
     bool framing_is_plain() const;
+    // Whether a field of this name concerns this connection alone.
+    bool of_one_connection(std::string_view wanted) const;
     void read_part(std::string_view part, Ring& ring);
     std::string_view name(const Field& f) const { return {&fields_[f.name], f.name_size}; }
     std::string_view value(const Field& f) const;
--- /dev/null
+++ b/tests/gateway_sockets/world.h
@@ -0,0 +1,171 @@
+// A gateway's sockets between stand-in clients and one stand-in host, all in one event loop. Waits are for a
+// state and bounded; nothing sleeps.
+#pragma once
+
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <functional>
+
+#include "gateway/proxy.h"
+#include "peer.h"
+
+namespace dewweir::gateway::tests {
+
+constexpr std::chrono::seconds patience{5};
+
+class World {
+  public:
+    explicit World(const configuration::ClientLimits& limits = {})
+        : loop_(most_connections),
+          quotas_(loop_, "gateway", {}),
+          proxy_(loop_, quotas_, options()),
+          host_(loop_.io(), {asio::ip::make_address_v4("127.0.0.1"), 0}) {
+        accept();
+        REQUIRE_FALSE(proxy_.front().listen(front_address()));
+        configure(limits);
+        add_host();
+    }
+    // Handlers of the peers name them: none may run any more.
+    ~World() { loop_.io().stop(); }
+
+    bool until(const std::function<bool()>& reached) {
+        const auto end = std::chrono::steady_clock::now() + patience;
+        while (!reached()) {
+            if (std::chrono::steady_clock::now() > end) return false;
+            loop_.deadlines().run_passed();
+            loop_.io().run_one_until(std::min(loop_.deadlines().next(), end));
+        }
+        return true;
+    }
+
+    // Goes on until no socket of this process has anything to do.
+    void settle() {
+        constexpr int quiet_turns = 200;
+        for (int quiet = 0; quiet < quiet_turns; ++quiet) {
+            loop_.deadlines().run_passed();
+            if (loop_.io().poll() > 0) quiet = 0;
+        }
+    }
+
+    Peer& connect() {
+        asio::ip::tcp::socket socket(loop_.io());
+        socket.connect(front_address());
+        clients_.push_back(std::make_unique<Peer>(std::move(socket)));
+        return *clients_.back();
+    }
+    // The host's side of its connection `number`, once the gateway has opened it.
+    Peer& host(std::size_t number = 0) {
+        REQUIRE(until([&] { return host_connections_.size() > number; }));
+        return *host_connections_[number];
+    }
+    // The host's connection `number` has received this.
+    Peer& host_has(std::string_view text, std::size_t number = 0) {
+        Peer& connection = host(number);
+        INFO("host: " << connection.received.substr(0, 2000));
+        REQUIRE(until([&] { return connection.has(text); }));
+        return connection;
+    }
+    void client_has(Peer& client, std::string_view text) {
+        const bool reached = until([&] { return client.has(text); });
+        INFO("client: " << client.received.substr(0, 2000));
+        REQUIRE(reached);
+    }
+    void client_ends(Peer& client) {
+        REQUIRE(until([&] { return client.ended; }));
+    }
+    std::size_t host_connections() const { return host_connections_.size(); }
+    runtime::EventLoop& loop() { return loop_; }
+    Proxy& proxy() { return proxy_; }
+
+  private:
+    static constexpr std::size_t most_connections = 1000;
+
+    static Proxy::Options options() {
+        Proxy::Options options;
+        options.node = "gateway";
+        options.locality = {"zone", "region", {{"zone", "region"}}};
+        return options;
+    }
+    // Of this process alone, so that test programs can run side by side.
+    static asio::ip::tcp::endpoint front_address() {
+        constexpr std::uint32_t first = (127u << 24) + (1u << 22);
+        constexpr std::uint16_t port = 18080;
+        return {asio::ip::address_v4(first + static_cast<std::uint32_t>(getpid())), port};
+    }
+    void accept() {
+        host_.async_accept([this](const std::error_code& fault, asio::ip::tcp::socket socket) {
+            if (fault) return;
+            host_connections_.push_back(std::make_unique<Peer>(std::move(socket)));
+            accept();
+        });
+    }
+    void configure(const configuration::ClientLimits& limits) {
+        using configuration::RouteClass;
+        configuration::Configuration made;
+        made.limits = limits;
+        for (const RouteClass route_class : {RouteClass::idempotent, RouteClass::mutating}) {
+            const bool idempotent = route_class == RouteClass::idempotent;
+            configuration::Route route;
+            route.name = idempotent ? "read" : "write";
+            route.hostname = "shop.example";
+            route.path_prefix = idempotent ? "/read/" : "/write/";
+            route.route_class = route_class;
+            route.deadline = std::chrono::seconds{30};
+            route.target_latency = std::chrono::seconds{20};
+            route.backends = {{"shop", 1.0}};
+            route.max_tries = 2;
+            made.routes.push_back(route);
+        }
+        configuration::Service service;
+        service.name = "shop";
+        service.max_conns = 100;
+        made.services = {service};
+        proxy_.configure(std::make_shared<const configuration::Configuration>(std::move(made)));
+    }
+    void add_host() {
+        wire::Instance instance;
+        instance.id = "i-1";
+        instance.service = "shop";
+        instance.address = "127.0.0.1:" + std::to_string(host_.local_endpoint().port());
+        instance.zone = "zone";
+        instance.capacity = 64;
+        proxy_.view_changed(view_, view_.apply(wire::InstancesUpdate{{1, 1}, true, {instance}, {}}));
+    }
+
+    runtime::EventLoop loop_;
+    QuotaClient quotas_;
+    Proxy proxy_;
+    distribution::View view_;
+    asio::ip::tcp::acceptor host_;
+    std::vector<std::unique_ptr<Peer>> host_connections_;
+    std::vector<std::unique_ptr<Peer>> clients_;
+};
+
+// ---- texts ----
+
+// A request's head; more fields, each with its line's end, and the empty line follow.
+inline std::string head_of(const std::string& method, const std::string& path,
+                           const std::string& attempt_id) {
+    return method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: " + attempt_id + "\r\n";
+}
+inline std::string get(const std::string& attempt_id, const std::string& fields = "") {
+    return head_of("GET", "/read/x", attempt_id) + fields + "\r\n";
+}
+inline std::string post(const std::string& attempt_id, const std::string& body,
+                        const std::string& fields = "") {
+    return head_of("POST", "/write/x", attempt_id) + fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+// An answer's head without its framing.
+inline std::string answer_head(const std::string& status, const std::string& attempt_id) {
+    return "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + attempt_id + "\r\nX-Server-Seal: seal-" +
+           attempt_id + "\r\n";
+}
+inline std::string answer(const std::string& status, const std::string& attempt_id, const std::string& body,
+                          const std::string& fields = "") {
+    return answer_head(status, attempt_id) + fields + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+}  // namespace dewweir::gateway::tests
