--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -1,5 +1,6 @@
-// The state that all control planes agree on: the configuration and the evacuated zones, changed by commands in the order
-// of the replicated log. Pure and deterministic: the same commands give the same state and the same results everywhere.
+// The state that all control planes agree on: the configuration and the evacuated zones, changed by commands
+// in the order of the replicated log. Pure and deterministic: the same commands give the same state and the
+// same results everywhere.
 #pragma once
 
 #include <cstdint>
@@ -46,6 +47,8 @@
 
     const wire::ConfigurationUpdate& configuration() const { return configuration_; }
     wire::EvacuationsUpdate evacuations() const;
+    // The versions accepted, the last 1024 of them, each with a hash of its text.
+    const std::map<std::uint32_t, std::uint64_t>& accepted() const { return accepted_; }
     // Whether exactly this configuration was accepted under its version, now or earlier.
     bool has_accepted(std::uint32_t version, std::string_view text) const;
 
--- a/src/control_plane/fleet_server.h
+++ b/src/control_plane/fleet_server.h
@@ -31,6 +31,7 @@
     void instances_read(const control::Instances& instances);
 
     const distribution::View& view() const { return view_; }
+    const wire::Member& self() const { return self_; }
     // Where the leader takes operators' calls; nothing while it is not known.
     std::optional<std::string> leader_control() const;
 
@@ -50,6 +51,7 @@
     void from_leader(const wire::Message& message);
     void members_changed();
     void publish_members();
+    void publish_members_now();
     void report_members();
     std::vector<wire::Member> direct_members() const;
     void broadcast(const wire::Message& message);
@@ -73,6 +75,8 @@
     bool led_ = false;
     runtime::Timer heartbeat_;
     runtime::Timer expiry_;
+    runtime::Timer publication_;  // pending while changes of the members are gathered
+    runtime::Time published_members_at_ = 0;
     runtime::Timer reconnect_;
 };
 
--- a/src/control_plane/raft_log.h
+++ b/src/control_plane/raft_log.h
@@ -36,6 +36,8 @@
 
     bool leads() const override;
     std::uint64_t term() const override;
+    std::uint64_t commit_index() const override;
+    std::uint64_t applied_index() const override { return applied_; }
     runtime::Time leader_silence() const override;
     std::optional<std::string> leader_address() const override;
     const control::StateMachine& state() const override { return state_; }
@@ -59,8 +61,10 @@
     void reads_passed();
     void compact_if_long();
     void schedule();
+    void review_membership();
     void ask_to_join();
     bool is_member() const;
+    void remove_dead_voter();
 
     runtime::EventLoop& loop_;
     ConsensusLinks& links_;
@@ -73,6 +77,7 @@
     control::StateMachine state_;
     consensus::Index applied_ = 0;
     std::size_t entries_since_snapshot_ = 0;
+    std::size_t bytes_since_snapshot_ = 0;  // of payloads
     std::optional<consensus::Replica> store_self_;  // to be stored with the first write
     std::map<consensus::Index, Pending> pending_;
     std::map<consensus::ReadToken, std::function<void(ProposalError)>> reads_;
@@ -80,8 +85,10 @@
     consensus::ReadToken last_read_ = 0;
     bool processing_ = false;
     runtime::Time leader_heard_at_ = 0;
+    runtime::Time leads_since_ = 0;  // meaningful at the leader
+    std::map<consensus::ReplicaId, runtime::Time> heard_at_;
     runtime::Timer tick_;
-    runtime::Timer join_;
+    runtime::Timer review_;
 };
 
 }  // namespace dewweir::control_plane
--- a/src/gateway/quota_client.h
+++ b/src/gateway/quota_client.h
@@ -30,6 +30,9 @@
     // `decided` is called once, at once or later.
     void request(quota::TenantId tenant, const quota::Quota& quota, Decided decided);
 
+    // A request that had passed has not run and never will.
+    void give_back(quota::TenantId tenant) { admission_.give_back(loop_.steady_now(), tenant); }
+
   private:
     struct Call {
         quota::TenantId tenant = 0;
@@ -46,7 +49,7 @@
     void received(const asio::ip::udp::endpoint& from, const wire::Message& message);
     void state(const wire::Member& holder, const quota::Statement& statement, Decided decided);
     void tell(const wire::Member& holder, const quota::Statement& statement, bool answer);
-    void answered(std::uint64_t sequence, quota::TenantId tenant, double others);
+    void answered(std::uint64_t sequence, quota::TenantId tenant, const quota::HeldCount& held);
     void timed_out(std::uint64_t sequence, quota::TenantId tenant);
     void conclude(const Decided& decided, const quota::Decision& decision) const;
     runtime::Time limit_of(const Holder& holder) const;
--- a/src/quota/admission.cpp
+++ b/src/quota/admission.cpp
@@ -8,6 +8,8 @@
 constexpr std::chrono::seconds idle_limit{30};
 // The shortest pause that a refused client is told.
 constexpr std::chrono::milliseconds least_retry_after{20};
+// Who was refused in a short rush need not wait for all the others: demand may have fallen by then.
+constexpr std::chrono::milliseconds longest_turn{1000};
 
 double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -51,7 +53,12 @@
 Decision Admission::request(TimePoint now, TenantId id, const Quota& quota, int gateways, bool holder_reachable) {
     if (!quota.limits()) return {Admitted::passed};
     Tenant& tenant = tenant_of(now, id, quota, gateways);
-    if (!holder_reachable) return decide_locally(now, tenant, false);
+    if (!holder_reachable) {
+        Decision decision = decide_locally(now, tenant, false);
+        // Told all the same: the breaker may be open here alone, and the others must not use this part again.
+        if (decision.result == Admitted::passed) decision.statement = state(now, id, tenant);
+        return decision;
+    }
     const Duration window = tenant.check.window;
     const double own = tenant.own.estimate(now, window);
     const bool fresh = tenant.answered_at && now - *tenant.answered_at < window;
@@ -65,17 +72,20 @@
     tenant.own.add(now, window, 1);
     Decision decision{ahead ? Admitted::passed : Admitted::asked};
     decision.statement = state(now, id, tenant);
+    decision.wants_answer = true;
     if (ahead) tenant.ahead.push_back(decision.statement->sequence);
     return decision;
 }
 
-Decision Admission::answered(TimePoint now, TenantId id, std::uint64_t sequence, double others) {
+Decision Admission::answered(TimePoint now, TenantId id, std::uint64_t sequence, const HeldCount& held) {
     const auto found = tenants_.find(id);
     if (found == tenants_.end()) return {Admitted::passed};
     Tenant& tenant = found->second;
     const bool was_ahead = std::erase(tenant.ahead, sequence) > 0;
     const Duration window = tenant.check.window;
+    if (held.elapsed) tenant.own.align(now, window, now - std::min<Duration>(*held.elapsed, window));
     const double own = tenant.own.estimate(now, window);
+    const double others = held.others;
     tenant.others = others;
     tenant.answered_at = now;
     // Going over to the bucket must mint no quota: it holds this gateway's part of what is left.
@@ -98,6 +108,15 @@
     return decide_locally(now, tenant, true);
 }
 
+// The holder hears of it with the next statement.
+void Admission::give_back(TimePoint now, TenantId id) {
+    const auto found = tenants_.find(id);
+    if (found == tenants_.end()) return;
+    Tenant& tenant = found->second;
+    tenant.own.add(now, tenant.check.window, -1);
+    tenant.tokens = std::min(tenant.tokens + 1, bucket_size(tenant.check, tenant.gateways));
+}
+
 void Admission::refill(TimePoint now, Tenant& tenant) const {
     const double rate = tenant.quota.rate_per_s / tenant.gateways;
     const double size = bucket_size(tenant.check, tenant.gateways);
@@ -119,13 +138,23 @@
     return {Admitted::refused, std::max<Duration>(from_seconds((1 - tenant.tokens) / rate), least_retry_after)};
 }
 
-// The estimate falls at least as fast as what was counted leaves the window.
-Decision Admission::refuse(TimePoint now, Tenant& tenant) const {
+// Not before the estimate has room: it falls at least as fast as what was counted leaves the window. And not before those
+// refused earlier, if all of them came back in turn: of every window's requests so many pass, and so many wait.
+Duration Admission::time_until_served(TimePoint now, Tenant& tenant) const {
     const Duration window = tenant.check.window;
-    const double total = tenant.own.estimate(now, window) + tenant.others;
+    const double own = tenant.own.estimate(now, window);
+    const double total = own + tenant.others;
     const double excess = std::max(0.0, total + 1 - tenant.check.limit);
-    const double wait = seconds(window) * excess / std::max(1.0, total);
-    return {Admitted::refused, std::max<Duration>(from_seconds(wait), least_retry_after)};
+    const double until_room = seconds(window) * excess / std::max(1.0, total);
+    const double waiting = tenant.refused.estimate(now, window) / std::max(1.0, own);
+    const double in_turn = std::min(seconds(window) * waiting, seconds(longest_turn));
+    return std::max<Duration>(from_seconds(std::max(until_room, in_turn)), least_retry_after);
+}
+
+Decision Admission::refuse(TimePoint now, Tenant& tenant) const {
+    const Duration wait = time_until_served(now, tenant);
+    tenant.refused.add(now, tenant.check.window, 1);
+    return {Admitted::refused, wait};
 }
 
 void Admission::forget_idle(TimePoint now) {
--- a/src/quota/admission.h
+++ b/src/quota/admission.h
@@ -28,6 +28,7 @@
     Admitted result = Admitted::passed;
     Duration retry_after{};              // of a refused one: when it may pass, by what is known
     std::optional<Statement> statement{};  // to be sent to the holder
+    bool wants_answer = false;             // of the statement; one that is only told has none, and no time-out
 };
 
 class Admission {
@@ -36,11 +37,14 @@
 
     // `holder_reachable`: calls to the tenant's holder are worth making now. `gateways`: how many share the quota.
     Decision request(TimePoint now, TenantId tenant, const Quota& quota, int gateways, bool holder_reachable);
-    // The holder's answer to a statement: what all others have let in. Decides on the request that asked, if any did.
-    Decision answered(TimePoint now, TenantId tenant, std::uint64_t sequence, double others);
+    // The holder's answer to a statement. Decides on the request that asked, if any did.
+    Decision answered(TimePoint now, TenantId tenant, std::uint64_t sequence, const HeldCount& held);
     // No answer came in time: the local bucket decides.
     Decision unanswered(TimePoint now, TenantId tenant, std::uint64_t sequence);
 
+    // A request that had passed has not run and never will.
+    void give_back(TimePoint now, TenantId tenant);
+
     void forget_idle(TimePoint now);
     std::size_t tenants() const { return tenants_.size(); }
 
@@ -50,6 +54,7 @@
         WindowCheck check;
         int gateways = 1;
         SlidingCount own;
+        SlidingCount refused;  // by this gateway
         double others = 0;
         std::optional<TimePoint> answered_at;
         std::uint64_t sequence = 0;
@@ -63,6 +68,7 @@
     Statement state(TimePoint now, TenantId id, Tenant& tenant);
     Decision decide_locally(TimePoint now, Tenant& tenant, bool counted);
     Decision refuse(TimePoint now, Tenant& tenant) const;
+    Duration time_until_served(TimePoint now, Tenant& tenant) const;
     void refill(TimePoint now, Tenant& tenant) const;
 
     GatewayLife self_;
