Socket tests see a state reached by a deadline at once

Cause: a wait looked at its state only after the next event, so one reached by a deadline was seen seconds late.

--- a/tests/gateway_sockets/world.h
+++ b/tests/gateway_sockets/world.h
@@ -34,6 +34,7 @@
         while (!reached()) {
             if (std::chrono::steady_clock::now() > end) return false;
             loop_.deadlines().run_passed();
+            if (reached()) return true;
             loop_.io().run_one_until(std::min(loop_.deadlines().next(), end));
         }
         return true;
