--- a/src/consensus/election_timer.h
+++ b/src/consensus/election_timer.h
@@ -17,7 +17,8 @@
     // The shortest time-out: the time for which a leader counts as heard.
     microseconds shortest() const;
 
-    // The first time-out after a start, shorter than later ones: where a leader lives, its voters refuse the pre-vote.
+    // The first time-out after a start, shorter than later ones: where a leader lives, its voters refuse the
+    // pre-vote.
     void start(TimePoint now);
     // Draws a time-out in [shortest, 2 x shortest) and counts it from `now`.
     void restart(TimePoint now);
--- a/src/control_plane/consensus_links.h
+++ b/src/control_plane/consensus_links.h
@@ -1,5 +1,5 @@
-// Carries consensus messages between control planes: small ones as datagrams, which a cut link never holds up, large ones
-// over sessions, which are renewed when the other side has been silent. Owns those sessions.
+// Carries consensus messages between control planes: small ones as datagrams, which a cut link never holds
+// up, large ones over sessions, which are renewed when the other side has been silent. Owns those sessions.
 #pragma once
 
 #include <functional>
@@ -16,7 +16,8 @@
     using Received = std::function<void(const consensus::Envelope&)>;
     using Joining = std::function<void(const consensus::Replica&)>;
 
-    ConsensusLinks(runtime::EventLoop& loop, transport::Sessions& sessions, Received received, Joining joining);
+    ConsensusLinks(runtime::EventLoop& loop, transport::Sessions& sessions, Received received,
+                   Joining joining);
 
     // Returns why the address can't be bound, or nothing once it is.
     std::optional<std::string> bind(const asio::ip::udp::endpoint& address);
--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -140,9 +140,7 @@
 void FleetServer::connect_to_leader() {
     const std::optional<std::string> leader = log_.leads() ? std::nullopt : log_.leader_address();
     if (to_leader_ && leader == leader_address_) return;
-    if (to_leader_) {
-        sessions_.close(std::exchange(to_leader_, 0));
-    }
+    if (to_leader_) { sessions_.close(std::exchange(to_leader_, 0)); }
     leader_address_.clear();
     reconnect_.cancel();
     if (!leader) return;
@@ -239,7 +237,8 @@
     drop_silent();
     wire::Heartbeat heartbeat;
     heartbeat.configuration = view_.configuration().version;
-    heartbeat.leader_contact_ms = static_cast<std::uint64_t>(log_.leader_silence() / runtime::tenths_per_millisecond);
+    heartbeat.leader_contact_ms =
+        static_cast<std::uint64_t>(log_.leader_silence() / runtime::tenths_per_millisecond);
     heartbeat.leader_control = leader_control().value_or("");
     const std::string frame = wire::frame(heartbeat);
     for (const auto& [session, peer] : peers_) sessions_.send_frame(session, frame);
--- a/src/control_plane/fleet_server.h
+++ b/src/control_plane/fleet_server.h
@@ -1,5 +1,6 @@
-// Serves the view of the whole to gateways and to other control planes, and keeps it: at the leader members and instances
-// come from reports and from the platform's list; elsewhere they are relayed from the leader. Owns all sessions.
+// Serves the view of the whole to gateways and to other control planes, and keeps it: at the leader members
+// and instances come from reports and from the platform's list; elsewhere they are relayed from the leader.
+// Owns all sessions.
 #pragma once
 
 #include <functional>
@@ -22,7 +23,9 @@
     // Returns why the address can't be listened on, else nothing.
     std::optional<std::string> listen(const asio::ip::tcp::endpoint& address);
     // Consensus messages that come over the sessions.
-    void on_consensus(std::function<void(const wire::ConsensusMessage&)> take) { consensus_ = std::move(take); }
+    void on_consensus(std::function<void(const wire::ConsensusMessage&)> take) {
+        consensus_ = std::move(take);
+    }
     // What the log has applied is passed on.
     void publish_state();
     // This process leads now, or no longer, or another leader is known.
--- a/src/control_plane/process.h
+++ b/src/control_plane/process.h
@@ -1,4 +1,5 @@
-// One control plane process: wires settings, log, fleet server, poller and operator API together. Decides nothing.
+// One control plane process: wires settings, log, fleet server, poller and operator API together. Decides
+// nothing.
 #pragma once
 
 #include "settings/settings.h"
--- a/src/control_plane/raft_log.cpp
+++ b/src/control_plane/raft_log.cpp
@@ -18,13 +18,15 @@
 constexpr std::size_t entries_per_snapshot = 64;
 constexpr std::size_t bytes_per_snapshot = 4u << 20;
 constexpr runtime::Time review_interval = 300 * runtime::tenths_per_millisecond;
-// A replica that has heard no leader for so long asks to be taken in: it may have been removed while it was away.
+// A replica that has heard no leader for so long asks to be taken in: it may have been removed while it was
+// away.
 constexpr runtime::Time silence_before_join = 3 * runtime::tenths_per_second;
 // A voter beyond the first number of voters that says nothing for so long has been replaced, and is removed.
 constexpr runtime::Time silence_before_removal = 3 * runtime::tenths_per_second;
 constexpr int tenths_in_microseconds = 100;
 
-// Replicas of a group's first start know each other's identity from their addresses; all later ones draw theirs.
+// Replicas of a group's first start know each other's identity from their addresses; all later ones draw
+// theirs.
 consensus::ReplicaId first_identity(const std::string& address) {
     return XXH3_64bits(address.data(), address.size()) | 1;
 }
@@ -55,8 +57,9 @@
 RaftLog::~RaftLog() = default;
 
 void RaftLog::start() {
-    writer_->open(options_.folder, [this](storage::OpenResult result) { opened(std::move(result)); },
-                  loop_.steady_now());
+    writer_->open(
+        options_.folder, [this](storage::OpenResult result) { opened(std::move(result)); },
+        loop_.steady_now());
 }
 
 void RaftLog::opened(storage::OpenResult result) {
@@ -71,10 +74,12 @@
         store_->discard_all();
         return begin(new_replica(), {}, true);
     }
-    const bool seed = std::find(options_.seeds.begin(), options_.seeds.end(), options_.address) != options_.seeds.end();
+    const bool seed =
+        std::find(options_.seeds.begin(), options_.seeds.end(), options_.address) != options_.seeds.end();
     if (!options_.bootstrap || !seed) return begin(new_replica(), {}, true);
     consensus::Membership initial;
-    for (const std::string& address : options_.seeds) initial.voters.push_back({first_identity(address), address});
+    for (const std::string& address : options_.seeds)
+        initial.voters.push_back({first_identity(address), address});
     consensus::PersistentState state;
     state.self = {first_identity(options_.address), options_.address};
     begin(std::move(state), initial, true);
@@ -109,7 +114,8 @@
 }
 
 void RaftLog::schedule() {
-    const auto wait = std::chrono::duration_cast<std::chrono::microseconds>(raft_->next_deadline() - loop_.steady_now());
+    const auto wait =
+        std::chrono::duration_cast<std::chrono::microseconds>(raft_->next_deadline() - loop_.steady_now());
     const runtime::Time from_now = std::max<runtime::Time>(1, wait.count() / tenths_in_microseconds);
     tick_.start(from_now, [this] {
         raft_->tick(loop_.steady_now());
@@ -148,9 +154,10 @@
     if (role_change) {
         if (role_change->role != consensus::Role::leader) fail_pending();
         if (role_change->role == consensus::Role::leader) leads_since_ = loop_.now();
-        logging::log(Level::info, Event::leader_changed,
-                     {{"term", static_cast<std::int64_t>(role_change->term)},
-                      {"leader", std::string_view(role_change->leader ? role_change->leader->address : "none")}});
+        logging::log(
+            Level::info, Event::leader_changed,
+            {{"term", static_cast<std::int64_t>(role_change->term)},
+             {"leader", std::string_view(role_change->leader ? role_change->leader->address : "none")}});
         user_.leadership_changed();
     }
     compact_if_long();
@@ -175,7 +182,8 @@
         raft_->persisted(loop_.steady_now(), completion.token);
         return process();
     }
-    // The disk refused. What it holds is read anew by a fresh start of the process; until then nothing is promised.
+    // The disk refused. What it holds is read anew by a fresh start of the process; until then nothing is
+    // promised.
     logging::log(Level::error, Event::storage_failed, {{"what", std::string_view(completion.result->what)}});
     loop_.stop();
 }
@@ -212,7 +220,8 @@
 }
 
 void RaftLog::compact_if_long() {
-    const bool is_long = entries_since_snapshot_ >= entries_per_snapshot || bytes_since_snapshot_ >= bytes_per_snapshot;
+    const bool is_long =
+        entries_since_snapshot_ >= entries_per_snapshot || bytes_since_snapshot_ >= bytes_per_snapshot;
     if (!is_long) return;
     entries_since_snapshot_ = 0;
     bytes_since_snapshot_ = 0;
@@ -241,7 +250,8 @@
     for (const std::string& address : addresses) links_.send_join(address, raft_->self());
 }
 
-// A machine that is gone for good leaves a voter behind once its substitute votes. With it a majority is needlessly large.
+// A machine that is gone for good leaves a voter behind once its substitute votes. With it a majority is
+// needlessly large.
 void RaftLog::remove_dead_voter() {
     const std::vector<consensus::Replica>& voters = raft_->membership().voters;
     if (voters.size() <= options_.seeds.size()) return;
@@ -288,7 +298,8 @@
 
 void RaftLog::propose(const control::Command& command, std::function<void(const ProposalResult&)> done) {
     if (!raft_) return done({ProposalError::not_leader});
-    const consensus::ProposeResult result = raft_->propose(loop_.steady_now(), control::encode_command(command));
+    const consensus::ProposeResult result =
+        raft_->propose(loop_.steady_now(), control::encode_command(command));
     const auto* const accepted = std::get_if<consensus::Accepted>(&result);
     if (!accepted) return done({ProposalError::not_leader});
     pending_[accepted->index] = {accepted->term, std::move(done)};
--- a/src/control_plane/raft_log.h
+++ b/src/control_plane/raft_log.h
@@ -1,5 +1,5 @@
-// The replicated log by consensus: wires the Raft replica, its store on disk and its links together. Owns the replica and the
-// state machine. It must never send, answer or apply anything before the replica says so.
+// The replicated log by consensus: wires the Raft replica, its store on disk and its links together. Owns the
+// replica and the state machine. It must never send, answer or apply anything before the replica says so.
 #pragma once
 
 #include <map>
@@ -15,10 +15,10 @@
 namespace dewweir::control_plane {
 
 struct RaftLogOptions {
-    std::string folder;                // of the store
-    std::string address;               // of this process, for the system's own messages
-    std::vector<std::string> seeds;    // the same of the control planes there were at first
-    bool bootstrap = false;            // the whole system starts for the first time
+    std::string folder;              // of the store
+    std::string address;             // of this process, for the system's own messages
+    std::vector<std::string> seeds;  // the same of the control planes there were at first
+    bool bootstrap = false;          // the whole system starts for the first time
 };
 
 class RaftLog : public ReplicatedLog {
@@ -77,7 +77,7 @@
     control::StateMachine state_;
     consensus::Index applied_ = 0;
     std::size_t entries_since_snapshot_ = 0;
-    std::size_t bytes_since_snapshot_ = 0;  // of payloads
+    std::size_t bytes_since_snapshot_ = 0;          // of payloads
     std::optional<consensus::Replica> store_self_;  // to be stored with the first write
     std::map<consensus::Index, Pending> pending_;
     std::map<consensus::ReadToken, std::function<void(ProposalError)>> reads_;
--- a/src/control_plane/replicated_log.h
+++ b/src/control_plane/replicated_log.h
@@ -1,5 +1,5 @@
-// The replicated log as the rest of a control plane sees it: who leads, commands proposed and applied, and barriers for
-// reads. Who implements it decides how agreement is reached.
+// The replicated log as the rest of a control plane sees it: who leads, commands proposed and applied, and
+// barriers for reads. Who implements it decides how agreement is reached.
 #pragma once
 
 #include <functional>
@@ -47,7 +47,8 @@
     virtual std::optional<std::string> leader_address() const = 0;
     virtual const control::StateMachine& state() const = 0;
 
-    virtual void propose(const control::Command& command, std::function<void(const ProposalResult&)> done) = 0;
+    virtual void propose(const control::Command& command,
+                         std::function<void(const ProposalResult&)> done) = 0;
     // Calls `done` once the state holds everything acknowledged before this call, or with an error.
     virtual void read_barrier(std::function<void(ProposalError)> done) = 0;
 };
--- a/src/gateway/cold_budget.cpp
+++ b/src/gateway/cold_budget.cpp
@@ -34,7 +34,9 @@
     int nearest = 0;
     std::uint64_t highest = 0;
     for (const auto& [node, member] : gateways_) {
-        const int nearness = member.zone == endpoint.instance.zone ? 2 : member.region == endpoint.region ? 1 : 0;
+        const int nearness = member.zone == endpoint.instance.zone ? 2
+                             : member.region == endpoint.region    ? 1
+                                                                   : 0;
         const std::uint64_t score = score_of(node, endpoint.instance.id);
         const bool better = !owner || nearness > nearest || (nearness == nearest && score > highest);
         if (!better) continue;
@@ -61,7 +63,8 @@
     return true;
 }
 
-std::optional<runtime::Time> ColdBudget::next(const Endpoint& endpoint, double cold_per_s, runtime::Time now) {
+std::optional<runtime::Time> ColdBudget::next(const Endpoint& endpoint, double cold_per_s,
+                                              runtime::Time now) {
     const ColdRate rate = rate_of_owner(cold_per_s, bound_);
     if (!owns(endpoint)) {
         tokens_.erase(endpoint.id);
--- a/src/gateway/cold_budget.h
+++ b/src/gateway/cold_budget.h
@@ -1,6 +1,7 @@
-// How much this gateway may send to cold hosts. One gateway owns a cold host's whole budget: the one that rendezvous hashing
-// over the members names, nearest to the host first. Views of the members may differ for a while, so that two gateways
-// take themselves for the owner: the rate is such that two together stay within the bound. Pure.
+// How much this gateway may send to cold hosts. One gateway owns a cold host's whole budget: the one that
+// rendezvous hashing over the members names, nearest to the host first. Views of the members may differ for a
+// while, so that two gateways take themselves for the owner: the rate is such that two together stay within
+// the bound. Pure.
 #pragma once
 
 #include <map>
--- a/src/gateway/control_session.cpp
+++ b/src/gateway/control_session.cpp
@@ -44,7 +44,8 @@
     for (const auto& [node, member] : view_.members()) {
         if (member.role == wire::Role::control_plane) addresses.push_back(member.internal);
     }
-    for (const settings::Endpoint& seed : seeds_) addresses.push_back(settings::to_string({seed.ip, internal_port_}));
+    for (const settings::Endpoint& seed : seeds_)
+        addresses.push_back(settings::to_string({seed.ip, internal_port_}));
     std::vector<std::string> unique;
     for (const std::string& address : addresses) {
         if (std::find(unique.begin(), unique.end(), address) == unique.end()) unique.push_back(address);
@@ -94,7 +95,8 @@
 
 // The control plane itself lacks news: another may have it. Where all lack it, each is tried in turn.
 void ControlSession::leave_if_stale(const wire::Heartbeat& heartbeat) {
-    const auto silence = static_cast<runtime::Time>(heartbeat.leader_contact_ms) * runtime::tenths_per_millisecond;
+    const auto silence =
+        static_cast<runtime::Time>(heartbeat.leader_contact_ms) * runtime::tenths_per_millisecond;
     if (silence < distribution::leader_silence_limit) return;
     sessions_.close(session_);
     session_closed(session_);
--- a/src/gateway/control_session.h
+++ b/src/gateway/control_session.h
@@ -1,5 +1,6 @@
-// This gateway's session with the control plane: keeps one open to a control plane that is in touch, tells it that this
-// gateway lives and takes the view of the whole from it. While none can be reached the last view stays.
+// This gateway's session with the control plane: keeps one open to a control plane that is in touch, tells it
+// that this gateway lives and takes the view of the whole from it. While none can be reached the last view
+// stays.
 #pragma once
 
 #include <functional>
@@ -15,8 +16,8 @@
   public:
     using Changed = std::function<void(const distribution::Changes&)>;
 
-    ControlSession(runtime::EventLoop& loop, transport::Sessions& sessions, const settings::Settings& settings,
-                   const wire::Member& self, Changed changed);
+    ControlSession(runtime::EventLoop& loop, transport::Sessions& sessions,
+                   const settings::Settings& settings, const wire::Member& self, Changed changed);
 
     void start();
     // Tells whether this gateway takes new clients.
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -10,7 +10,8 @@
 
 }  // namespace
 
-std::vector<std::string> resolve(const std::map<std::string, wire::Member>& members, const ClientPlace& place) {
+std::vector<std::string> resolve(const std::map<std::string, wire::Member>& members,
+                                 const ClientPlace& place) {
     std::vector<std::string> in_zone;
     std::vector<std::string> in_region;
     std::vector<std::string> all;
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -1,4 +1,5 @@
-// Which gateways a client is sent to: those of its zone, else of its region, else all that take new clients. Pure.
+// Which gateways a client is sent to: those of its zone, else of its region, else all that take new clients.
+// Pure.
 #pragma once
 
 #include <map>
@@ -18,6 +19,7 @@
 };
 
 // `front` addresses, at most `most_addresses`.
-std::vector<std::string> resolve(const std::map<std::string, wire::Member>& members, const ClientPlace& place);
+std::vector<std::string> resolve(const std::map<std::string, wire::Member>& members,
+                                 const ClientPlace& place);
 
 }  // namespace dewweir::gateway
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -1,5 +1,5 @@
-// The hosts that this gateway knows, by number: lives of instances, whether they may be sent requests now and how far away
-// they are. Owns the numbering. Pure but for the clock handed in.
+// The hosts that this gateway knows, by number: lives of instances, whether they may be sent requests now and
+// how far away they are. Owns the numbering. Pure but for the clock handed in.
 #pragma once
 
 #include <cstdint>
@@ -19,9 +19,9 @@
     wire::Instance instance;
     std::string region;
     Distance distance = Distance::other_region;
-    bool usable = false;             // ready, and its zone is not evacuated
+    bool usable = false;  // ready, and its zone is not evacuated
     bool evacuated = false;
-    runtime::Time cold_until = 0;    // may be sent little before
+    runtime::Time cold_until = 0;  // may be sent little before
 };
 
 struct Locality {
--- a/src/gateway/front.cpp
+++ b/src/gateway/front.cpp
@@ -114,7 +114,8 @@
     user_.request_begun(id, client->reader);
     client = clients_.find(id);
     if (!client || !client->reader.begun()) return;  // answered at once
-    if (client->state == State::answering || client->state == State::body) user_.request_body(id, client->reader);
+    if (client->state == State::answering || client->state == State::body)
+        user_.request_body(id, client->reader);
 }
 
 void Front::read_on(ClientId id) {
--- a/src/gateway/front.h
+++ b/src/gateway/front.h
@@ -1,5 +1,5 @@
-// Client connections: reads requests one at a time on each, and writes their answers. Owns every client's connection and its
-// time-outs. It must never decide where a request goes.
+// Client connections: reads requests one at a time on each, and writes their answers. Owns every client's
+// connection and its time-outs. It must never decide where a request goes.
 #pragma once
 
 #include <functional>
@@ -60,11 +60,11 @@
 
   private:
     enum class State : std::uint8_t {
-        idle,        // nothing of a request has come
-        head,        // part of a head has come
-        body,        // the head was told to the user, the body is coming
-        answering,   // the request is whole
-        refused,     // answered before its body was read: what comes is dropped
+        idle,       // nothing of a request has come
+        head,       // part of a head has come
+        body,       // the head was told to the user, the body is coming
+        answering,  // the request is whole
+        refused,    // answered before its body was read: what comes is dropped
     };
     struct Client {
         explicit Client(const net::HttpLimits& limits) : reader(HTTP_REQUEST, limits) {}
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -1,6 +1,7 @@
-// Which gateway holds a tenant's counts: the one with the highest hash of both (rendezvous hashing, Thaler and Ravishankar,
-// 1998). Pure. A gateway that is no member any more keeps its place for a while: views differ from process to process, and
-// two holders of one tenant would each let its whole quota in, while an absent one costs only the shared count.
+// Which gateway holds a tenant's counts: the one with the highest hash of both (rendezvous hashing, Thaler
+// and Ravishankar, 1998). Pure. A gateway that is no member any more keeps its place for a while: views
+// differ from process to process, and two holders of one tenant would each let its whole quota in, while an
+// absent one costs only the shared count.
 #pragma once
 
 #include <map>
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -106,13 +106,14 @@
         readiness_.declare("GET", "/v1/ready", [this](const api::Request&, const api::Respond& respond) {
             respond({ready() ? api::Status::ok : api::Status::service_unavailable});
         });
-        directory_.declare("GET", "/v1/resolve", [this](const api::Request& request, const api::Respond& respond) {
-            const ClientPlace place{api::query_field(request.query, "region").value_or(""),
-                                    api::query_field(request.query, "zone").value_or("")};
-            const std::vector<std::string> addresses = resolve(control_.view().members(), place);
-            if (addresses.empty()) return respond({api::Status::service_unavailable});
-            respond({api::Status::ok, resolve_body(addresses)});
-        });
+        directory_.declare(
+            "GET", "/v1/resolve", [this](const api::Request& request, const api::Respond& respond) {
+                const ClientPlace place{api::query_field(request.query, "region").value_or(""),
+                                        api::query_field(request.query, "zone").value_or("")};
+                const std::vector<std::string> addresses = resolve(control_.view().members(), place);
+                if (addresses.empty()) return respond({api::Status::service_unavailable});
+                respond({api::Status::ok, resolve_body(addresses)});
+            });
     }
 
     std::optional<std::string> listen_all() {
--- a/src/gateway/proxy.cpp
+++ b/src/gateway/proxy.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <charconv>
 
-
 namespace dewweir::gateway {
 namespace {
 
@@ -19,9 +18,7 @@
 constexpr runtime::Time answer_margin = 20 * runtime::tenths_per_millisecond;
 constexpr std::string_view retry_without_configuration = "Retry-After: 0.5\r\n";
 
-quota::TenantId number_of(std::string_view tenant) {
-    return XXH3_64bits(tenant.data(), tenant.size());
-}
+quota::TenantId number_of(std::string_view tenant) { return XXH3_64bits(tenant.data(), tenant.size()); }
 
 std::optional<runtime::Time> parse_time_left(std::string_view text) {
     double milliseconds = 0;
@@ -40,7 +37,8 @@
 
 PolicyOutcome verdict_of(const AttemptResult& result) {
     switch (result.outcome) {
-        case AttemptOutcome::answered: return result.answer.status < 500 ? PolicyOutcome::ok : PolicyOutcome::error;
+        case AttemptOutcome::answered:
+            return result.answer.status < 500 ? PolicyOutcome::ok : PolicyOutcome::error;
         case AttemptOutcome::not_executed: return PolicyOutcome::full;
         case AttemptOutcome::misdirected:
         case AttemptOutcome::connect_failed: return PolicyOutcome::connect_failed;
@@ -74,7 +72,8 @@
     const RoutingResult result = route_request(table_.get(), address);
     if (const auto* const error = std::get_if<RoutingError>(&result)) {
         switch (*error) {
-            case RoutingError::no_configuration: return answer_error(client, 503, retry_without_configuration);
+            case RoutingError::no_configuration:
+                return answer_error(client, 503, retry_without_configuration);
             case RoutingError::no_route: return answer_error(client, 404, {});
             case RoutingError::unknown_key: return answer_error(client, 401, {});
             // Nothing is wrong with the request, so this is no 4xx; it can't run anywhere.
@@ -174,9 +173,14 @@
 std::string Proxy::request_head(const Request& request, EndpointId endpoint, runtime::Time time_left) const {
     std::string head;
     head.reserve(request.fields.size() + request.target.size() + 160);
-    head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n").append(request.fields);
+    head.append(request.method)
+        .append(" ")
+        .append(request.target)
+        .append(" HTTP/1.1\r\n")
+        .append(request.fields);
     if (request.chunked) head.append("Transfer-Encoding: chunked\r\n");
-    const runtime::Time milliseconds = std::max<runtime::Time>(1, time_left / runtime::tenths_per_millisecond);
+    const runtime::Time milliseconds =
+        std::max<runtime::Time>(1, time_left / runtime::tenths_per_millisecond);
     head.append("X-Time-Left-Ms: ").append(std::to_string(milliseconds)).append("\r\n");
     if (const Endpoint* const known = endpoints_.find(endpoint)) {
         head.append("X-Expect-Instance: ").append(known->instance.id).append("\r\n");
@@ -192,7 +196,8 @@
     if (!request->client || request->streaming_up || !admit(endpoint)) {
         return attempt_dropped(id, *request, PolicyOutcome::not_sent);
     }
-    const std::string head = request_head(*request, endpoint, std::min(within, request->expires - loop_.now()));
+    const std::string head =
+        request_head(*request, endpoint, std::min(within, request->expires - loop_.now()));
     AttemptRequest sent;
     sent.head = head;
     sent.attempt_id = request->attempt_id;
--- a/src/gateway/proxy.h
+++ b/src/gateway/proxy.h
@@ -1,6 +1,6 @@
-// Requests on their way: ties clients' connections, the configuration in force, the pools' decisions and the connections to
-// hosts together. Owns every request from its head to the end of its answer. It carries out and reports; which host,
-// whether again and whether to refuse is decided by the pools.
+// Requests on their way: ties clients' connections, the configuration in force, the pools' decisions and the
+// connections to hosts together. Owns every request from its head to the end of its answer. It carries out
+// and reports; which host, whether again and whether to refuse is decided by the pools.
 #pragma once
 
 #include <map>
@@ -23,7 +23,7 @@
         std::string node;
         Locality locality;
         ColdBound cold_bound;
-        runtime::Time list_lag = 0;     // of the platform's list, until it has come here
+        runtime::Time list_lag = 0;  // of the platform's list, until it has come here
     };
 
     Proxy(runtime::EventLoop& loop, QuotaClient& quotas, const Options& options);
@@ -42,23 +42,23 @@
         std::shared_ptr<const configuration::RouteTable> table;
         Routed routed;
         ServicePool* pool = nullptr;  // of the configuration that it was routed by
-        bool asked = false;      // whether the tenant's quota holds it
-        bool submitted = false;  // the pool decides on it
+        bool asked = false;           // whether the tenant's quota holds it
+        bool submitted = false;       // the pool decides on it
         std::string attempt_id;
         std::string method;
         std::string target;
         std::string fields;  // to pass on, each line with its end
         std::string body;    // what may still have to be sent
         bool chunked = false;
-        bool complete = false;  // all of the body has come
+        bool complete = false;        // all of the body has come
         bool streaming_up = false;    // parts of the body were sent and are not kept
         bool streaming_down = false;  // parts of the answer were passed on
         runtime::Time begun = 0;
-        runtime::Time expires = 0;  // when the client gives up
-        AttemptId attempt = 0;      // while one is out
-        EndpointId endpoint = 0;    // of the latest attempt
-        bool sent = false;          // to any host
-        int untold = 0;             // attempts whose end the pool is still to hear of
+        runtime::Time expires = 0;       // when the client gives up
+        AttemptId attempt = 0;           // while one is out
+        EndpointId endpoint = 0;         // of the latest attempt
+        bool sent = false;               // to any host
+        int untold = 0;                  // attempts whose end the pool is still to hear of
         std::optional<HostAnswer> held;  // a host's answer that is passed on if nothing better comes
         AttemptOutcome last_outcome = AttemptOutcome::not_sent;
     };
--- a/src/gateway/proxy_pools.cpp
+++ b/src/gateway/proxy_pools.cpp
@@ -23,8 +23,9 @@
 }
 
 bool goes_to(const configuration::Route& route, const std::string& service) {
-    return std::any_of(route.backends.begin(), route.backends.end(),
-                       [&](const configuration::WeightedBackend& backend) { return backend.service == service; });
+    return std::any_of(
+        route.backends.begin(), route.backends.end(),
+        [&](const configuration::WeightedBackend& backend) { return backend.service == service; });
 }
 
 template <class Value> void sort_unique(std::vector<Value>& values) {
@@ -112,7 +113,8 @@
 }
 
 void Proxy::drop_retired() {
-    std::erase_if(pool_entries_, [](const auto& item) { return item.second.retired && item.second.requests == 0; });
+    std::erase_if(pool_entries_,
+                  [](const auto& item) { return item.second.retired && item.second.requests == 0; });
 }
 
 void Proxy::refresh_endpoints() {
@@ -121,7 +123,8 @@
     for (const auto& [id, endpoint] : endpoints_.all()) {
         const auto address = transport::parse_tcp_endpoint(endpoint.instance.address);
         if (!address) continue;
-        upstreams_.add(id, *address, most_connections(table_->configuration(), endpoint.instance.service, gateways));
+        upstreams_.add(id, *address,
+                       most_connections(table_->configuration(), endpoint.instance.service, gateways));
     }
     const std::set<EndpointId> withheld = withheld_endpoints();
     for (auto& [pool, entry] : pool_entries_) pool->update(endpoints_, withheld);
--- a/src/gateway/quota_client.cpp
+++ b/src/gateway/quota_client.cpp
@@ -32,13 +32,13 @@
     : loop_(loop),
       self_(std::move(self)),
       life_(drawn_life()),
-      datagrams_(loop,
-                 [this](const asio::ip::udp::endpoint& from, const wire::Message& message) {
-                     received(from, message);
-                 }),
+      datagrams_(loop, [this](const asio::ip::udp::endpoint& from,
+                              const wire::Message& message) { received(from, message); }),
       admission_(life_, bound) {}
 
-std::optional<std::string> QuotaClient::bind(const asio::ip::udp::endpoint& address) { return datagrams_.bind(address); }
+std::optional<std::string> QuotaClient::bind(const asio::ip::udp::endpoint& address) {
+    return datagrams_.bind(address);
+}
 
 void QuotaClient::members_changed(const std::map<std::string, wire::Member>& members) {
     placement_.update(members, loop_.now());
@@ -88,7 +88,8 @@
 
 runtime::Time QuotaClient::limit_of(const Holder& holder) const {
     if (holder.round_trip <= 0) return longest_wait;
-    return std::clamp(static_cast<runtime::Time>(round_trips_waited * holder.round_trip), shortest_wait, longest_wait);
+    return std::clamp(static_cast<runtime::Time>(round_trips_waited * holder.round_trip), shortest_wait,
+                      longest_wait);
 }
 
 void QuotaClient::received(const asio::ip::udp::endpoint& from, const wire::Message& message) {
@@ -119,7 +120,8 @@
         }
         holder.breaker.succeeded();
         const auto took = static_cast<double>(std::max<runtime::Time>(1, loop_.now() - call.sent));
-        holder.round_trip += holder.round_trip <= 0 ? took : (took - holder.round_trip) / round_trip_smoothing;
+        holder.round_trip +=
+            holder.round_trip <= 0 ? took : (took - holder.round_trip) / round_trip_smoothing;
     }
     const quota::Decision decision = admission_.answered(loop_.steady_now(), tenant, sequence, held);
     const wire::Member* const holder = placement_.holder_of(tenant);
--- a/src/gateway/quota_client.h
+++ b/src/gateway/quota_client.h
@@ -1,5 +1,6 @@
-// Brings requests of tenants with a quota before the quota package: states counts to their holders by datagrams, answers
-// the statements of others from the counts held here, and minds time-outs and breakers. It decides nothing itself.
+// Brings requests of tenants with a quota before the quota package: states counts to their holders by
+// datagrams, answers the statements of others from the counts held here, and minds time-outs and breakers. It
+// decides nothing itself.
 #pragma once
 
 #include <functional>
@@ -62,7 +63,7 @@
     quota::CountHolder held_;
     quota::Admission admission_;
     Placement placement_;
-    std::map<std::string, Holder> holders_;  // by node
+    std::map<std::string, Holder> holders_;                            // by node
     std::map<std::pair<quota::TenantId, std::uint64_t>, Call> calls_;  // by tenant and sequence
     runtime::Time forgot_at_ = 0;
 };
--- a/src/gateway/routing.h
+++ b/src/gateway/routing.h
@@ -1,4 +1,5 @@
-// Where a request may go by the configuration in force: its route, its tenant, the service and the regions. Pure.
+// Where a request may go by the configuration in force: its route, its tenant, the service and the regions.
+// Pure.
 #pragma once
 
 #include <cstdint>
@@ -39,8 +40,8 @@
 // `table`: of the configuration in force, null for none.
 RoutingResult route_request(const configuration::RouteTable* table, const RequestAddress& address);
 
-// The regions that a request of this route and tenant may be served in, sorted; empty: all. Nothing where they have none
-// in common.
+// The regions that a request of this route and tenant may be served in, sorted; empty: all. Nothing where
+// they have none in common.
 std::optional<std::vector<std::string>> allowed_regions(const configuration::Route& route,
                                                         const configuration::Tenant* tenant);
 
--- a/src/gateway/service_pool.cpp
+++ b/src/gateway/service_pool.cpp
@@ -66,7 +66,8 @@
 
 bool ServicePool::holds(const Endpoint& endpoint) const {
     if (endpoint.instance.service != key_.service) return false;
-    return key_.regions.empty() || std::binary_search(key_.regions.begin(), key_.regions.end(), endpoint.region);
+    return key_.regions.empty() ||
+           std::binary_search(key_.regions.begin(), key_.regions.end(), endpoint.region);
 }
 
 void ServicePool::update(const EndpointTable& endpoints, const std::set<EndpointId>& withheld) {
@@ -76,7 +77,8 @@
         if (!holds(endpoint)) continue;
         const bool ready = endpoint.usable && !withheld.contains(id);
         const auto distance = static_cast<int>(endpoint.distance);
-        decisions_->host_listed(now, id, ready ? HostState::ready : HostState::draining, 0, distance, distance);
+        decisions_->host_listed(now, id, ready ? HostState::ready : HostState::draining, 0, distance,
+                                distance);
     }
     decisions_->list_ends(now);
 }
@@ -96,8 +98,8 @@
     decisions_->request_received(loop_.now(), request.id, kind, 0, 0, 1, 1, request.time_left);
 }
 
-void ServicePool::attempt_over(RequestId request, EndpointId endpoint, PolicyOutcome verdict, runtime::Time took,
-                               bool answered) {
+void ServicePool::attempt_over(RequestId request, EndpointId endpoint, PolicyOutcome verdict,
+                               runtime::Time took, bool answered) {
     decisions_->attempt_ended(loop_.now(), request, 0, endpoint, verdict, took, answered, 0);
 }
 
@@ -137,8 +139,9 @@
         case LogEvent::host_shut: event = Event::endpoint_ejected; break;
         case LogEvent::host_back: event = Event::endpoint_restored; break;
     }
-    logging::log(logging::Level::info, event,
-                 {{"service", std::string_view(key_.service)}, {"endpoint", static_cast<std::int64_t>(host)}});
+    logging::log(
+        logging::Level::info, event,
+        {{"service", std::string_view(key_.service)}, {"endpoint", static_cast<std::int64_t>(host)}});
 }
 
 }  // namespace dewweir::gateway
--- a/src/gateway/service_pool.h
+++ b/src/gateway/service_pool.h
@@ -1,5 +1,5 @@
-// One decision module for the hosts of one service that one kind of request may go to: which host, when, whether again,
-// whether to refuse. Translates between the decision module (src/policy) and this gateway.
+// One decision module for the hosts of one service that one kind of request may go to: which host, when,
+// whether again, whether to refuse. Translates between the decision module (src/policy) and this gateway.
 #pragma once
 
 #include <map>
@@ -47,8 +47,8 @@
 struct PoolSettings {
     std::vector<RequestKind> kinds;  // sorted
     std::uint32_t max_tries = 1;
-    std::uint32_t capacity = 0;      // the largest of its hosts; 0: not known
-    int gateways_nearby = 1;         // that send to the same hosts, this one included
+    std::uint32_t capacity = 0;  // the largest of its hosts; 0: not known
+    int gateways_nearby = 1;     // that send to the same hosts, this one included
 
     auto operator<=>(const PoolSettings&) const = default;
 };
@@ -61,7 +61,8 @@
 
 class ServicePool : Gateway {
   public:
-    ServicePool(runtime::EventLoop& loop, PoolUser& user, PoolKey key, PoolSettings settings, std::uint64_t seed);
+    ServicePool(runtime::EventLoop& loop, PoolUser& user, PoolKey key, PoolSettings settings,
+                std::uint64_t seed);
     ~ServicePool() override;
 
     const PoolKey& key() const { return key_; }
@@ -72,7 +73,8 @@
     // One endpoint may be sent to, or not, from now on.
     void set_usable(const Endpoint& endpoint, bool usable);
     void submit(const PoolRequest& request);
-    void attempt_over(RequestId request, EndpointId endpoint, PolicyOutcome verdict, runtime::Time took, bool answered);
+    void attempt_over(RequestId request, EndpointId endpoint, PolicyOutcome verdict, runtime::Time took,
+                      bool answered);
     void client_left(RequestId request);
 
   private:
--- a/src/gateway/upstreams.cpp
+++ b/src/gateway/upstreams.cpp
@@ -50,7 +50,8 @@
 
 Upstreams::Upstreams(runtime::EventLoop& loop, AttemptUser& user) : loop_(loop), user_(user) {}
 
-void Upstreams::add(EndpointId endpoint, const asio::ip::tcp::endpoint& address, std::size_t most_connections) {
+void Upstreams::add(EndpointId endpoint, const asio::ip::tcp::endpoint& address,
+                    std::size_t most_connections) {
     Host& host = hosts_[endpoint];
     host.address = address;
     host.most_connections = most_connections;
@@ -95,7 +96,8 @@
     return id;
 }
 
-AttemptId Upstreams::start(RequestId request, EndpointId endpoint, const AttemptRequest& sent, runtime::Time within) {
+AttemptId Upstreams::start(RequestId request, EndpointId endpoint, const AttemptRequest& sent,
+                           runtime::Time within) {
     const auto found = hosts_.find(endpoint);
     AttemptId id = 0;
     if (found != hosts_.end() && !found->second.leaving) {
@@ -113,7 +115,8 @@
     connection.chunked_request = sent.chunked;
     connection.skipped = 0;
     if (sent.bodiless_answer) connection.reader.expect_no_body();
-    connection.deadline = loop_.deadlines().after(within, [this, id] { over(id, AttemptOutcome::timed_out); });
+    connection.deadline =
+        loop_.deadlines().after(within, [this, id] { over(id, AttemptOutcome::timed_out); });
     std::string bytes;
     bytes.reserve(sent.head.size() + sent.body.size() + 32);
     bytes.append(sent.head).append("\r\n");
@@ -194,11 +197,12 @@
         return over(id, AttemptOutcome::broken);  // where its body ends can't be told
     }
     if (state == net::HttpReader::State::whole) return answer_read(id);
-    if (connection->reader.head_read() && connection->reader.body().size() >= held_answer) stream(id, *connection);
+    if (connection->reader.head_read() && connection->reader.body().size() >= held_answer)
+        stream(id, *connection);
 }
 
-// An answer to an earlier request may stand in the place of this one's: the id shows which it is. An answer without an
-// id is taken only as a refusal, which says nothing of another request's result.
+// An answer to an earlier request may stand in the place of this one's: the id shows which it is. An answer
+// without an id is taken only as a refusal, which says nothing of another request's result.
 bool Upstreams::belongs(const Connection& connection) const {
     const std::string_view id = connection.reader.field("X-Attempt-Id");
     if (!id.empty()) return id == connection.attempt_id;
@@ -209,13 +213,15 @@
     Connection& connection = *connections_.find(id);
     const bool interim = connection.reader.status() < 200;
     if (interim || !belongs(connection)) {
-        if (connection.streaming || ++connection.skipped > most_skipped) return over(id, AttemptOutcome::broken);
+        if (connection.streaming || ++connection.skipped > most_skipped)
+            return over(id, AttemptOutcome::broken);
         connection.reader.next();
         loop_.connections().again(connection.socket);
         return;
     }
     // Before its last byte was written the host can't have run it: whatever this is, it is no answer to it.
-    if (loop_.connections().unsent(connection.socket) > 0 && outcome_of(connection) == AttemptOutcome::answered) {
+    if (loop_.connections().unsent(connection.socket) > 0 &&
+        outcome_of(connection) == AttemptOutcome::answered) {
         return over(id, AttemptOutcome::broken);
     }
     over(id, outcome_of(connection));
--- a/src/gateway/upstreams.h
+++ b/src/gateway/upstreams.h
@@ -1,5 +1,5 @@
-// Connections to hosts and the attempts made on them. Owns every such connection. It carries out one attempt at a time on
-// each and tells how it ended; it must never send anything twice by itself.
+// Connections to hosts and the attempts made on them. Owns every such connection. It carries out one attempt
+// at a time on each and tells how it ended; it must never send anything twice by itself.
 #pragma once
 
 #include <asio/ip/tcp.hpp>
@@ -35,16 +35,17 @@
 
 struct AttemptResult {
     AttemptOutcome outcome = AttemptOutcome::broken;
-    HostAnswer answer{};      // of `answered`
-    runtime::Time took = 0;   // from its start
-    bool streamed = false;    // its head was told before, and `answer.body` holds only the rest
+    HostAnswer answer{};     // of `answered`
+    runtime::Time took = 0;  // from its start
+    bool streamed = false;   // its head was told before, and `answer.body` holds only the rest
 };
 
 class AttemptUser {
   public:
     virtual ~AttemptUser() = default;
     virtual void attempt_over(RequestId request, EndpointId endpoint, AttemptResult&& result) = 0;
-    // The answer is too long to be held whole: its head and a first part, then more parts, then `attempt_over`.
+    // The answer is too long to be held whole: its head and a first part, then more parts, then
+    // `attempt_over`.
     virtual void attempt_streams(RequestId request, HostAnswer&& answer) = 0;
     virtual void attempt_continues(RequestId request, std::string&& body) = 0;
     // What was sent of the request has been handed to the system.
@@ -53,12 +54,12 @@
 
 // What is sent of a request.
 struct AttemptRequest {
-    std::string_view head;        // with its first line, without the empty line at its end
-    std::string_view attempt_id;  // that the answer must carry
-    std::string_view body;        // as far as it is known
-    bool chunked = false;         // the length is not known yet
-    bool complete = true;         // all of the body is here
-    bool bodiless_answer = false; // of HEAD
+    std::string_view head;         // with its first line, without the empty line at its end
+    std::string_view attempt_id;   // that the answer must carry
+    std::string_view body;         // as far as it is known
+    bool chunked = false;          // the length is not known yet
+    bool complete = true;          // all of the body is here
+    bool bodiless_answer = false;  // of HEAD
 };
 
 class Upstreams : net::User {
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -38,6 +38,7 @@
 
 int main(int argc, char** argv) {
     if (names_role(argc, argv)) return run_role(argc, argv);
-    if (argc > 1 && std::string_view(argv[1]) == explain_command_name) return explain_command(argc - 1, argv + 1);
+    if (argc > 1 && std::string_view(argv[1]) == explain_command_name)
+        return explain_command(argc - 1, argv + 1);
     return run_operator(std::vector<std::string>(argv + 1, argv + argc));
 }
--- a/src/quota/admission.cpp
+++ b/src/quota/admission.cpp
@@ -50,7 +50,8 @@
     return statement;
 }
 
-Decision Admission::request(TimePoint now, TenantId id, const Quota& quota, int gateways, bool holder_reachable) {
+Decision Admission::request(TimePoint now, TenantId id, const Quota& quota, int gateways,
+                            bool holder_reachable) {
     if (!quota.limits()) return {Admitted::passed};
     Tenant& tenant = tenant_of(now, id, quota, gateways);
     if (!holder_reachable) {
@@ -135,11 +136,13 @@
     }
     if (counted) tenant.own.add(now, window, -1);
     const double rate = tenant.quota.rate_per_s / tenant.gateways;
-    return {Admitted::refused, std::max<Duration>(from_seconds((1 - tenant.tokens) / rate), least_retry_after)};
+    return {Admitted::refused,
+            std::max<Duration>(from_seconds((1 - tenant.tokens) / rate), least_retry_after)};
 }
 
-// Not before the estimate has room: it falls at least as fast as what was counted leaves the window. And not before those
-// refused earlier, if all of them came back in turn: of every window's requests so many pass, and so many wait.
+// Not before the estimate has room: it falls at least as fast as what was counted leaves the window. And not
+// before those refused earlier, if all of them came back in turn: of every window's requests so many pass,
+// and so many wait.
 Duration Admission::time_until_served(TimePoint now, Tenant& tenant) const {
     const Duration window = tenant.check.window;
     const double own = tenant.own.estimate(now, window);
--- a/src/quota/admission.h
+++ b/src/quota/admission.h
@@ -1,11 +1,12 @@
-// Whether a tenant's request may pass here: the two-window check against the count of all gateways, with a local token
-// bucket of this gateway's part of the quota while the count's holder cannot be asked. Pure: what is to be stated to the
-// holder is handed out, answers and time-outs are handed in.
+// Whether a tenant's request may pass here: the two-window check against the count of all gateways, with a
+// local token bucket of this gateway's part of the quota while the count's holder cannot be asked. Pure: what
+// is to be stated to the holder is handed out, answers and time-outs are handed in.
 //
-// Bound. Let L be the quota's limit in one window and n the number of gateways. While the holder answers, a request passes
-// when own + others <= L by an answer that counts it, or ahead of the answer while this gateway's unanswered ones are at
-// most (L - own - others) / n, so that all gateways together pass no more than what an answer leaves. While it does not
-// answer, each gateway passes at most its bucket's tokens and rate / n. docs/limits-over-all-gateways.md derives the sum.
+// Bound. Let L be the quota's limit in one window and n the number of gateways. While the holder answers, a
+// request passes when own + others <= L by an answer that counts it, or ahead of the answer while this
+// gateway's unanswered ones are at most (L - own - others) / n, so that all gateways together pass no more
+// than what an answer leaves. While it does not answer, each gateway passes at most its bucket's tokens and
+// rate / n. docs/limits-over-all-gateways.md derives the sum.
 #pragma once
 
 #include <deque>
@@ -26,16 +27,17 @@
 
 struct Decision {
     Admitted result = Admitted::passed;
-    Duration retry_after{};              // of a refused one: when it may pass, by what is known
+    Duration retry_after{};                // of a refused one: when it may pass, by what is known
     std::optional<Statement> statement{};  // to be sent to the holder
-    bool wants_answer = false;             // of the statement; one that is only told has none, and no time-out
+    bool wants_answer = false;  // of the statement; one that is only told has none, and no time-out
 };
 
 class Admission {
   public:
     Admission(GatewayLife self, const QuotaBound& bound) : self_(self), bound_(bound) {}
 
-    // `holder_reachable`: calls to the tenant's holder are worth making now. `gateways`: how many share the quota.
+    // `holder_reachable`: calls to the tenant's holder are worth making now. `gateways`: how many share the
+    // quota.
     Decision request(TimePoint now, TenantId tenant, const Quota& quota, int gateways, bool holder_reachable);
     // The holder's answer to a statement. Decides on the request that asked, if any did.
     Decision answered(TimePoint now, TenantId tenant, std::uint64_t sequence, const HeldCount& held);
--- a/src/quota/breaker.h
+++ b/src/quota/breaker.h
@@ -1,5 +1,5 @@
-// The circuit breaker before a counter gateway: opens after failures in a row, lets one call through after a pause, closes
-// with the first answer. Pure.
+// The circuit breaker before a counter gateway: opens after failures in a row, lets one call through after a
+// pause, closes with the first answer. Pure.
 #pragma once
 
 #include "quota/sliding_count.h"
--- a/src/quota/count_holder.h
+++ b/src/quota/count_holder.h
@@ -1,6 +1,6 @@
-// The counts that one gateway holds for all: of each tenant, what every gateway has let in, as each states it. A statement
-// replaces the one before it of the same gateway, so that lost, doubled and late ones do no harm, and a holder that has
-// lost all is rebuilt by everybody's next call. Pure.
+// The counts that one gateway holds for all: of each tenant, what every gateway has let in, as each states
+// it. A statement replaces the one before it of the same gateway, so that lost, doubled and late ones do no
+// harm, and a holder that has lost all is rebuilt by everybody's next call. Pure.
 #pragma once
 
 #include <cstdint>
--- a/src/quota/sliding_count.h
+++ b/src/quota/sliding_count.h
@@ -1,5 +1,5 @@
-// The sliding window estimate of one counting process: previous count x (1 - fraction of the window elapsed) + current
-// count (Singh, "Your rate limiter will fail open or closed"). Pure.
+// The sliding window estimate of one counting process: previous count x (1 - fraction of the window elapsed)
+// + current count (Singh, "Your rate limiter will fail open or closed"). Pure.
 #pragma once
 
 #include <algorithm>
@@ -34,19 +34,21 @@
     // Of the window now under way and the part of the one before that still overlaps.
     double estimate(TimePoint now, Duration window) {
         roll(now, window);
-        const double elapsed = std::chrono::duration<double>(now - began_) / std::chrono::duration<double>(window);
+        const double elapsed =
+            std::chrono::duration<double>(now - began_) / std::chrono::duration<double>(window);
         return previous_ * (1 - elapsed) + current_;
     }
 
-    // Brings the window to one that began at `boundary`, within the last `window`, once the own one has begun before it.
-    // What was counted goes to both windows as if it had come evenly.
+    // Brings the window to one that began at `boundary`, within the last `window`, once the own one has begun
+    // before it. What was counted goes to both windows as if it had come evenly.
     void align(TimePoint now, Duration window, TimePoint boundary) {
         roll(now, window);
         const Duration late = boundary - began_;
         const Duration tolerance = window / alignment_parts;
         if (late <= tolerance || late >= window - tolerance) return;
         const double moved = std::chrono::duration<double>(late) / std::chrono::duration<double>(window);
-        const double before = current_ * (late / std::chrono::duration<double, Duration::period>(now - began_));
+        const double before =
+            current_ * (late / std::chrono::duration<double, Duration::period>(now - began_));
         previous_ = previous_ * (1 - moved) + before;
         current_ -= before;
         began_ = boundary;
