--- a/src/storage/durable_env.cpp
+++ b/src/storage/durable_env.cpp
@@ -42,14 +42,14 @@
     : EnvWrapper(target), sync_folder_(std::move(sync_folder)) {}
 
 Status DurableEnv::RenameFile(const std::string& from, const std::string& to) {
-    const Status renamed = target()->RenameFile(from, to);
+    Status renamed = target()->RenameFile(from, to);
     if (!renamed.ok()) return renamed;
     return sync_folder_(folder_of(to));
 }
 
 Status DurableEnv::ensure_folder(const std::string& folder) {
     if (FileExists(folder)) return Status::OK();
-    const Status created = CreateDir(folder);
+    Status created = CreateDir(folder);
     if (!created.ok()) return created;
     return sync_folder_(folder_of(folder));
 }
@@ -81,11 +81,11 @@
 
 Status DurableEnv::remove_all_but_marker(const std::string& folder) {
     std::vector<std::string> names;
-    const Status listed = GetChildren(folder, &names);
+    Status listed = GetChildren(folder, &names);
     if (!listed.ok()) return listed;
     for (const std::string& name : names) {
         if (name == "." || name == ".." || name == discard_marker) continue;
-        const Status removed = RemoveFile(folder + "/" + name);
+        Status removed = RemoveFile(folder + "/" + name);
         if (!removed.ok()) return removed;
     }
     return Status::OK();
--- a/src/storage/manifest_tail.cpp
+++ b/src/storage/manifest_tail.cpp
@@ -127,7 +127,7 @@
     const std::string current = folder + "/CURRENT";
     if (!env.FileExists(current)) return Status::OK();
     std::string line;
-    const Status status = leveldb::ReadFileToString(&env, current, &line);
+    Status status = leveldb::ReadFileToString(&env, current, &line);
     if (!status.ok() || !line.ends_with('\n')) return status;
     line.pop_back();
     if (env.FileExists(folder + "/" + line)) name = folder + "/" + line;
--- a/tests/storage/disk_writer_test.cpp
+++ b/tests/storage/disk_writer_test.cpp
@@ -86,7 +86,7 @@
         env.await_hanging_sync();
     }
 
-    std::size_t stored_entries() {
+    std::size_t stored_entries() const {
         PowerLossEnv copy(env.disk());
         ReplicaStore reader(options_on(copy));
         return std::get<consensus::PersistentState>(reader.open(folder)).entries.size();
--- a/tests/storage/memory_disk.cpp
+++ b/tests/storage/memory_disk.cpp
@@ -147,7 +147,8 @@
 void MemoryDisk::flip_bit(const std::string& name, std::size_t bit) {
     DiskFile& file = files_.at(names_.at(name));
     std::string content = file.content();
-    content.at(bit / bits_a_byte) ^= static_cast<char>(1U << (bit % bits_a_byte));
+    char& flipped = content.at(bit / bits_a_byte);
+    flipped = static_cast<char>(flipped ^ (1U << (bit % bits_a_byte)));
     file.synced = std::make_shared<const std::string>(std::move(content));
     file.unsynced.clear();
 }
--- a/tests/storage/power_loss_env.cpp
+++ b/tests/storage/power_loss_env.cpp
@@ -25,7 +25,7 @@
     explicit Reader(std::string content) : content_(std::move(content)) {}
 
     Status Read(std::size_t count, Slice* result, char* scratch) override {
-        const Status status = Read(position_, count, result, scratch);
+        Status status = Read(position_, count, result, scratch);
         position_ += result->size();
         return status;
     }
@@ -60,14 +60,14 @@
 
     Status Flush() override {
         if (buffer_.empty()) return Status::OK();
-        const Status status = env_.AppendTo(file_, buffer_);
+        Status status = env_.AppendTo(file_, buffer_);
         buffer_.clear();
         return status;
     }
 
     Status Sync() override {
         if (is_manifest(name_)) {
-            const Status synced = env_.SyncNames();
+            Status synced = env_.SyncNames();
             if (!synced.ok()) return synced;
         }
         const Status flushed = Flush();
@@ -177,7 +177,7 @@
 Status PowerLossEnv::NewWritableFile(const std::string& name, leveldb::WritableFile** file) {
     *file = nullptr;
     int created = 0;
-    const Status status = operate([&](MemoryDisk& disk) { created = disk.create(name); });
+    Status status = operate([&](MemoryDisk& disk) { created = disk.create(name); });
     if (status.ok()) *file = new Writer(*this, name, created);
     return status;
 }
@@ -199,7 +199,7 @@
 
 Status PowerLossEnv::RemoveFile(const std::string& name) {
     bool removed = false;
-    const Status status = operate([&](MemoryDisk& disk) { removed = disk.remove(name); });
+    Status status = operate([&](MemoryDisk& disk) { removed = disk.remove(name); });
     return status.ok() && !removed ? Status::NotFound(name) : status;
 }
 
@@ -217,7 +217,7 @@
 
 Status PowerLossEnv::RenameFile(const std::string& from, const std::string& to) {
     bool renamed = false;
-    const Status status = operate([&](MemoryDisk& disk) { renamed = disk.rename(from, to); });
+    Status status = operate([&](MemoryDisk& disk) { renamed = disk.rename(from, to); });
     return status.ok() && !renamed ? Status::NotFound(from) : status;
 }
 
--- a/tests/storage/replica_store_test.cpp
+++ b/tests/storage/replica_store_test.cpp
@@ -114,8 +114,9 @@
     alter_value(env, key, [&](std::string& value) { length = value.size(); });
     for (std::size_t at = 0; at < length; ++at) {
         PowerLossEnv flipped(env.disk());
-        alter_value(flipped, key,
-                    [&](std::string& value) { value[at] ^= static_cast<char>(1U << (at % bits_a_byte)); });
+        alter_value(flipped, key, [&](std::string& value) {
+            value[at] = static_cast<char>(value[at] ^ (1U << (at % bits_a_byte)));
+        });
         const NoState refusal = refusal_on(flipped);
         CHECK(refusal.reason == NoStateReason::corrupt);
         CHECK(refusal.where == key);
