--- a/tests/wire/codec.cpp
+++ b/tests/wire/codec.cpp
@@ -129,8 +129,11 @@
     const std::vector<Message> messages = all_kinds();
     for (int round = 0; round < 5000; ++round) {
         std::string bytes = encode(messages[round % messages.size()]);
-        for (int flips = 0; flips < 3; ++flips)
-            bytes[random() % bytes.size()] ^= static_cast<char>(1 + random() % 255);
+        for (int flips = 0; flips < 3; ++flips) {
+            const auto mask = 1 + random() % 255;
+            char& changed = bytes[random() % bytes.size()];
+            changed = static_cast<char>(changed ^ mask);
+        }
         const std::optional<Message> decoded = decode(bytes);
         if (decoded) CHECK(decode(encode(*decoded)));
     }
