HTTP: the test of a NUL in a head sends that head alone

Cause: the test's string took in the literal's own end, a second NUL behind the line, for which the head could have been refused too. Change: the length is the line's; the test is stricter, since only the NUL within the line is left.

--- a/tests/http/smuggling.cpp
+++ b/tests/http/smuggling.cpp
@@ -85,7 +85,7 @@
 }
 
 TEST_CASE("control characters in a head are refused") {
-    require_refused(with_fields(std::string("X-Note: a\0b\r\n", 14)));
+    require_refused(with_fields(std::string("X-Note: a\0b\r\n", 13)));
     require_refused(with_fields("X-Note: a\x01z\r\n"));
     require_refused(with_fields("X-Note: a\x7fz\r\n"));
     require_refused("POST /a/\tb HTTP/1.1\r\nHost: shop\r\n\r\n");
