--- a/tests/gateway/placement.cpp
+++ b/tests/gateway/placement.cpp
@@ -31,7 +31,8 @@
 }
 
 TEST_CASE("tenants spread evenly over the gateways, and a lost one's alone move, once it is gone for long") {
-    constexpr int holders = 8, tenants = 8000;
+    constexpr int holders = 8;
+    constexpr int tenants = 8000;
     Placement placement;
     placement.update(gateways(holders), 0);
     std::map<std::uint64_t, std::string> before;
