Transport and API: a session is made by name, a destructor says that it overrides

Need: clang 14 cannot make an aggregate from parentheses, and modernize-use-override. Change: no behaviour. Tested: the program is built with g++ 12.

--- a/src/api/client.h
+++ b/src/api/client.h
@@ -23,7 +23,7 @@
     using Done = std::function<void(const CallResult&)>;
 
     Client(runtime::EventLoop& loop, const asio::ip::tcp::endpoint& address, std::size_t most_body);
-    ~Client();
+    ~Client() override;
 
     // Must not be called while a call is out.
     void get(const std::string& target, runtime::Time within, Done done);
--- a/src/transport/sessions.cpp
+++ b/src/transport/sessions.cpp
@@ -11,7 +11,7 @@
 }
 
 void Sessions::accepted(asio::ip::tcp::socket socket, SessionUser& user) {
-    const SessionId id = sessions_.add(&user);
+    const SessionId id = sessions_.add(Session{&user});
     if (!id) return;
     Session& session = *sessions_.find(id);
     session.up = true;
@@ -20,7 +20,7 @@
 }
 
 SessionId Sessions::open(const asio::ip::tcp::endpoint& address, SessionUser& user, runtime::Time within) {
-    const SessionId id = sessions_.add(&user);
+    const SessionId id = sessions_.add(Session{&user});
     if (!id) return 0;
     const net::Handle connection = loop_.connections().open(address, *this, id, within);
     if (!connection) {
