--- a/src/consensus/log.h
+++ b/src/consensus/log.h
@@ -47,7 +47,7 @@
 
   private:
     struct MembershipAt {
-        Index index;
+        Index index = 0;
         Membership membership;
     };
 
--- a/src/consensus/raft.cpp
+++ b/src/consensus/raft.cpp
@@ -27,8 +27,8 @@
 
 }  // namespace
 
-Raft::Raft(const Options& options, PersistentState state, const Membership& initial, std::uint64_t seed,
-           TimePoint now)
+Raft::Raft(const Options& options, const PersistentState& state, const Membership& initial,
+           std::uint64_t seed, TimePoint now)
     : options_(options),
       self_(state.self),
       now_(now),
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -5,9 +5,8 @@
 // such call takes out what is to be done. The owner has three duties:
 //  - it writes each Write in order and calls persisted() only once that write is synced;
 //  - it sends the messages of a Ready at once, without waiting for the Write beside them. What must not be
-//  said before
-//    a write is synced (votes, requests for votes, acknowledgements of entries) appears only in a Ready after
-//    persisted();
+//    said before a write is synced (votes, requests for votes, acknowledgements of entries) appears only in a
+//    Ready after persisted();
 //  - a disk that was lost gets a new ReplicaId. An id is never used again, not even at the same address.
 #pragma once
 
@@ -88,7 +87,7 @@
     // the same at all its replicas; it is empty for every later start and for a replica that joins. The state
     // machine starts from state.snapshot, and entries after it are given out again. A snapshot without data
     // is the state machine's first state.
-    Raft(const Options& options, PersistentState state, const Membership& initial, std::uint64_t seed,
+    Raft(const Options& options, const PersistentState& state, const Membership& initial, std::uint64_t seed,
          TimePoint now);
 
     // To be called at next_deadline() or soon after.
@@ -189,7 +188,7 @@
     void on(const Replica& from, const SnapshotChunkResponse& response);
 
     struct Round {
-        HeartbeatRound number;
+        HeartbeatRound number = 0;
         TimePoint sent_at;
     };
     struct Transfer {
--- a/src/consensus/read_queue.h
+++ b/src/consensus/read_queue.h
@@ -32,7 +32,7 @@
 
   private:
     struct Waiting {
-        HeartbeatRound round;
+        HeartbeatRound round = 0;
         SafeRead read;
     };
 
--- a/src/consensus/write_tracker.h
+++ b/src/consensus/write_tracker.h
@@ -48,11 +48,11 @@
 
   private:
     struct Batch {
-        WriteSequence sequence;
-        Index last_index;
+        WriteSequence sequence = 0;
+        Index last_index = 0;
     };
     struct Held {
-        WriteSequence sequence;
+        WriteSequence sequence = 0;
         Envelope envelope;
     };
 
--- a/tests/consensus/checker.h
+++ b/tests/consensus/checker.h
@@ -52,7 +52,7 @@
   private:
     struct Written {
         Entry entry;
-        Term previous_term;
+        Term previous_term = 0;
     };
     struct Committed {
         Entry entry;
--- a/tests/consensus/world.cpp
+++ b/tests/consensus/world.cpp
@@ -67,7 +67,7 @@
 }
 
 // Runs something for the replica that was running at `life`; later, if the machine is frozen.
-void World::on_machine(MachineIndex index, std::uint64_t life, std::function<void(Raft&)> run) {
+void World::on_machine(MachineIndex index, std::uint64_t life, const std::function<void(Raft&)>& run) {
     const Machine& machine = machines_[index];
     if (!machine.raft || machine.life != life) return;
     if (now_ < machine.frozen_until) {
--- a/tests/consensus/world.h
+++ b/tests/consensus/world.h
@@ -117,7 +117,7 @@
     };
 
     void post(TimePoint at, std::function<void()> run);
-    void on_machine(MachineIndex index, std::uint64_t life, std::function<void(Raft&)> run);
+    void on_machine(MachineIndex index, std::uint64_t life, const std::function<void(Raft&)>& run);
     void drain(MachineIndex index);
     void transmit(const Envelope& envelope);
     void write(MachineIndex index, const Write& write);
