Fuzz targets for all readers of outside bytes; ctest replays their corpus

Need: requests, answers, messages, configurations, settings and pages of instances come from outside.

--- a/cmake/system.cmake
+++ b/cmake/system.cmake
@@ -54,6 +54,10 @@
   add_subdirectory(src/explain)
   add_subdirectory(src/program)
   add_subdirectory(src/capacity_world)
+
+  if(DEWWEIR_TESTS)
+    add_subdirectory(tests/fuzz)
+  endif()
 endif()
 
 # Tests of the whole system over real processes on loopback addresses, after all packages: they need the program.
