--- a/src/quota/admission.cpp
+++ b/src/quota/admission.cpp
@@ -38,7 +38,7 @@
     return tenant;
 }
 
-Statement Admission::state(TimePoint now, TenantId id, Tenant& tenant) {
+Statement Admission::state(TimePoint now, TenantId id, Tenant& tenant) const {
     Statement statement;
     statement.tenant = id;
     statement.gateway = self_;
--- a/src/quota/admission.h
+++ b/src/quota/admission.h
@@ -67,7 +67,7 @@
     };
 
     Tenant& tenant_of(TimePoint now, TenantId id, const Quota& quota, int gateways);
-    Statement state(TimePoint now, TenantId id, Tenant& tenant);
+    Statement state(TimePoint now, TenantId id, Tenant& tenant) const;
     Decision decide_locally(TimePoint now, Tenant& tenant, bool counted);
     Decision refuse(TimePoint now, Tenant& tenant) const;
     Duration time_until_served(TimePoint now, Tenant& tenant) const;
--- a/tests/quota/phases.cpp
+++ b/tests/quota/phases.cpp
@@ -15,6 +15,7 @@
     const Duration window = check_for(quota, rules).window;
     CountHolder holder;
     std::vector<Admission> admissions;
+    admissions.reserve(gateways);
     for (int index = 0; index < gateways; ++index)
         admissions.emplace_back(static_cast<GatewayLife>(index), rules);
     std::vector<TimePoint> admitted;
