--- a/src/program/fleet_status.cpp
+++ b/src/program/fleet_status.cpp
@@ -38,7 +38,7 @@
 std::optional<ControlAddress> unasked_leader(const FleetStatus& fleet) {
     const ControlPlaneStatus* const best = fleet.best();
     if (!best || best->status->leads) return std::nullopt;
-    const std::optional<ControlAddress> leader = parse_control_address(best->status->leader_control);
+    std::optional<ControlAddress> leader = parse_control_address(best->status->leader_control);
     if (!leader) return std::nullopt;
     for (const ControlPlaneStatus& asked : fleet.control_planes) {
         if (asked.address == *leader) return std::nullopt;
