Read once more: one dispatch of updates, one description of a gateway, dead members out

Gateways and control planes each took an update apart by hand before handing it to the view: View::apply takes any message now. The hollow gateway of the capacity world described itself as the gateway's process does, and explain-bounds made the quota's bound a third time: src/gateway/identity serves all three. A pool listed an endpoint in two places alike. Counters, a field and an accessor that nobody read are gone. No behaviour, bound, check or expectation has changed.

--- a/src/capacity_world/hollow_gateway.cpp
+++ b/src/capacity_world/hollow_gateway.cpp
@@ -1,37 +1,11 @@
 #include "capacity_world/hollow_gateway.h"
 
-#include <random>
-
 #include "configuration/parser.h"
 #include "configuration/route_table.h"
+#include "gateway/identity.h"
 #include "transport/addresses.h"
 
 namespace dewweir::capacity_world {
-namespace {
-
-settings::Endpoint internal_endpoint(const settings::Settings& settings) {
-    return {settings.self.ip, settings.network.ephemeral_ports.first};
-}
-
-wire::Member describe_self(const settings::Settings& settings) {
-    wire::Member self;
-    self.node = settings.self.node;
-    self.life = std::random_device{}();
-    self.role = wire::Role::gateway;
-    self.zone = settings.self.zone;
-    self.region = settings.self.region;
-    self.internal = to_string(internal_endpoint(settings));
-    if (settings.network.bind.front) self.front = to_string(*settings.network.bind.front);
-    return self;
-}
-
-quota::QuotaBound quota_bound(const settings::Settings& settings) {
-    const settings::Bounds& bounds = settings.invariants.bounds;
-    return {bounds.quota_window, bounds.quota_overshoot, bounds.quota_slack};
-}
-
-}  // namespace
-
 settings::Settings settings_of(const settings::Settings& common, std::uint32_t number) {
     settings::Settings own = common;
     own.self.node += "-" + std::to_string(number);
@@ -49,15 +23,15 @@
                              const settings::Settings& settings, Observer observer)
     : settings_(settings),
       loop_(loop),
-      control_(loop, sessions, settings, describe_self(settings),
+      control_(loop, sessions, settings, gateway::describe_gateway(settings),
                [this](const distribution::Changes& changes) { view_changed(changes); }),
-      quotas_(loop, settings.self.node, quota_bound(settings)),
+      quotas_(loop, settings.self.node, gateway::quota_bound(settings)),
       endpoints_({settings.self.zone, settings.self.region, settings.network.zones}),
       observer_(std::move(observer)) {}
 
 std::optional<std::string> HollowGateway::start() {
     const std::optional<std::string> fault =
-        quotas_.bind(transport::udp_endpoint(internal_endpoint(settings_)));
+        quotas_.bind(transport::udp_endpoint(gateway::internal_endpoint(settings_)));
     if (!fault) control_.start();
     return fault;
 }
--- a/src/control/instance_poller.cpp
+++ b/src/control/instance_poller.cpp
@@ -27,7 +27,6 @@
 
 void InstancePoller::begin() {
     if (client_.busy()) return again_later();
-    ++round_;
     gathered_.clear();
     begun_at_ = loop_.now();
     ask({});
--- a/src/control/instance_poller.h
+++ b/src/control/instance_poller.h
@@ -32,7 +32,6 @@
     runtime::Timer timer_;
     runtime::Time interval_ = 0;
     bool running_ = false;
-    std::uint64_t round_ = 0;  // answers of an earlier round don't count
     Instances gathered_;
     runtime::Time begun_at_ = 0;
 };
--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -179,19 +179,10 @@
 }
 
 void FleetServer::from_leader(const wire::Message& message) {
-    distribution::Changes changes;
-    if (const auto* const instances = std::get_if<wire::InstancesUpdate>(&message)) {
-        changes = view_.apply(*instances);
-    } else if (const auto* const members = std::get_if<wire::MembersUpdate>(&message)) {
-        changes = view_.apply(*members);
-    } else if (const auto* const configuration = std::get_if<wire::ConfigurationUpdate>(&message)) {
-        changes = view_.apply(*configuration);
-    } else if (const auto* const evacuations = std::get_if<wire::EvacuationsUpdate>(&message)) {
-        const std::uint64_t before = view_.evacuations().index;
-        view_.apply(*evacuations);
-        changes.evacuations = view_.evacuations().index != before;
-    }
-    if (changes.any()) broadcast(message);
+    const std::uint64_t before = view_.evacuations().index;
+    const distribution::Changes changes = view_.apply(message);
+    // Evacuations are passed on also where only their place in the log is later.
+    if (changes.any() || view_.evacuations().index != before) broadcast(message);
 }
 
 void FleetServer::greeted(transport::SessionId session, Peer& peer, const wire::Hello& hello) {
--- a/src/distribution/view.cpp
+++ b/src/distribution/view.cpp
@@ -36,6 +36,17 @@
     return {.members = changed};
 }
 
+Changes View::apply(const wire::Message& message) {
+    if (const auto* const members = std::get_if<wire::MembersUpdate>(&message)) return apply(*members);
+    if (const auto* const instances = std::get_if<wire::InstancesUpdate>(&message)) return apply(*instances);
+    if (const auto* const evacuations = std::get_if<wire::EvacuationsUpdate>(&message))
+        return apply(*evacuations);
+    if (const auto* const configuration = std::get_if<wire::ConfigurationUpdate>(&message)) {
+        return apply(*configuration);
+    }
+    return {};
+}
+
 std::vector<wire::Message> View::whole() const {
     std::vector<wire::Message> messages;
     if (members_revision_ != wire::Revision{}) {
--- a/src/distribution/view.h
+++ b/src/distribution/view.h
@@ -29,6 +29,9 @@
     Changes apply(const wire::InstancesUpdate& update);
     Changes apply(const wire::MembersUpdate& update);
 
+    // Any of the updates above; other messages change nothing.
+    Changes apply(const wire::Message& message);
+
     // Messages that bring a process that knows nothing to this view.
     std::vector<wire::Message> whole() const;
 
--- a/src/explain/bounds.cpp
+++ b/src/explain/bounds.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 
 #include "gateway/cold_budget.h"
+#include "gateway/identity.h"
 #include "quota/window_check.h"
 
 namespace dewweir::explain {
@@ -89,10 +90,9 @@
 std::string explain_bounds(const settings::Settings& settings,
                            const configuration::Configuration& configuration, int gateways) {
     const settings::Bounds& bounds = settings.invariants.bounds;
-    const quota::QuotaBound quota_bound{bounds.quota_window, bounds.quota_overshoot, bounds.quota_slack};
     const gateway::ColdBound cold_bound{bounds.cold_overshoot, bounds.cold_slack};
-    return tenants_table(configuration.tenants, quota_bound, std::max(1, gateways)) + "\n" +
-           services_table(configuration.services, cold_bound);
+    return tenants_table(configuration.tenants, gateway::quota_bound(settings), std::max(1, gateways)) +
+           "\n" + services_table(configuration.services, cold_bound);
 }
 
 }  // namespace dewweir::explain
--- a/src/gateway/control_session.cpp
+++ b/src/gateway/control_session.cpp
@@ -78,18 +78,9 @@
 void ControlSession::session_received(transport::SessionId session, wire::Message&& message) {
     if (session != session_) return;
     heard_at_ = loop_.now();
-    distribution::Changes changes;
-    if (const auto* const members = std::get_if<wire::MembersUpdate>(&message)) {
-        changes = view_.apply(*members);
-    } else if (const auto* const instances = std::get_if<wire::InstancesUpdate>(&message)) {
-        changes = view_.apply(*instances);
-    } else if (const auto* const evacuations = std::get_if<wire::EvacuationsUpdate>(&message)) {
-        changes = view_.apply(*evacuations);
-    } else if (const auto* const configuration = std::get_if<wire::ConfigurationUpdate>(&message)) {
-        changes = view_.apply(*configuration);
-    } else if (const auto* const heartbeat = std::get_if<wire::Heartbeat>(&message)) {
+    if (const auto* const heartbeat = std::get_if<wire::Heartbeat>(&message))
         return leave_if_stale(*heartbeat);
-    }
+    const distribution::Changes changes = view_.apply(message);
     if (changes.any()) changed_(changes);
 }
 
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -5,13 +5,13 @@
 
 #include <algorithm>
 #include <fstream>
-#include <random>
 #include <sstream>
 
 #include "api/server.h"
 #include "configuration/parser.h"
 #include "gateway/control_session.h"
 #include "gateway/directory.h"
+#include "gateway/identity.h"
 #include "gateway/proxy.h"
 #include "logging/log.h"
 #include "transport/addresses.h"
@@ -35,18 +35,6 @@
 constexpr runtime::Time watch_interval = runtime::tenths_per_second;
 constexpr std::string_view directory_ttl = "2s";
 
-wire::Member describe_self(const settings::Settings& settings) {
-    wire::Member self;
-    self.node = settings.self.node;
-    self.life = std::random_device{}();
-    self.role = wire::Role::gateway;
-    self.zone = settings.self.zone;
-    self.region = settings.self.region;
-    self.internal = to_string(settings::Endpoint{settings.self.ip, settings.network.ephemeral_ports.first});
-    if (settings.network.bind.front) self.front = to_string(*settings.network.bind.front);
-    return self;
-}
-
 Proxy::Options proxy_options(const settings::Settings& settings) {
     const settings::Bounds& bounds = settings.invariants.bounds;
     Proxy::Options options;
@@ -57,11 +45,6 @@
     return options;
 }
 
-quota::QuotaBound quota_bound(const settings::Settings& settings) {
-    const settings::Bounds& bounds = settings.invariants.bounds;
-    return {bounds.quota_window, bounds.quota_overshoot, bounds.quota_slack};
-}
-
 std::string resolve_body(const std::vector<std::string>& addresses) {
     rapidjson::StringBuffer buffer;
     rapidjson::Writer<rapidjson::StringBuffer> writer(buffer);
@@ -83,7 +66,7 @@
           path_(path),
           loop_(settings.self.limits.max_fds - reserved_descriptors),
           sessions_(loop_),
-          control_(loop_, sessions_, settings, describe_self(settings),
+          control_(loop_, sessions_, settings, describe_gateway(settings),
                    [this](const distribution::Changes& changes) { view_changed(changes); }),
           quotas_(loop_, settings.self.node, quota_bound(settings)),
           proxy_(loop_, quotas_, proxy_options(settings)),
@@ -121,8 +104,8 @@
 
     std::optional<std::string> listen_all() {
         const settings::Bind& bind = settings_.network.bind;
-        const settings::Endpoint internal{settings_.self.ip, settings_.network.ephemeral_ports.first};
-        std::optional<std::string> fault = quotas_.bind(transport::udp_endpoint(internal));
+        std::optional<std::string> fault =
+            quotas_.bind(transport::udp_endpoint(internal_endpoint(settings_)));
         if (!fault && bind.front) fault = proxy_.front().listen(transport::tcp_endpoint(*bind.front));
         if (!fault && bind.readiness) fault = readiness_.listen(transport::tcp_endpoint(*bind.readiness));
         if (!fault && bind.directory) fault = directory_.listen(transport::tcp_endpoint(*bind.directory));
--- a/src/gateway/proxy.cpp
+++ b/src/gateway/proxy.cpp
@@ -91,7 +91,6 @@
     request.target = reader.target();
     reader.pass_on(request.fields, {"Authorization", "X-Tenant", "X-Time-Left-Ms", "X-Expect-Instance"});
     request.chunked = reader.chunked();
-    request.begun = loop_.now();
     const runtime::Time deadline = runtime::tenths(request.routed.route->deadline);
     const runtime::Time patience = parse_time_left(reader.field("X-Time-Left-Ms")).value_or(deadline);
     request.expires = loop_.now() + std::min(deadline, patience);
--- a/src/gateway/proxy.h
+++ b/src/gateway/proxy.h
@@ -50,10 +50,9 @@
         std::string fields;  // to pass on, each line with its end
         std::string body;    // what may still have to be sent
         bool chunked = false;
-        bool complete = false;        // all of the body has come
-        bool streaming_up = false;    // parts of the body were sent and are not kept
-        bool streaming_down = false;  // parts of the answer were passed on
-        runtime::Time begun = 0;
+        bool complete = false;           // all of the body has come
+        bool streaming_up = false;       // parts of the body were sent and are not kept
+        bool streaming_down = false;     // parts of the answer were passed on
         runtime::Time expires = 0;       // when the client gives up
         AttemptId attempt = 0;           // while one is out
         EndpointId endpoint = 0;         // of the latest attempt
--- a/src/gateway/service_pool.cpp
+++ b/src/gateway/service_pool.cpp
@@ -70,27 +70,25 @@
            std::binary_search(key_.regions.begin(), key_.regions.end(), endpoint.region);
 }
 
+void ServicePool::list(const Endpoint& endpoint, bool usable) {
+    const auto distance = static_cast<int>(endpoint.distance);
+    const HostState state = usable ? HostState::ready : HostState::draining;
+    decisions_->host_listed(loop_.now(), endpoint.id, state, 0, distance, distance);
+}
+
 void ServicePool::update(const EndpointTable& endpoints, const std::set<EndpointId>& withheld) {
-    const runtime::Time now = loop_.now();
-    decisions_->list_begins(now, true);
+    decisions_->list_begins(loop_.now(), true);
     for (const auto& [id, endpoint] : endpoints.all()) {
-        if (!holds(endpoint)) continue;
-        const bool ready = endpoint.usable && !withheld.contains(id);
-        const auto distance = static_cast<int>(endpoint.distance);
-        decisions_->host_listed(now, id, ready ? HostState::ready : HostState::draining, 0, distance,
-                                distance);
+        if (holds(endpoint)) list(endpoint, endpoint.usable && !withheld.contains(id));
     }
-    decisions_->list_ends(now);
+    decisions_->list_ends(loop_.now());
 }
 
 void ServicePool::set_usable(const Endpoint& endpoint, bool usable) {
     if (!holds(endpoint)) return;
-    const runtime::Time now = loop_.now();
-    const auto distance = static_cast<int>(endpoint.distance);
-    const HostState standing = usable ? HostState::ready : HostState::draining;
-    decisions_->list_begins(now, false);
-    decisions_->host_listed(now, endpoint.id, standing, 0, distance, distance);
-    decisions_->list_ends(now);
+    decisions_->list_begins(loop_.now(), false);
+    list(endpoint, usable);
+    decisions_->list_ends(loop_.now());
 }
 
 void ServicePool::submit(const PoolRequest& request) {
--- a/src/gateway/service_pool.h
+++ b/src/gateway/service_pool.h
@@ -79,6 +79,7 @@
 
   private:
     bool holds(const Endpoint& endpoint) const;
+    void list(const Endpoint& endpoint, bool usable);
     void start_attempt(std::uint32_t request, std::uint32_t host, Time give_up_after) override;
     void refuse(std::uint32_t request, Time come_back_in) override;
     void fail(std::uint32_t request) override;
--- a/src/gateway/upstreams.cpp
+++ b/src/gateway/upstreams.cpp
@@ -92,7 +92,6 @@
     }
     connections_.find(id)->socket = socket;
     ++host.connections;
-    ++opened_;
     return id;
 }
 
--- a/src/gateway/upstreams.h
+++ b/src/gateway/upstreams.h
@@ -82,7 +82,6 @@
     void read_on(AttemptId attempt);
     // Breaks it off; `attempt_over` is not told.
     void abandon(AttemptId attempt);
-    std::size_t opened() const { return opened_; }
 
   private:
     struct Connection {
@@ -136,7 +135,6 @@
     AttemptUser& user_;
     net::Slots<Connection> connections_;
     std::map<EndpointId, Host> hosts_;
-    std::size_t opened_ = 0;
 };
 
 }  // namespace dewweir::gateway
--- a/src/transport/sessions.h
+++ b/src/transport/sessions.h
@@ -35,8 +35,6 @@
     void send(SessionId session, const wire::Message& message);
     // Bytes of one frame that several sessions get.
     void send_frame(SessionId session, const std::string& frame);
-    // Bytes not yet handed to the system.
-    std::size_t unsent(SessionId session);
     // Its user hears no more of it.
     void close(SessionId session);
 
