--- a/src/api/server.cpp
+++ b/src/api/server.cpp
@@ -6,6 +6,8 @@
 namespace dewweir::api {
 namespace {
 
+// Longer than any caller waits.
+constexpr runtime::Time handling_limit = 10 * runtime::tenths_per_second;
 constexpr runtime::Time idle_limit = 30 * runtime::tenths_per_second;
 
 int hex_digit(char digit) {
@@ -114,9 +116,20 @@
     return nullptr;
 }
 
+// Who asked has long gone on elsewhere; the connection is freed and nothing is promised.
+void Server::limit_handling(std::uint32_t mark, std::uint64_t number, Client& client) {
+    loop_.deadlines().drop(client.deadline);
+    client.deadline = loop_.deadlines().after(handling_limit, [this, mark, number] {
+        respond(mark, number,
+                {Status::service_unavailable,
+                 error_body("the call takes too long", "repeat it, here or elsewhere")});
+    });
+}
+
 void Server::handle(std::uint32_t mark, Client& client) {
     client.handling = true;
-    loop_.deadlines().drop(client.deadline);
+    const std::uint64_t number = ++client.request;
+    limit_handling(mark, number, client);
     const std::string target = client.reader.target();
     const std::size_t question = target.find('?');
     Request request;
@@ -130,15 +143,18 @@
     if (!call) {
         const Status status = path_known ? Status::method_not_allowed : Status::not_found;
         return respond(
-            mark, {status, error_body("no such call", "see the operator's page for the calls there are")});
+            mark, number,
+            {status, error_body("no such call", "see the operator's page for the calls there are")});
     }
     request.rest = request.path.substr(std::min(call->path.size(), request.path.size()));
-    call->handler(request, [this, mark](const Response& response) { respond(mark, response); });
+    call->handler(request,
+                  [this, mark, number](const Response& response) { respond(mark, number, response); });
 }
 
-void Server::respond(std::uint32_t mark, const Response& response) {
+void Server::respond(std::uint32_t mark, std::uint64_t number, const Response& response) {
     Client* const client = clients_.find(mark);
-    if (!client || !client->handling) return;
+    if (!client || !client->handling || client->request != number) return;
+    loop_.deadlines().drop(client->deadline);
     const bool keep = client->reader.keep_alive();
     std::string head = "HTTP/1.1 ";
     head.append(status_line(response.status)).append("\r\n");
--- a/src/api/server.h
+++ b/src/api/server.h
@@ -36,7 +36,8 @@
 // A body that says what is wrong and what to do.
 std::string error_body(std::string_view reason, std::string_view advice);
 
-// Answers one request, now or later; must be called once. Calls after the connection has gone do nothing.
+// Answers one request, now or later. Of several calls for one request the first counts; calls after the
+// connection has gone do nothing. A request that is not answered within handling_limit gets 503.
 using Respond = std::function<void(const Response&)>;
 using Handler = std::function<void(const Request&, Respond)>;
 
@@ -61,6 +62,7 @@
         net::HttpReader reader;
         net::Handle connection = 0;
         bool handling = false;
+        std::uint64_t request = 0;  // counts the requests of this connection
         net::Deadlines::Key deadline{};
     };
 
@@ -69,8 +71,10 @@
     void ended(net::Handle connection, std::uint32_t mark) override;
     void handle(std::uint32_t mark, Client& client);
     const Call* find_call(std::string_view method, std::string_view path, bool& path_known) const;
-    void respond(std::uint32_t mark, const Response& response);
+    // Answers the request `number` of the connection; nothing where it is answered already.
+    void respond(std::uint32_t mark, std::uint64_t number, const Response& response);
     void refuse(std::uint32_t mark, Client& client, int status);
+    void limit_handling(std::uint32_t mark, std::uint64_t number, Client& client);
     void expect_request(std::uint32_t mark, Client& client);
 
     runtime::EventLoop& loop_;
--- a/src/capacity_world/hollow_gateway.cpp
+++ b/src/capacity_world/hollow_gateway.cpp
@@ -3,6 +3,7 @@
 #include "configuration/parser.h"
 #include "configuration/route_table.h"
 #include "gateway/identity.h"
+#include "process/identity.h"
 #include "transport/addresses.h"
 
 namespace dewweir::capacity_world {
@@ -23,7 +24,7 @@
                              const settings::Settings& settings, Observer observer)
     : settings_(settings),
       loop_(loop),
-      control_(loop, sessions, settings, gateway::describe_gateway(settings),
+      control_(loop, sessions, settings, process::describe_process(settings, wire::Role::gateway),
                [this](const distribution::Changes& changes) { view_changed(changes); }),
       quotas_(loop, settings.self.node, gateway::quota_bound(settings)),
       endpoints_({settings.self.zone, settings.self.region, settings.network.zones}),
@@ -31,7 +32,7 @@
 
 std::optional<std::string> HollowGateway::start() {
     const std::optional<std::string> fault =
-        quotas_.bind(transport::udp_endpoint(gateway::internal_endpoint(settings_)));
+        quotas_.bind(transport::udp_endpoint(process::internal_endpoint(settings_)));
     if (!fault) control_.start();
     return fault;
 }
--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -12,8 +12,8 @@
         start_election(false);
         return;
     }
-    for (const Replica& voter : log_.membership().voters) {
-        if (voter.id == self_.id) continue;
+    for (const Replica& voter : all_members(log_.membership())) {
+        if (voter.id == self_.id || !has_vote(log_.membership(), voter.id)) continue;
         send(voter, PreVoteRequest{term_, term_ + 1, log_.last_index(), log_.last_term()});
     }
 }
@@ -26,8 +26,8 @@
     role_ = Role::candidate;
     vote_ = self_.id;
     timer_.restart(now_);
-    for (const Replica& voter : log_.membership().voters) {
-        if (voter.id == self_.id) continue;
+    for (const Replica& voter : all_members(log_.membership())) {
+        if (voter.id == self_.id || !has_vote(log_.membership(), voter.id)) continue;
         hold_until_persisted(voter,
                              VoteRequest{term_, log_.last_index(), log_.last_term(), leadership_transfer});
     }
--- a/src/consensus/membership_changes.cpp
+++ b/src/consensus/membership_changes.cpp
@@ -27,46 +27,62 @@
 }
 
 // Keeps one progress for each other member.
-void Raft::set_membership(Membership membership) {
-    std::vector<Replica> members = std::move(membership.voters);
-    members.insert(members.end(), membership.learners.begin(), membership.learners.end());
-    auto is_member = [&members](ReplicaId id) {
-        return std::any_of(members.begin(), members.end(), [id](const Replica& one) { return one.id == id; });
-    };
-    std::erase_if(progress_, [&is_member](const auto& item) { return !is_member(item.first); });
-    for (const Replica& member : members) {
+void Raft::set_membership(const Membership& membership) {
+    membership_changed_at_ = now_;
+    std::erase_if(progress_, [&](const auto& item) { return !is_member(membership, item.first); });
+    for (const Replica& member : all_members(membership)) {
         if (member.id == self_.id) continue;
         progress_.try_emplace(member.id, member, log_.last_index() + 1, now_);
     }
 }
 
-// Makes voters of learners that have caught up. Where a learner is the new life of a machine whose disk was
-// lost, the old life is removed first, by a change of its own; the next call goes on from there, also at a
-// later leader.
+GroupState Raft::group_state() const {
+    GroupState group;
+    group.heard_within = timer_.shortest();
+    group.unchanged_for = std::chrono::duration_cast<microseconds>(now_ - membership_changed_at_);
+    for (const auto& [id, progress] : progress_) {
+        MemberState state;
+        state.id = id;
+        state.silence = progress.silence(now_);
+        state.leaving = progress.leaving(options_.membership.leave_request_holds, now_);
+        state.caught_up = progress.caught_up() && progress.match() + options_.max_inflight_appends >= commit_;
+        group.members.push_back(state);
+    }
+    return group;
+}
+
+// Brings the membership one step nearer to what it ought to be. Each step is an entry of its own, so that a
+// later leader goes on from there.
 void Raft::maintain_membership() {
     if (membership_refusal()) return;
     const microseconds limit = timer_.shortest();
-    const std::vector<Replica> learners = log_.membership().learners;
-    for (const Replica& learner : learners) {
-        Progress& progress = progress_.at(learner.id);
-        progress.measure_catch_up(log_.last_index(), now_, limit);
-        const bool ready = progress.caught_up() && progress.heard_within(limit, now_);
-        if (!ready) continue;
-        const Replica* old_life = find_voter_at(log_.membership(), learner.address);
-        if (old_life) {
-            propose_membership(now_, RemoveReplica{old_life->id});
-        } else {
-            propose_membership(now_, PromoteLearner{learner.id});
-        }
-        return;
+    for (const Replica& learner : log_.membership().learners) {
+        progress_.at(learner.id).measure_catch_up(log_.last_index(), now_, limit);
     }
+    const auto change = next_change(log_.membership(), group_state(), options_.membership);
+    if (!change) return;
+    const auto* const exchange = std::get_if<ExchangeVoter>(&*change);
+    if (exchange && !options_.guards.joint_exchange) return exchange_in_one_step(*exchange);
+    propose_membership(now_, *change);
 }
 
-// A leader that a committed change has removed leads no longer (thesis 4.2.2); followers learn of the commit
-// first.
+// What must never be done, for the checker to see: both majorities need no member in common.
+void Raft::exchange_in_one_step(const ExchangeVoter& exchange) {
+    Membership membership = std::get<Membership>(changed(log_.membership(), exchange));
+    membership.outgoing.clear();
+    set_membership(membership);
+    append(EntryKind::membership, {}, std::move(membership));
+}
+
+// An exchange that is committed ends at once. A leader that a committed change has removed leads no longer
+// (thesis 4.2.2); followers learn of the commit first.
 void Raft::follow_membership() {
-    const bool removal_committed = !is_voter() && log_.membership_index() <= commit_;
-    if (!removal_committed) return;
+    if (log_.membership_index() > commit_) return;
+    if (!log_.membership().outgoing.empty()) {
+        propose_membership(now_, LeaveJoint{});
+        return;
+    }
+    if (is_voter()) return;
     const std::optional<Replica> successor = best_successor();
     start_heartbeat_round();
     if (successor) ask_to_stand(*successor);
--- a/src/consensus/messages.h
+++ b/src/consensus/messages.h
@@ -80,6 +80,7 @@
     std::uint64_t offset = 0;  // bytes before this part
     std::string data;
     bool last = false;
+    std::uint64_t checksum = 0;  // of the whole snapshot's data (snapshot_checksum)
 };
 
 struct SnapshotChunkResponse {
@@ -93,9 +94,33 @@
     Term term = 0;
 };
 
+// A follower asks up to where everything is that was acknowledged before this request (thesis 6.4: reads at
+// followers). What it holds is in step with a majority once it has applied the index of the answer.
+struct ReadIndexRequest {
+    Term term = 0;
+    std::uint64_t token = 0;  // the follower's name of the read
+};
+
+struct ReadIndexResponse {
+    Term term = 0;
+    std::uint64_t token = 0;
+    Index index = 0;
+};
+
+// A replica that is to end asks whether the group does without it.
+struct LeaveRequest {
+    Term term = 0;
+};
+
+struct LeaveResponse {
+    Term term = 0;
+    bool may_go = false;  // a majority without it holds everything, and no substitute waits for its place
+};
+
 using Message =
     std::variant<PreVoteRequest, PreVoteResponse, VoteRequest, VoteResponse, AppendRequest, AppendResponse,
-                 HeartbeatRequest, HeartbeatResponse, SnapshotChunk, SnapshotChunkResponse, TimeoutNow>;
+                 HeartbeatRequest, HeartbeatResponse, SnapshotChunk, SnapshotChunkResponse, TimeoutNow,
+                 ReadIndexRequest, ReadIndexResponse, LeaveRequest, LeaveResponse>;
 
 // A message on its way. A replica takes only what is sent to its own id, so that a new replica at the address
 // of an old one never answers for it.
--- a/src/consensus/progress.cpp
+++ b/src/consensus/progress.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "consensus/snapshot_checksum.h"
+
 namespace dewweir::consensus {
 namespace {
 
@@ -57,6 +59,8 @@
                                   microseconds resend_after) {
     answered_round_ = std::max(answered_round_, response.round);
     if (response.synced > match_) accepted(response.synced);
+    // What it has in memory is no longer on the way: a follower whose disk hangs goes on being told.
+    while (!inflight_.empty() && inflight_.front() <= response.received) inflight_.pop_front();
     if (state_ == ReplicationState::snapshot) return;
     const bool lacks_entries = response.received + 1 < next_;
     if (!lacks_entries) {
@@ -76,6 +80,7 @@
     state_ = ReplicationState::snapshot;
     inflight_.clear();
     transfer_ = SnapshotTransfer{};
+    transfer_->checksum = snapshot_checksum(snapshot->data);
     transfer_->snapshot = std::move(snapshot);
 }
 
--- a/src/consensus/progress.h
+++ b/src/consensus/progress.h
@@ -18,6 +18,7 @@
 
 struct SnapshotTransfer {
     std::shared_ptr<const Snapshot> snapshot;
+    std::uint64_t checksum = 0;
     std::uint64_t offset = 0;  // bytes the follower has
     bool waiting = false;      // for an answer to the last chunk
     TimePoint sent_at{};
@@ -47,6 +48,13 @@
 
     void heard(TimePoint now) { last_heard_ = now; }
     bool heard_within(microseconds span, TimePoint now) const { return now - last_heard_ < span; }
+    microseconds silence(TimePoint now) const {
+        return std::chrono::duration_cast<microseconds>(now - last_heard_);
+    }
+    void asked_to_leave(TimePoint now) { asked_to_leave_at_ = now; }
+    bool leaving(microseconds holds, TimePoint now) const {
+        return asked_to_leave_at_ && now - *asked_to_leave_at_ < holds;
+    }
     HeartbeatRound answered_round() const { return answered_round_; }
 
     void add_round_trip(microseconds sample);
@@ -68,6 +76,7 @@
     std::deque<Index> inflight_;  // last indexes of appends
     std::optional<SnapshotTransfer> transfer_;
     TimePoint last_heard_;
+    std::optional<TimePoint> asked_to_leave_at_;
     TimePoint last_sent_{};
     HeartbeatRound answered_round_ = 0;
     microseconds round_trip_{0};
--- a/src/consensus/raft.cpp
+++ b/src/consensus/raft.cpp
@@ -51,7 +51,7 @@
     advance_clock(now);
     if (role_ != Role::leader) {
         if (now_ < timer_.deadline()) return;
-        if (is_voter()) {
+        if (is_voter() && stands_) {
             start_pre_vote();
         } else {
             timer_.restart(now_);
@@ -102,13 +102,6 @@
     return Accepted{log_.last_index(), term_};
 }
 
-std::optional<Refused> Raft::read_index(TimePoint now, ReadToken token) {
-    advance_clock(now);
-    if (role_ != Role::leader) return refused(Refusal::not_leader);
-    read_queue_.add(token);
-    return std::nullopt;
-}
-
 void Raft::compact(Index index, std::string data) {
     const bool possible = index > log_.snapshot_index() && index <= applied_;
     if (!possible) return;
@@ -135,6 +128,14 @@
     return ready;
 }
 
+std::vector<Raft::Peer> Raft::peers(TimePoint now) const {
+    std::vector<Peer> peers;
+    for (const auto& [id, progress] : progress_) {
+        peers.push_back({progress.replica(), progress.match(), progress.silence(std::max(now, now_))});
+    }
+    return peers;
+}
+
 std::optional<Replica> Raft::leader() const { return leader_; }
 
 void Raft::advance_clock(TimePoint now) { now_ = std::max(now_, now); }
@@ -162,8 +163,7 @@
     progress_.clear();
     rounds_.clear();
     transfer_.reset();
-    const std::vector<ReadToken> failed = read_queue_.clear();
-    failed_reads_.insert(failed_reads_.end(), failed.begin(), failed.end());
+    fail_reads();
 }
 
 void Raft::set_term(Term term) {
@@ -193,6 +193,13 @@
     return write;
 }
 
+Write Raft::whole_state() {
+    writes_.hard_state_changed();
+    writes_.snapshot_changed();
+    writes_.entries_changed(log_.snapshot_index() + 1);
+    return *collect_write();
+}
+
 std::vector<Entry> Raft::collect_committed() {
     std::vector<Entry> committed;
     if (applied_ < commit_) committed = log_.range(applied_ + 1, commit_);
@@ -205,14 +212,13 @@
 
 void Raft::note_removed(const Membership& membership) {
     auto note = [this, &membership](const Replica& replica) {
-        const bool stays = find_voter(membership, replica.id) || find_learner(membership, replica.id);
-        if (!stays) removed_.insert(replica.id);
+        if (!is_member(membership, replica.id)) removed_.insert(replica.id);
     };
     auto forget = [this](const Replica& replica) { removed_.erase(replica.id); };
-    std::for_each(committed_membership_.voters.begin(), committed_membership_.voters.end(), note);
-    std::for_each(committed_membership_.learners.begin(), committed_membership_.learners.end(), note);
-    std::for_each(membership.voters.begin(), membership.voters.end(), forget);
-    std::for_each(membership.learners.begin(), membership.learners.end(), forget);
+    const std::vector<Replica> before = all_members(committed_membership_);
+    const std::vector<Replica> after = all_members(membership);
+    std::for_each(before.begin(), before.end(), note);
+    std::for_each(after.begin(), after.end(), forget);
     committed_membership_ = membership;
 }
 
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -23,6 +23,7 @@
 #include "consensus/election_timer.h"
 #include "consensus/log.h"
 #include "consensus/membership.h"
+#include "consensus/membership_policy.h"
 #include "consensus/messages.h"
 #include "consensus/options.h"
 #include "consensus/progress.h"
@@ -102,8 +103,16 @@
     ProposeResult propose_membership(TimePoint now, const MembershipChange& change);
     // The token comes back in Ready::reads or Ready::failed_reads; a refused one does not.
     std::optional<Refused> read_index(TimePoint now, ReadToken token);
+    // Asks up to where everything is that was acknowledged before, at the leader or through it: the token
+    // comes back in Ready::reads, or not at all. At the leader it waits for the next regular round.
+    void confirm_state(TimePoint now, ReadToken token);
     // Hands leadership over (thesis 3.10); given up after an election time-out.
     std::optional<Refused> transfer_leadership(TimePoint now, ReplicaId to);
+    // This replica is to end: hands leadership over, or asks the leader whether the group does without it. To
+    // be called again and again until may_leave().
+    void prepare_to_leave(TimePoint now);
+    // A majority of others held everything when that was last asked, or this replica is no member.
+    bool may_leave() const;
     // Stops leading at once, asking the best follower to stand for election, and lets others stand first.
     void step_down(TimePoint now);
 
@@ -111,8 +120,23 @@
     // there. An index that has not been given out or is compacted already is ignored.
     void compact(Index index, std::string data);
 
+    // The whole state as one write, for a disk that lost writes which this replica has not reported
+    // persisted. Its sequence covers all that was handed out before.
+    Write whole_state();
+
     Ready take();
 
+    // Whether it stands for election: not while its disk takes no votes.
+    void set_standing(bool stands) { stands_ = stands; }
+
+    // What a leader knows of another member; nothing elsewhere.
+    struct Peer {
+        Replica replica;
+        Index match = 0;  // on its disk
+        microseconds silence{0};
+    };
+    std::vector<Peer> peers(TimePoint now) const;
+
     Role role() const { return role_; }
     Term term() const { return term_; }
     Index commit_index() const { return commit_; }
@@ -132,7 +156,7 @@
     std::optional<Write> collect_write();
     std::vector<Entry> collect_committed();
     void note_removed(const Membership& membership);
-    bool is_voter() const { return find_voter(log_.membership(), self_.id) != nullptr; }
+    bool is_voter() const { return has_vote(log_.membership(), self_.id); }
     Refused refused(Refusal reason) const { return {reason, leader()}; }
 
     // election.cpp
@@ -155,7 +179,6 @@
     void send_append(Progress& progress);
     void update_commit();
     void check_quorum();
-    void confirm_reads();
     void measure_round_trip(Progress& progress, HeartbeatRound round);
     bool has_committed_in_term() const { return log_.term_at(commit_) == term_; }
     Progress* progress_of(const Replica& from, Term term);
@@ -173,13 +196,27 @@
 
     // membership_changes.cpp
     std::optional<Refusal> membership_refusal() const;
-    void set_membership(Membership membership);
+    void set_membership(const Membership& membership);
     void maintain_membership();
+    void exchange_in_one_step(const ExchangeVoter& exchange);
+    GroupState group_state() const;
     void follow_membership();
     void continue_transfer();
     void ask_to_stand(const Replica& replica);
     std::optional<Replica> best_successor() const;
 
+    // reads.cpp
+    void confirm_reads();
+    void fail_reads();
+    void on(const Replica& from, const ReadIndexRequest& request);
+    void on(const Replica& from, const ReadIndexResponse& response);
+
+    // leaving.cpp
+    bool majority_without(ReplicaId leaver) const;
+    bool does_without(ReplicaId leaver) const;
+    void on(const Replica& from, const LeaveRequest& request);
+    void on(const Replica& from, const LeaveResponse& response);
+
     // snapshot_transfer.cpp
     void send_snapshot_chunk(Progress& progress);
     void resend_snapshot_chunks();
@@ -199,7 +236,12 @@
     struct IncomingSnapshot {
         Term term;
         Index index;
+        std::uint64_t checksum;
         std::string data;
+
+        bool is_part_of(const IncomingSnapshot& other) const {
+            return term == other.term && index == other.index && checksum == other.checksum;
+        }
     };
 
     Options options_;
@@ -232,6 +274,9 @@
     TimePoint heartbeat_due_{};
     ReadQueue read_queue_;
     std::optional<Transfer> transfer_;
+    bool stands_ = true;
+    bool may_leave_ = false;
+    TimePoint membership_changed_at_{};  // at the leader
 
     std::vector<Envelope> messages_;
     std::shared_ptr<const Snapshot> restore_;
--- a/src/consensus/read_queue.cpp
+++ b/src/consensus/read_queue.cpp
@@ -2,13 +2,19 @@
 
 namespace dewweir::consensus {
 
+void ReadQueue::add(const WaitingRead& read, ReadUrgency urgency) {
+    unassigned_.push_back(read);
+    if (urgency == ReadUrgency::at_once) urgent_ = true;
+}
+
 void ReadQueue::assign(HeartbeatRound round, Index commit) {
-    for (const ReadToken token : unassigned_) waiting_.push_back({round, {token, commit}});
+    for (const WaitingRead& read : unassigned_) waiting_.push_back({round, {read, commit}});
     unassigned_.clear();
+    urgent_ = false;
 }
 
-std::vector<SafeRead> ReadQueue::confirmed(HeartbeatRound round) {
-    std::vector<SafeRead> safe;
+std::vector<ConfirmedRead> ReadQueue::confirmed(HeartbeatRound round) {
+    std::vector<ConfirmedRead> safe;
     while (!waiting_.empty() && waiting_.front().round <= round) {
         safe.push_back(waiting_.front().read);
         waiting_.pop_front();
@@ -16,12 +22,13 @@
     return safe;
 }
 
-std::vector<ReadToken> ReadQueue::clear() {
-    std::vector<ReadToken> tokens = unassigned_;
-    for (const Waiting& waiting : waiting_) tokens.push_back(waiting.read.token);
+std::vector<WaitingRead> ReadQueue::clear() {
+    std::vector<WaitingRead> reads = unassigned_;
+    for (const Assigned& waiting : waiting_) reads.push_back(waiting.read.read);
     unassigned_.clear();
     waiting_.clear();
-    return tokens;
+    urgent_ = false;
+    return reads;
 }
 
 }  // namespace dewweir::consensus
--- a/src/consensus/read_queue.h
+++ b/src/consensus/read_queue.h
@@ -17,27 +17,44 @@
     Index index = 0;
 };
 
+enum class ReadUrgency : std::uint8_t {
+    at_once,     // starts a heartbeat round
+    next_round,  // rides on the next regular one
+};
+
+// Who waits: the leader's own caller, or a follower that asked.
+struct WaitingRead {
+    ReplicaId asker = 0;
+    ReadToken token = 0;
+};
+
+struct ConfirmedRead {
+    WaitingRead read;
+    Index index = 0;
+};
+
 class ReadQueue {
   public:
-    void add(ReadToken token) { unassigned_.push_back(token); }
-    bool wants_round() const { return !unassigned_.empty(); }
+    void add(const WaitingRead& read, ReadUrgency urgency);
+    bool wants_round() const { return urgent_; }
     bool empty() const { return unassigned_.empty() && waiting_.empty(); }
 
     // The reads that came so far are confirmed by `round`, and see the log up to `commit`.
     void assign(HeartbeatRound round, Index commit);
     // A majority has answered `round`.
-    std::vector<SafeRead> confirmed(HeartbeatRound round);
+    std::vector<ConfirmedRead> confirmed(HeartbeatRound round);
     // All reads that were not confirmed.
-    std::vector<ReadToken> clear();
+    std::vector<WaitingRead> clear();
 
   private:
-    struct Waiting {
+    struct Assigned {
         HeartbeatRound round = 0;
-        SafeRead read;
+        ConfirmedRead read;
     };
 
-    std::vector<ReadToken> unassigned_;
-    std::deque<Waiting> waiting_;  // by round
+    std::vector<WaitingRead> unassigned_;
+    std::deque<Assigned> waiting_;  // by round
+    bool urgent_ = false;           // one of the unassigned ones is
 };
 
 }  // namespace dewweir::consensus
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -91,18 +91,6 @@
     if (!has_majority(log_.membership(), heard)) become_follower(term_);
 }
 
-void Raft::confirm_reads() {
-    if (read_queue_.empty()) return;
-    auto answered = [this](ReplicaId id) {
-        if (id == self_.id) return round_;
-        auto found = progress_.find(id);
-        return found == progress_.end() ? HeartbeatRound{0} : found->second.answered_round();
-    };
-    const HeartbeatRound round = majority_index(log_.membership(), answered);
-    const std::vector<SafeRead> safe = read_queue_.confirmed(round);
-    safe_reads_.insert(safe_reads_.end(), safe.begin(), safe.end());
-}
-
 void Raft::measure_round_trip(Progress& progress, HeartbeatRound round) {
     auto same = [round](const Round& sent) { return sent.number == round; };
     const auto sent = std::find_if(rounds_.begin(), rounds_.end(), same);
--- a/src/consensus/snapshot_transfer.cpp
+++ b/src/consensus/snapshot_transfer.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "consensus/raft.h"
+#include "consensus/snapshot_checksum.h"
 
 namespace dewweir::consensus {
 namespace {
@@ -22,6 +23,7 @@
     chunk.membership = snapshot.membership;
     chunk.offset = transfer.offset;
     chunk.data = snapshot.data.substr(transfer.offset, options_.max_snapshot_chunk_bytes);
+    chunk.checksum = transfer.checksum;
     chunk.last = transfer.offset + chunk.data.size() == snapshot.data.size();
     transfer.waiting = true;
     transfer.sent_at = now_;
@@ -58,14 +60,18 @@
         acknowledge();
         return;
     }
-    const bool same = incoming_snapshot_ && incoming_snapshot_->index == chunk.index &&
-                      incoming_snapshot_->term == chunk.snapshot_term;
-    if (!same) incoming_snapshot_ = IncomingSnapshot{chunk.snapshot_term, chunk.index, {}};
+    const IncomingSnapshot described{chunk.snapshot_term, chunk.index, chunk.checksum, {}};
+    const bool same = incoming_snapshot_ && incoming_snapshot_->is_part_of(described);
+    if (!same) incoming_snapshot_ = described;
     std::string& data = incoming_snapshot_->data;
     const bool next = chunk.offset == data.size();
     if (next) data += chunk.data;
+    const bool whole = next && chunk.last;
+    // Parts that don't make up what the leader has are thrown away; it begins again when it hears of none.
+    const bool intact = !whole || snapshot_checksum(data) == chunk.checksum;
+    if (!intact) data.clear();
     send(from, SnapshotChunkResponse{term_, chunk.index, data.size()});
-    if (next && chunk.last) install(chunk, std::move(data));
+    if (whole && intact) install(chunk, std::move(data));
 }
 
 void Raft::install(const SnapshotChunk& description, std::string data) {
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -21,8 +21,14 @@
 };
 
 struct Membership {
-    std::vector<Replica> voters;    // whose majority decides
-    std::vector<Replica> learners;  // who receive the log and have no vote
+    std::vector<Replica> voters;      // whose majority decides
+    std::vector<Replica> learners{};  // who receive the log and have no vote
+    // While one voter is exchanged for another, the voters before: a majority of them is needed as well
+    // (joint consensus, thesis 4.3). Empty otherwise.
+    std::vector<Replica> outgoing{};
+    // How many voters the group ought to have. Voters beyond it that are gone are removed; with no more than
+    // that a lost one waits for its substitute. 0 in what earlier versions stored: as many as there are.
+    std::uint32_t wanted_voters = 0;
 
     bool operator==(const Membership&) const = default;
 };
--- a/src/control/state_machine.cpp
+++ b/src/control/state_machine.cpp
@@ -13,13 +13,14 @@
 std::uint64_t hash_of(std::string_view text) { return XXH3_64bits(text.data(), text.size()); }
 
 // What a snapshot holds; later versions add fields at the end.
-constexpr std::size_t snapshot_fields = 4;
+constexpr std::size_t least_snapshot_fields = 4;
 struct SnapshotContent {
     wire::ConfigurationUpdate configuration;
     std::map<std::uint32_t, std::uint64_t> accepted;
     std::vector<std::string> evacuated;
     std::uint64_t evacuations_index = 0;
-    MSGPACK_DEFINE(configuration, accepted, evacuated, evacuations_index);
+    std::uint32_t forgotten = 0;  // since 2026-12
+    MSGPACK_DEFINE(configuration, accepted, evacuated, evacuations_index, forgotten);
 };
 
 // All of the bytes as one object; throws where they are none or go on behind it.
@@ -79,11 +80,16 @@
 
 Outcome StateMachine::put(const PutConfiguration& command) {
     if (has_accepted(command.version, command.text)) return Outcome::accepted;
+    // It may be one of those that were accepted and are forgotten: it must not be refused.
+    if (forgotten_ > 0 && command.version <= forgotten_) return Outcome::forgotten;
     if (command.base != configuration_.version) return Outcome::version_conflict;
     if (command.version <= configuration_.version) return Outcome::not_newer;
     configuration_ = {command.version, command.text};
     accepted_[command.version] = hash_of(command.text);
-    if (accepted_.size() > most_accepted) accepted_.erase(accepted_.begin());
+    if (accepted_.size() > most_accepted) {
+        forgotten_ = accepted_.begin()->first;
+        accepted_.erase(accepted_.begin());
+    }
     return Outcome::accepted;
 }
 
@@ -98,18 +104,19 @@
 
 std::string StateMachine::snapshot() const {
     const std::vector<std::string> evacuated(evacuated_.begin(), evacuated_.end());
-    return pack(SnapshotContent{configuration_, accepted_, evacuated, evacuations_index_});
+    return pack(SnapshotContent{configuration_, accepted_, evacuated, evacuations_index_, forgotten_});
 }
 
 bool StateMachine::restore(std::string_view bytes) {
     try {
         const msgpack::object_handle handle = unpack(bytes);
-        if (!is_array_of(handle.get(), snapshot_fields)) return false;
+        if (!is_array_of(handle.get(), least_snapshot_fields)) return false;
         const auto content = handle.get().as<SnapshotContent>();
         configuration_ = content.configuration;
         accepted_ = content.accepted;
         evacuated_ = {content.evacuated.begin(), content.evacuated.end()};
         evacuations_index_ = content.evacuations_index;
+        forgotten_ = content.forgotten;
         return true;
     } catch (const std::exception&) { return false; }
 }
--- a/src/control/state_machine.h
+++ b/src/control/state_machine.h
@@ -35,6 +35,7 @@
     accepted,
     version_conflict,  // another version than the command's base is in force
     not_newer,         // the version is not greater than the one in force
+    forgotten,         // so old that it is no longer known whether it was accepted
 };
 
 std::string encode_command(const Command& command);
@@ -63,6 +64,7 @@
     std::map<std::uint32_t, std::uint64_t> accepted_;  // version to hash of its text
     std::set<std::string> evacuated_;
     std::uint64_t evacuations_index_ = 0;
+    std::uint32_t forgotten_ = 0;  // up to this version, what was accepted is no longer known
 };
 
 }  // namespace dewweir::control
--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -1,5 +1,7 @@
 #include "control_plane/fleet_server.h"
 
+#include <algorithm>
+
 #include "distribution/intervals.h"
 #include "logging/log.h"
 #include "transport/addresses.h"
@@ -11,11 +13,12 @@
 using logging::Level;
 
 FleetServer::FleetServer(runtime::EventLoop& loop, transport::Sessions& sessions, const wire::Member& self,
-                         const ReplicatedLog& log)
+                         const ReplicatedLog& log, runtime::Time freshness_limit)
     : loop_(loop),
       sessions_(sessions),
       self_(self),
       log_(log),
+      freshness_limit_(freshness_limit),
       heartbeat_(loop),
       expiry_(loop),
       publication_(loop),
@@ -67,7 +70,31 @@
 void FleetServer::broadcast(const wire::Message& message) {
     const std::string frame = wire::frame(message);
     for (const auto& [session, peer] : peers_) {
-        if (peer.greeted) sessions_.send_frame(session, frame);
+        if (peer.greeted && !peer.awaits_view) sessions_.send_frame(session, frame);
+    }
+}
+
+// ---- how old this process's view may be ----
+
+std::optional<runtime::Time> FleetServer::staleness() const {
+    const std::optional<runtime::Time> of_log = log_.staleness();
+    if (!of_log || log_.leads()) return of_log;
+    // Members and instances come from the leader's session alone, which can hang while the log goes on.
+    return std::max(*of_log, loop_.now() - leader_told_at_ - heartbeat_interval);
+}
+
+bool FleetServer::in_step() const {
+    const std::optional<runtime::Time> age = staleness();
+    return age && *age < freshness_limit_;
+}
+
+// Nobody begins with a view that may be old.
+void FleetServer::send_views() {
+    if (!in_step()) return;
+    for (auto& [session, peer] : peers_) {
+        if (!peer.awaits_view) continue;
+        peer.awaits_view = false;
+        for (const wire::Message& message : view_.whole()) sessions_.send(session, message);
     }
 }
 
@@ -153,7 +180,7 @@
 void FleetServer::session_opened(transport::SessionId session) {
     if (session != to_leader_) return;
     sessions_.send(session, wire::Hello{wire::protocol_version, self_});
-    peers_[session] = {false, {}, loop_.now()};
+    peers_[session] = Peer{.heard_at = loop_.now()};
     report_members();
 }
 
@@ -162,11 +189,15 @@
 void FleetServer::session_received(transport::SessionId session, wire::Message&& message) {
     Peer& peer = peers_[session];
     peer.heard_at = loop_.now();
-    if (session == to_leader_) return from_leader(message);
+    if (session == to_leader_) {
+        leader_told_at_ = loop_.now();
+        return from_leader(message);
+    }
     if (const auto* const consensus = std::get_if<wire::ConsensusMessage>(&message)) {
         if (consensus_) consensus_(*consensus);
         return;
     }
+    if (std::holds_alternative<wire::Probe>(message)) return send_heartbeat(session);
     if (const auto* const hello = std::get_if<wire::Hello>(&message)) return greeted(session, peer, *hello);
     if (const auto* const changed = std::get_if<wire::MemberChanged>(&message)) {
         return member_changed(peer, changed->self);
@@ -194,7 +225,9 @@
     peer.greeted = true;
     peer.member = hello.self;
     logging::log(Level::info, Event::member_joined, {{"member", std::string_view(hello.self.node)}});
-    for (const wire::Message& message : view_.whole()) sessions_.send(session, message);
+    peer.awaits_view = true;
+    send_heartbeat(session);
+    send_views();
     members_changed();
 }
 
@@ -226,15 +259,24 @@
 void FleetServer::beat() {
     heartbeat_.start(heartbeat_interval, [this] { beat(); });
     drop_silent();
+    send_views();
+    const std::string frame = wire::frame(heartbeat());
+    for (const auto& [session, peer] : peers_) sessions_.send_frame(session, frame);
+}
+
+wire::Heartbeat FleetServer::heartbeat() const {
     wire::Heartbeat heartbeat;
     heartbeat.configuration = view_.configuration().version;
-    heartbeat.leader_contact_ms =
-        static_cast<std::uint64_t>(log_.leader_silence() / runtime::tenths_per_millisecond);
+    const std::optional<runtime::Time> age = staleness();
+    if (age)
+        heartbeat.staleness_ms =
+            static_cast<std::uint64_t>(std::max<runtime::Time>(0, *age) / runtime::tenths_per_millisecond);
     heartbeat.leader_control = leader_control().value_or("");
-    const std::string frame = wire::frame(heartbeat);
-    for (const auto& [session, peer] : peers_) sessions_.send_frame(session, frame);
+    return heartbeat;
 }
 
+void FleetServer::send_heartbeat(transport::SessionId session) { sessions_.send(session, heartbeat()); }
+
 void FleetServer::drop_silent() {
     std::vector<transport::SessionId> silent;
     for (const auto& [session, peer] : peers_) {
--- a/src/control_plane/fleet_server.h
+++ b/src/control_plane/fleet_server.h
@@ -18,7 +18,7 @@
 class FleetServer : transport::SessionUser {
   public:
     FleetServer(runtime::EventLoop& loop, transport::Sessions& sessions, const wire::Member& self,
-                const ReplicatedLog& log);
+                const ReplicatedLog& log, runtime::Time freshness_limit);
 
     // Returns why the address can't be listened on, else nothing.
     std::optional<std::string> listen(const asio::ip::tcp::endpoint& address);
@@ -33,6 +33,9 @@
     // The platform's list as just read; at the leader alone.
     void instances_read(const control::Instances& instances);
 
+    // For how long changes may have been acknowledged, or news told by the leader, that this process lacks;
+    // nothing where it was never in step.
+    std::optional<runtime::Time> staleness() const;
     const distribution::View& view() const { return view_; }
     const wire::Member& self() const { return self_; }
     // Where the leader takes operators' calls; nothing while it is not known.
@@ -41,6 +44,7 @@
   private:
     struct Peer {
         bool greeted = false;
+        bool awaits_view = false;  // greeted while this process was not in step
         wire::Member member{};
         runtime::Time heard_at = 0;
     };
@@ -49,6 +53,10 @@
     void session_received(transport::SessionId session, wire::Message&& message) override;
     void session_closed(transport::SessionId session) override;
 
+    void send_heartbeat(transport::SessionId session);
+    wire::Heartbeat heartbeat() const;
+    bool in_step() const;
+    void send_views();
     void greeted(transport::SessionId session, Peer& peer, const wire::Hello& hello);
     void member_changed(Peer& peer, const wire::Member& member);
     void from_leader(const wire::Message& message);
@@ -68,12 +76,14 @@
     transport::Sessions& sessions_;
     wire::Member self_;
     const ReplicatedLog& log_;
+    const runtime::Time freshness_limit_;  // with an older proof nobody is given the whole view
     distribution::View view_;
     std::map<transport::SessionId, Peer> peers_;
     std::function<void(const wire::ConsensusMessage&)> consensus_;
     control::MemberTable members_;
     std::uint64_t published_ = 0;  // updates in this term
     transport::SessionId to_leader_ = 0;
+    runtime::Time leader_told_at_ = 0;
     std::string leader_address_;  // that `to_leader_` goes to
     bool led_ = false;
     runtime::Timer heartbeat_;
--- a/src/control_plane/operator_api.cpp
+++ b/src/control_plane/operator_api.cpp
@@ -66,6 +66,9 @@
     status.term = log_.term();
     status.commit_index = log_.commit_index();
     status.applied_index = log_.applied_index();
+    status.staleness = fleet_.staleness();
+    status.disk = log_.disk_state();
+    status.members = log_.members();
     status.leader = log_.leader_address().value_or("");
     status.leader_control = fleet_.leader_control().value_or("");
     return status;
@@ -137,6 +140,13 @@
             case control::Outcome::version_conflict:
                 return respond({api::Status::precondition_failed,
                                 api::error_body("another version is in force", "read it and build on it")});
+            case control::Outcome::forgotten: {
+                api::Response response{api::Status::service_unavailable,
+                                       api::error_body("whether this old version was accepted is not known",
+                                                       "read the version in force")};
+                response.retry_after = retry_without_leader;
+                return respond(response);
+            }
             case control::Outcome::not_newer:
                 return respond(
                     {api::Status::bad_request,
--- a/src/control_plane/process.cpp
+++ b/src/control_plane/process.cpp
@@ -1,13 +1,15 @@
 #include "control_plane/process.h"
 
 #include <algorithm>
-#include <random>
 
 #include "control/instance_poller.h"
 #include "control_plane/fleet_server.h"
 #include "control_plane/operator_api.h"
 #include "control_plane/raft_log.h"
+#include "distribution/intervals.h"
 #include "logging/log.h"
+#include "process/identity.h"
+#include "process/settings_watch.h"
 #include "transport/addresses.h"
 
 namespace dewweir::control_plane {
@@ -18,57 +20,59 @@
 constexpr runtime::Time poll_interval = 700 * runtime::tenths_per_millisecond;
 // After SIGTERM, for what is on its way.
 constexpr runtime::Time end_delay = 300 * runtime::tenths_per_millisecond;
+constexpr runtime::Time end_check = 50 * runtime::tenths_per_millisecond;
+// Before the end of `grace` the process must have ended by itself.
+constexpr runtime::Time end_margin = 500 * runtime::tenths_per_millisecond;
 constexpr int exit_cannot_listen = 1;
 
-settings::Endpoint internal_endpoint(const settings::Settings& settings, std::uint32_t ip) {
-    return {ip, settings.network.ephemeral_ports.first};
+std::vector<std::string> internal_seeds(const settings::Settings& settings) {
+    std::vector<std::string> seeds;
+    for (const settings::Endpoint& seed : settings.network.seed_nodes) {
+        seeds.push_back(to_string(process::internal_endpoint(settings, seed.ip)));
+    }
+    return seeds;
 }
 
-wire::Member describe_self(const settings::Settings& settings) {
-    wire::Member self;
-    self.node = settings.self.node;
-    self.life = std::random_device{}();
-    self.role = wire::Role::control_plane;
-    self.zone = settings.self.zone;
-    self.region = settings.self.region;
-    self.internal = to_string(internal_endpoint(settings, settings.self.ip));
-    if (settings.network.bind.control) self.control = to_string(*settings.network.bind.control);
-    return self;
+// As long as gateways take a view for one in step.
+runtime::Time freshness_limit(const settings::Settings& settings) {
+    const unsigned silent = settings.invariants.fault_budget.machines + 1;
+    return distribution::search_intervals(settings.invariants.bounds.config_apply, silent).freshness_limit;
 }
 
 RaftLogOptions log_options(const settings::Settings& settings) {
     RaftLogOptions options;
     options.folder = settings.self.state_dir.value_or(".") + "/replica";
-    options.address = to_string(internal_endpoint(settings, settings.self.ip));
+    options.address = to_string(process::internal_endpoint(settings));
     options.bootstrap = settings.self.bootstrap;
-    for (const settings::Endpoint& seed : settings.network.seed_nodes) {
-        options.seeds.push_back(to_string(internal_endpoint(settings, seed.ip)));
-    }
+    options.seeds = internal_seeds(settings);
     return options;
 }
 
 class Process : LogUser {
   public:
-    explicit Process(const settings::Settings& settings)
+    Process(const settings::Settings& settings, const std::string& path)
         : settings_(settings),
           loop_(settings.self.limits.max_fds - reserved_descriptors),
           sessions_(loop_),
-          self_(describe_self(settings)),
+          self_(process::describe_process(settings, wire::Role::control_plane)),
           links_(
               loop_, sessions_, [this](const consensus::Envelope& envelope) { log_.received(envelope); },
               [this](const consensus::Replica& replica) { log_.joining(replica); }),
           log_(loop_, links_, *this, log_options(settings)),
-          fleet_(loop_, sessions_, self_, log_),
+          fleet_(loop_, sessions_, self_, log_, freshness_limit(settings)),
           server_(loop_, most_call_bytes),
           api_(server_, log_, fleet_),
           poller_(loop_, transport::tcp_endpoint(settings.substrate.cloud_api.address),
                   [this](const control::Instances& instances) { fleet_.instances_read(instances); }),
-          end_(loop_) {}
+          end_(loop_),
+          watch_(loop_, path,
+                 [this](const settings::Settings& changed) { log_.set_seeds(internal_seeds(changed)); }) {}
 
     int run() {
         if (!listen()) return exit_cannot_listen;
         fleet_.on_consensus([this](const wire::ConsensusMessage& message) { links_.take(message); });
-        loop_.on_signals([this] { terminate(); }, [] {});
+        loop_.on_signals([this] { terminate(); }, [this] { watch_.reload(); });
+        watch_.start();
         log_.start();
         logging::log(logging::Level::info, logging::Event::started, {});
         loop_.run();
@@ -77,7 +81,7 @@
 
   private:
     bool listen() {
-        const auto internal = internal_endpoint(settings_, settings_.self.ip);
+        const auto internal = process::internal_endpoint(settings_);
         std::optional<std::string> fault = fleet_.listen(transport::tcp_endpoint(internal));
         if (!fault) fault = links_.bind(transport::udp_endpoint(internal));
         if (!fault && settings_.network.bind.control) {
@@ -89,12 +93,22 @@
         return false;
     }
 
-    // Leadership goes to another at once; what was asked here is repeated there.
+    // Leadership goes to another at once; what was asked here is repeated there. The process ends when the
+    // group does without it, at the latest just before it would be killed.
     void terminate() {
+        if (terminating_) return;
+        terminating_ = true;
         logging::log(logging::Level::info, logging::Event::stopping, {});
         server_.stop_listening();
         log_.leave();
-        end_.start(end_delay, [this] { loop_.stop(); });
+        const runtime::Time grace = runtime::tenths(settings_.invariants.bounds.grace);
+        end_at_ = loop_.now() + std::max<runtime::Time>(grace - end_margin, end_delay);
+        end_.start(end_delay, [this] { end_if_possible(); });
+    }
+
+    void end_if_possible() {
+        if (log_.may_leave() || loop_.now() >= end_at_) return loop_.stop();
+        end_.start(end_check, [this] { end_if_possible(); });
     }
 
     void state_changed() override {
@@ -123,10 +137,13 @@
     OperatorApi api_;
     control::InstancePoller poller_;
     runtime::Timer end_;
+    process::SettingsWatch watch_;
+    bool terminating_ = false;
+    runtime::Time end_at_ = 0;
 };
 
 }  // namespace
 
-int run(const settings::Settings& settings) { return Process(settings).run(); }
+int run(const settings::Settings& settings, const std::string& path) { return Process(settings, path).run(); }
 
 }  // namespace dewweir::control_plane
--- a/src/control_plane/process.h
+++ b/src/control_plane/process.h
@@ -7,6 +7,6 @@
 namespace dewweir::control_plane {
 
 // Serves until SIGTERM. Returns the process's exit code.
-int run(const settings::Settings& settings);
+int run(const settings::Settings& settings, const std::string& path);
 
 }  // namespace dewweir::control_plane
--- a/src/control_plane/raft_log.cpp
+++ b/src/control_plane/raft_log.cpp
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "logging/log.h"
+#include "settings/endpoint.h"
 
 namespace dewweir::control_plane {
 namespace {
@@ -21,8 +22,11 @@
 // A replica that has heard no leader for so long asks to be taken in: it may have been removed while it was
 // away.
 constexpr runtime::Time silence_before_join = 3 * runtime::tenths_per_second;
-// A voter beyond the first number of voters that says nothing for so long has been replaced, and is removed.
-constexpr runtime::Time silence_before_removal = 3 * runtime::tenths_per_second;
+// Proof of being in step is asked for so often.
+constexpr runtime::Time freshness_interval = 200 * runtime::tenths_per_millisecond;
+constexpr runtime::Time leave_interval = 100 * runtime::tenths_per_millisecond;
+// A disk on which a write waits for longer is not counted on for an election.
+constexpr std::chrono::milliseconds longest_usual_write{1'000};
 constexpr int tenths_in_microseconds = 100;
 
 // Replicas of a group's first start know each other's identity from their addresses; all later ones draw
@@ -45,61 +49,72 @@
       links_(links),
       user_(user),
       options_(std::move(options)),
-      mailbox_(loop),
-      store_(std::make_shared<storage::ReplicaStore>()),
+      disk_(loop, *this, options_.folder),
       tick_(loop),
-      review_(loop) {
-    writer_ = std::make_unique<storage::DiskWriter>(
-        store_, [this](std::function<void()> call) { mailbox_.post(std::move(call)); },
-        [this](const storage::WriteCompletion& completion) { written(completion); });
-}
+      review_(loop),
+      freshness_timer_(loop),
+      leave_timer_(loop) {}
 
 RaftLog::~RaftLog() = default;
 
-void RaftLog::start() {
-    writer_->open(
-        options_.folder, [this](storage::OpenResult result) { opened(std::move(result)); },
-        loop_.steady_now());
-}
+void RaftLog::start() { disk_.open(); }
 
-void RaftLog::opened(storage::OpenResult result) {
-    if (auto* const state = std::get_if<consensus::PersistentState>(&result)) {
-        return begin(std::move(*state), {}, false);
-    }
-    const auto& none = std::get<storage::NoState>(result);
-    if (none.reason != storage::NoStateReason::empty) {
-        logging::log(Level::error, Event::storage_failed,
-                     {{"where", std::string_view(none.where)}, {"what", std::string_view(none.what)}});
-        // What was acknowledged here may be gone: a new replica begins, and never speaks for the old one.
-        store_->discard_all();
-        return begin(new_replica(), {}, true);
-    }
+// ---- the disk ----
+
+void RaftLog::disk_opened(consensus::PersistentState state) {
+    if (state.self.id != 0) return begin(std::move(state), {});
     const bool seed =
         std::find(options_.seeds.begin(), options_.seeds.end(), options_.address) != options_.seeds.end();
-    if (!options_.bootstrap || !seed) return begin(new_replica(), {}, true);
-    consensus::Membership initial;
-    for (const std::string& address : options_.seeds)
-        initial.voters.push_back({first_identity(address), address});
-    consensus::PersistentState state;
-    state.self = {first_identity(options_.address), options_.address};
-    begin(std::move(state), initial, true);
+    const bool first_start = options_.bootstrap && seed;
+    const consensus::ReplicaId id = first_start ? first_identity(options_.address) : drawn_identity();
+    state.self = {id, options_.address};
+    store_self_ = state.self;
+    begin(std::move(state), first_start ? first_membership() : consensus::Membership{});
 }
 
-consensus::PersistentState RaftLog::new_replica() const {
-    consensus::PersistentState state;
-    state.self = {drawn_identity(), options_.address};
-    return state;
+consensus::Membership RaftLog::first_membership() const {
+    consensus::Membership membership;
+    for (const std::string& address : options_.seeds)
+        membership.voters.push_back({first_identity(address), address});
+    membership.wanted_voters = static_cast<std::uint32_t>(membership.voters.size());
+    return membership;
 }
 
-void RaftLog::begin(consensus::PersistentState state, const consensus::Membership& initial, bool store_self) {
-    if (store_self) store_self_ = state.self;
-    if (state.snapshot && !state.snapshot->data.empty()) state_.restore(state.snapshot->data);
+void RaftLog::begin(consensus::PersistentState state, const consensus::Membership& initial) {
+    if (state.snapshot && !restore(state.snapshot->data)) return;
+    if (state.snapshot) applied_ = state.snapshot->index;
     state.self.address = options_.address;
     raft_ = std::make_unique<consensus::Raft>(consensus::Options{}, std::move(state), initial, drawn_seed(),
                                               loop_.steady_now());
-    if (applied_ == 0) user_.state_changed();
+    user_.state_changed();
     process();
     review_membership();
+    ask_for_freshness();
+}
+
+bool RaftLog::restore(const std::string& data) {
+    if (data.empty() || state_.restore(data)) return true;
+    logging::log(Level::error, Event::state_unreadable, {{"bytes", static_cast<std::int64_t>(data.size())}});
+    return false;
+}
+
+void RaftLog::disk_written(consensus::WriteSequence sequence) {
+    if (!raft_) return;
+    raft_->persisted(loop_.steady_now(), sequence);
+    process();
+}
+
+// The replica goes on in memory: it follows, but promises nothing that waits for the disk. Another leads.
+void RaftLog::disk_refused() {
+    if (!raft_) return;
+    if (leads()) raft_->step_down(loop_.steady_now());
+    process();
+}
+
+void RaftLog::disk_recovered() {
+    if (!raft_) return;
+    disk_.write(raft_->whole_state(), raft_->self());
+    process();
 }
 
 // ---- the replica's work ----
@@ -107,7 +122,6 @@
 void RaftLog::received(const consensus::Envelope& envelope) {
     if (!raft_) return;
     raft_->receive(loop_.steady_now(), envelope);
-    heard_at_[envelope.from.id] = loop_.now();
     const std::optional<consensus::Replica> leader = raft_->leader();
     if (leader && leader->id == envelope.from.id) leader_heard_at_ = loop_.now();
     process();
@@ -118,6 +132,7 @@
         std::chrono::duration_cast<std::chrono::microseconds>(raft_->next_deadline() - loop_.steady_now());
     const runtime::Time from_now = std::max<runtime::Time>(1, wait.count() / tenths_in_microseconds);
     tick_.start(from_now, [this] {
+        raft_->set_standing(disk_state() == DiskState::takes_writes);
         raft_->tick(loop_.steady_now());
         process();
     });
@@ -133,15 +148,18 @@
         consensus::Ready ready = raft_->take();
         more = ready.write || !ready.committed.empty() || ready.restore;
         for (const consensus::Envelope& envelope : ready.messages) links_.send(envelope);
-        if (ready.write) write(*ready.write);
+        if (ready.write) disk_.write(*ready.write, std::exchange(store_self_, std::nullopt));
         if (ready.restore) {
-            state_.restore(ready.restore->data);
+            if (!restore(ready.restore->data)) return end_part();
             applied_ = ready.restore->index;
             changed = true;
         }
         for (const consensus::Entry& entry : ready.committed) apply(entry);
         changed |= !ready.committed.empty();
-        for (const consensus::SafeRead& read : ready.reads) safe_reads_[read.token] = read.index;
+        for (const consensus::SafeRead& read : ready.reads) {
+            if (reads_.contains(read.token)) safe_reads_[read.token] = read.index;
+            freshness_.answered(read.token, read.index);
+        }
         for (const consensus::ReadToken token : ready.failed_reads) {
             const auto found = reads_.extract(token);
             if (found) found.mapped()(ProposalError::unavailable);
@@ -149,11 +167,11 @@
         if (ready.role_change) role_change = ready.role_change;
     }
     processing_ = false;
+    freshness_.applied(applied_);
     if (changed) user_.state_changed();
     reads_passed();
     if (role_change) {
         if (role_change->role != consensus::Role::leader) fail_pending();
-        if (role_change->role == consensus::Role::leader) leads_since_ = loop_.now();
         logging::log(
             Level::info, Event::leader_changed,
             {{"term", static_cast<std::int64_t>(role_change->term)},
@@ -164,28 +182,16 @@
     schedule();
 }
 
-void RaftLog::write(const consensus::Write& write) {
-    storage::WriteBatch batch;
-    batch.self = std::exchange(store_self_, std::nullopt);
-    batch.hard_state = write.hard_state;
-    if (write.snapshot) batch.snapshot = *write.snapshot;
-    if (write.entries) {
-        batch.truncate_from = write.entries->from;
-        batch.append = write.entries->entries;
-    }
-    writer_->submit(std::move(batch), write.sequence, loop_.steady_now());
-}
-
-void RaftLog::written(const storage::WriteCompletion& completion) {
-    if (!raft_) return;
-    if (!completion.result) {
-        raft_->persisted(loop_.steady_now(), completion.token);
-        return process();
-    }
-    // The disk refused. What it holds is read anew by a fresh start of the process; until then nothing is
-    // promised.
-    logging::log(Level::error, Event::storage_failed, {{"what", std::string_view(completion.result->what)}});
-    loop_.stop();
+// Without a state that can be read this replica neither votes nor serves.
+void RaftLog::end_part() {
+    processing_ = false;
+    raft_.reset();
+    tick_.cancel();
+    review_.cancel();
+    freshness_timer_.cancel();
+    fail_pending();
+    for (auto& [token, done] : std::exchange(reads_, {})) done(ProposalError::unavailable);
+    user_.leadership_changed();
 }
 
 void RaftLog::apply(const consensus::Entry& entry) {
@@ -230,43 +236,32 @@
 
 // ---- membership ----
 
-bool RaftLog::is_member() const {
-    const consensus::Membership& membership = raft_->membership();
-    const consensus::ReplicaId self = raft_->self().id;
-    return consensus::find_voter(membership, self) || consensus::find_learner(membership, self);
-}
-
 void RaftLog::review_membership() {
     review_.start(review_interval, [this] { review_membership(); });
-    if (leads()) return remove_dead_voter();
-    if (!is_member() || leader_silence() > silence_before_join) ask_to_join();
+    if (leads() || leaving_) return;
+    const bool member = consensus::is_member(raft_->membership(), raft_->self().id);
+    const bool unheard = loop_.now() - leader_heard_at_ > silence_before_join;
+    if (!member || unheard) ask_to_join();
 }
 
 // Every control plane that is known is asked; who does not lead passes it on.
 void RaftLog::ask_to_join() {
     std::set<std::string> addresses(options_.seeds.begin(), options_.seeds.end());
-    for (const consensus::Replica& voter : raft_->membership().voters) addresses.insert(voter.address);
+    for (const consensus::Replica& member : consensus::all_members(raft_->membership()))
+        addresses.insert(member.address);
     addresses.erase(options_.address);
     for (const std::string& address : addresses) links_.send_join(address, raft_->self());
 }
 
-// A machine that is gone for good leaves a voter behind once its substitute votes. With it a majority is
-// needlessly large.
-void RaftLog::remove_dead_voter() {
-    const std::vector<consensus::Replica>& voters = raft_->membership().voters;
-    if (voters.size() <= options_.seeds.size()) return;
-    if (loop_.now() - leads_since_ < silence_before_removal) return;
-    for (const consensus::Replica& voter : voters) {
-        const auto heard = heard_at_.find(voter.id);
-        const bool silent = heard == heard_at_.end() || loop_.now() - heard->second > silence_before_removal;
-        if (voter.id == raft_->self().id || !silent) continue;
-        raft_->propose_membership(loop_.steady_now(), consensus::RemoveReplica{voter.id});
-        return process();
-    }
+// Only processes that stand where control planes do are taken in; how many, the membership bounds.
+bool RaftLog::may_join(const consensus::Replica& replica) const {
+    const auto own = settings::parse_endpoint(options_.address);
+    const auto asker = settings::parse_endpoint(replica.address);
+    return own && asker && replica.id != 0 && own->port == asker->port;
 }
 
 void RaftLog::joining(const consensus::Replica& replica) {
-    if (!raft_) return;
+    if (!raft_ || !may_join(replica)) return;
     if (leads()) {
         raft_->propose_membership(loop_.steady_now(), consensus::AddLearner{replica});
         return process();
@@ -276,8 +271,22 @@
 }
 
 void RaftLog::leave() {
-    if (!raft_ || !leads()) return;
-    raft_->step_down(loop_.steady_now());
+    leaving_ = true;
+    go_on_leaving();
+}
+
+void RaftLog::go_on_leaving() {
+    if (!raft_ || raft_->may_leave()) return;
+    raft_->prepare_to_leave(loop_.steady_now());
+    process();
+    leave_timer_.start(leave_interval, [this] { go_on_leaving(); });
+}
+
+void RaftLog::ask_for_freshness() {
+    freshness_timer_.start(freshness_interval, [this] { ask_for_freshness(); });
+    const consensus::ReadToken token = ++last_read_;
+    freshness_.asked(token, loop_.now());
+    raft_->confirm_state(loop_.steady_now(), token);
     process();
 }
 
@@ -289,7 +298,43 @@
 
 std::uint64_t RaftLog::commit_index() const { return raft_ ? raft_->commit_index() : 0; }
 
-runtime::Time RaftLog::leader_silence() const { return leads() ? 0 : loop_.now() - leader_heard_at_; }
+std::optional<runtime::Time> RaftLog::staleness() const {
+    const auto since = raft_ ? freshness_.in_step_at() : std::nullopt;
+    if (!since) return std::nullopt;
+    return loop_.now() - *since;
+}
+
+DiskState RaftLog::disk_state() const {
+    if (disk_.refuses()) return DiskState::refuses;
+    return disk_.oldest_wait() > longest_usual_write ? DiskState::hangs : DiskState::takes_writes;
+}
+
+std::vector<MemberStatus> RaftLog::members() const {
+    if (!raft_) return {};
+    std::map<consensus::ReplicaId, consensus::Raft::Peer> peers;
+    for (const consensus::Raft::Peer& peer : raft_->peers(loop_.steady_now())) peers[peer.replica.id] = peer;
+    const consensus::Membership& membership = raft_->membership();
+    std::vector<MemberStatus> members;
+    for (const consensus::Replica& replica : consensus::all_members(membership)) {
+        MemberStatus status;
+        status.address = replica.address;
+        if (consensus::find_learner(membership, replica.id)) {
+            status.part = MemberPart::learner;
+        } else if (!consensus::find_voter(membership, replica.id)) {
+            status.part = MemberPart::outgoing;
+        }
+        const auto peer = peers.find(replica.id);
+        if (peer != peers.end()) {
+            const consensus::Index last = raft_->log().last_index();
+            status.behind = last - std::min(last, peer->second.match);
+            status.silence = peer->second.silence.count() / tenths_in_microseconds;
+        } else if (leads()) {
+            status.behind = 0;
+        }
+        members.push_back(std::move(status));
+    }
+    return members;
+}
 
 std::optional<std::string> RaftLog::leader_address() const {
     if (!raft_ || !raft_->leader()) return std::nullopt;
--- a/src/control_plane/raft_log.h
+++ b/src/control_plane/raft_log.h
@@ -7,10 +7,10 @@
 #include <vector>
 
 #include "consensus/raft.h"
+#include "control/state_freshness.h"
 #include "control_plane/consensus_links.h"
+#include "control_plane/replica_disk.h"
 #include "control_plane/replicated_log.h"
-#include "runtime/mailbox.h"
-#include "storage/disk_writer.h"
 
 namespace dewweir::control_plane {
 
@@ -21,7 +21,7 @@
     bool bootstrap = false;          // the whole system starts for the first time
 };
 
-class RaftLog : public ReplicatedLog {
+class RaftLog : public ReplicatedLog, DiskUser {
   public:
     RaftLog(runtime::EventLoop& loop, ConsensusLinks& links, LogUser& user, RaftLogOptions options);
     ~RaftLog() override;
@@ -31,14 +31,19 @@
     void received(const consensus::Envelope& envelope);
     // Another process asks to become a member.
     void joining(const consensus::Replica& replica);
-    // Hands leadership over, so that the group needn't wait for a time-out.
+    // Control planes to ask for membership, from a settings file read again.
+    void set_seeds(std::vector<std::string> seeds) { options_.seeds = std::move(seeds); }
+    // This process is to end: leadership is handed over, and others take over what only this replica holds.
     void leave();
+    bool may_leave() const { return !raft_ || raft_->may_leave(); }
 
     bool leads() const override;
     std::uint64_t term() const override;
     std::uint64_t commit_index() const override;
     std::uint64_t applied_index() const override { return applied_; }
-    runtime::Time leader_silence() const override;
+    std::optional<runtime::Time> staleness() const override;
+    DiskState disk_state() const override;
+    std::vector<MemberStatus> members() const override;
     std::optional<std::string> leader_address() const override;
     const control::StateMachine& state() const override { return state_; }
     void propose(const control::Command& command, std::function<void(const ProposalResult&)> done) override;
@@ -50,11 +55,15 @@
         std::function<void(const ProposalResult&)> done;
     };
 
-    void opened(storage::OpenResult result);
-    void begin(consensus::PersistentState state, const consensus::Membership& initial, bool store_self);
-    consensus::PersistentState new_replica() const;
-    void written(const storage::WriteCompletion& completion);
-    void write(const consensus::Write& write);
+    void disk_opened(consensus::PersistentState state) override;
+    void disk_written(consensus::WriteSequence sequence) override;
+    void disk_refused() override;
+    void disk_recovered() override;
+    void begin(consensus::PersistentState state, const consensus::Membership& initial);
+    consensus::Membership first_membership() const;
+    // Takes over a snapshot's state. One that cannot be read ends the replica's part until the process starts
+    // anew, perhaps as a build that can.
+    bool restore(const std::string& data);
     void process();
     void apply(const consensus::Entry& entry);
     void fail_pending();
@@ -63,17 +72,17 @@
     void schedule();
     void review_membership();
     void ask_to_join();
-    bool is_member() const;
-    void remove_dead_voter();
+    void ask_for_freshness();
+    void go_on_leaving();
+    bool may_join(const consensus::Replica& replica) const;
+    void end_part();
 
     runtime::EventLoop& loop_;
     ConsensusLinks& links_;
     LogUser& user_;
     RaftLogOptions options_;
-    runtime::Mailbox mailbox_;
-    std::shared_ptr<storage::ReplicaStore> store_;
-    std::unique_ptr<storage::DiskWriter> writer_;
-    std::unique_ptr<consensus::Raft> raft_;  // null until the store is open
+    ReplicaDisk disk_;
+    std::unique_ptr<consensus::Raft> raft_;  // null until the disk is read
     control::StateMachine state_;
     consensus::Index applied_ = 0;
     std::size_t entries_since_snapshot_ = 0;
@@ -84,11 +93,13 @@
     std::map<consensus::ReadToken, consensus::Index> safe_reads_;  // wait for this index to be applied
     consensus::ReadToken last_read_ = 0;
     bool processing_ = false;
+    control::StateFreshness freshness_;
     runtime::Time leader_heard_at_ = 0;
-    runtime::Time leads_since_ = 0;  // meaningful at the leader
-    std::map<consensus::ReplicaId, runtime::Time> heard_at_;
+    bool leaving_ = false;
     runtime::Timer tick_;
     runtime::Timer review_;
+    runtime::Timer freshness_timer_;
+    runtime::Timer leave_timer_;
 };
 
 }  // namespace dewweir::control_plane
--- a/src/control_plane/replicated_log.h
+++ b/src/control_plane/replicated_log.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "control/state_machine.h"
 #include "runtime/event_loop.h"
@@ -31,6 +32,22 @@
     virtual void leadership_changed() = 0;
 };
 
+enum class DiskState : std::uint8_t {
+    takes_writes,
+    hangs,    // a write has waited for long
+    refuses,  // it takes no bytes: nothing is promised here until it does
+};
+
+enum class MemberPart : std::uint8_t { voter, learner, outgoing };
+
+// One member of the group.
+struct MemberStatus {
+    std::string address;
+    MemberPart part = MemberPart::voter;
+    std::optional<std::uint64_t> behind{};  // entries that its disk lacks; told by the leader alone
+    runtime::Time silence = 0;              // since the leader heard it
+};
+
 class ReplicatedLog {
   public:
     virtual ~ReplicatedLog() = default;
@@ -41,8 +58,12 @@
     // The last entry that this process knows to be agreed on, and the last one that its state holds.
     virtual std::uint64_t commit_index() const = 0;
     virtual std::uint64_t applied_index() const = 0;
-    // How long ago the leader was last heard, 0 at the leader itself.
-    virtual runtime::Time leader_silence() const = 0;
+    // For how long changes may have been acknowledged that the state lacks, by proof of being in step with a
+    // majority (control/state_freshness.h), also at the leader; nothing where it was never in step.
+    virtual std::optional<runtime::Time> staleness() const = 0;
+    virtual DiskState disk_state() const = 0;
+    // As the leader knows them; as the log has them elsewhere.
+    virtual std::vector<MemberStatus> members() const = 0;
     // The leader's address for the system's own messages; nothing while none is known.
     virtual std::optional<std::string> leader_address() const = 0;
     virtual const control::StateMachine& state() const = 0;
--- a/src/control_plane/status_report.cpp
+++ b/src/control_plane/status_report.cpp
@@ -64,6 +64,41 @@
     writer.EndArray();
 }
 
+const char* part_name(MemberPart part) {
+    switch (part) {
+        case MemberPart::voter: return "voter";
+        case MemberPart::learner: return "learner";
+        case MemberPart::outgoing: return "outgoing";
+    }
+    return "";
+}
+
+const char* disk_name(DiskState disk) {
+    switch (disk) {
+        case DiskState::takes_writes: return "takes writes";
+        case DiskState::hangs: return "hangs";
+        case DiskState::refuses: return "refuses";
+    }
+    return "";
+}
+
+// Who votes and who learns; the leader also tells who is behind, and for how long it has not heard it.
+void write_replicas(Writer& writer, const std::vector<MemberStatus>& members) {
+    writer.Key("replicas");
+    writer.StartArray();
+    for (const MemberStatus& member : members) {
+        writer.StartObject();
+        write_text(writer, "address", member.address);
+        write_text(writer, "part", part_name(member.part));
+        if (member.behind) {
+            write_number(writer, "behind", *member.behind);
+            write_number(writer, "silent_ms", member.silence / runtime::tenths_per_millisecond);
+        }
+        writer.EndObject();
+    }
+    writer.EndArray();
+}
+
 struct InstanceCounts {
     std::uint64_t ready = 0;
     std::uint64_t draining = 0;
@@ -127,6 +162,9 @@
     writer.StartObject();
     write_text(writer, "node", node);
     write_log(writer, log);
+    if (log.staleness) write_number(writer, "staleness_ms", *log.staleness / runtime::tenths_per_millisecond);
+    write_text(writer, "disk", disk_name(log.disk));
+    write_replicas(writer, log.members);
     write_text(writer, "configuration", version_text(state.configuration().version));
     write_evacuated(writer, state);
     write_instances(writer, view);
--- a/src/control_plane/status_report.h
+++ b/src/control_plane/status_report.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <string>
 
-#include "control/state_machine.h"
+#include "control_plane/replicated_log.h"
 #include "distribution/view.h"
 
 namespace dewweir::control_plane {
@@ -16,6 +16,11 @@
     std::uint64_t term = 0;
     std::uint64_t commit_index = 0;
     std::uint64_t applied_index = 0;
+    // For how long changes may have been acknowledged that this process lacks; nothing where it was never in
+    // step.
+    std::optional<runtime::Time> staleness{};
+    DiskState disk = DiskState::takes_writes;
+    std::vector<MemberStatus> members{};
     std::string leader;          // internal address; empty while none is known
     std::string leader_control;  // where it takes operators' calls; empty while that is not known
 };
--- a/src/gateway/control_session.cpp
+++ b/src/gateway/control_session.cpp
@@ -12,6 +12,13 @@
 using logging::Event;
 using logging::Level;
 
+// Of those that may be lost at once, and one more that was lost just before.
+distribution::SearchIntervals search_intervals(const settings::Settings& settings) {
+    const unsigned silent = settings.invariants.fault_budget.machines + 1;
+    return distribution::search_intervals(settings.invariants.bounds.config_apply, silent);
+}
+
+// Gateways begin with different control planes, so that none has them all.
 ControlSession::ControlSession(runtime::EventLoop& loop, transport::Sessions& sessions,
                                const settings::Settings& settings, const wire::Member& self, Changed changed)
     : loop_(loop),
@@ -20,20 +27,19 @@
       seeds_(settings.network.seed_nodes),
       self_(self),
       changed_(std::move(changed)),
+      search_(search_intervals(settings), std::hash<std::string>{}(self.node)),
       heartbeat_(loop),
-      reconnect_(loop) {}
+      review_(loop) {}
 
 void ControlSession::start() {
-    // Gateways begin with different control planes, so that none has them all.
-    next_candidate_ = std::hash<std::string>{}(self_.node);
     heartbeat_.start(distribution::heartbeat_interval, [this] { beat(); });
-    connect();
+    review();
 }
 
 void ControlSession::set_ready(bool ready) {
     if (self_.ready == ready) return;
     self_.ready = ready;
-    if (open_) sessions_.send(session_, wire::MemberChanged{self_});
+    if (search_.current()) sessions_.send(search_.current(), wire::MemberChanged{self_});
 }
 
 void ControlSession::set_seeds(const std::vector<settings::Endpoint>& seeds) { seeds_ = seeds; }
@@ -53,63 +59,60 @@
     return unique;
 }
 
-void ControlSession::connect() {
-    if (session_) return;
-    const std::vector<std::string> addresses = candidates();
-    if (addresses.empty()) return connect_later();
-    const auto address = transport::parse_tcp_endpoint(addresses[next_candidate_++ % addresses.size()]);
-    if (!address) return connect_later();
-    session_ = sessions_.open(*address, *this, distribution::connect_limit);
-    if (!session_) connect_later();
+void ControlSession::review() {
+    const ControlPlaneSearch::Step step = search_.review(loop_.now(), candidates());
+    for (const SearchSession session : step.close) sessions_.close(session);
+    if (step.adopt) adopt(step.adopt);
+    if (step.open) attempt(*step.open);
+    review_later();
 }
 
-void ControlSession::connect_later() {
-    reconnect_.start(distribution::reconnect_pause, [this] { connect(); });
+void ControlSession::review_later() {
+    const runtime::Time wait = search_.next_review(loop_.now()) - loop_.now();
+    review_.start(std::max(wait, runtime::tenths_per_millisecond), [this] { review(); });
 }
 
-void ControlSession::session_opened(transport::SessionId session) {
-    if (session != session_) return;
-    open_ = true;
-    heard_at_ = loop_.now();
-    sessions_.send(session_, wire::Hello{wire::protocol_version, self_});
+void ControlSession::attempt(const std::string& address) {
+    const auto endpoint = transport::parse_tcp_endpoint(address);
+    if (!endpoint) return;
+    const transport::SessionId session = sessions_.open(*endpoint, *this, distribution::connect_limit);
+    if (session) search_.opened(session, address, loop_.now());
+}
+
+void ControlSession::adopt(transport::SessionId session) {
+    sessions_.send(session, wire::Hello{wire::protocol_version, self_});
     logging::log(Level::info, Event::session_opened, {});
 }
 
+void ControlSession::session_opened(transport::SessionId session) { sessions_.send(session, wire::Probe{}); }
+
 void ControlSession::session_received(transport::SessionId session, wire::Message&& message) {
-    if (session != session_) return;
-    heard_at_ = loop_.now();
-    if (const auto* const heartbeat = std::get_if<wire::Heartbeat>(&message))
-        return leave_if_stale(*heartbeat);
+    if (const auto* const heartbeat = std::get_if<wire::Heartbeat>(&message)) {
+        std::optional<runtime::Time> staleness;
+        if (heartbeat->staleness_ms != wire::never_in_step) {
+            staleness = static_cast<runtime::Time>(heartbeat->staleness_ms) * runtime::tenths_per_millisecond;
+        }
+        search_.told(session, staleness, loop_.now());
+        return review();
+    }
+    if (session != search_.current()) return;
     const distribution::Changes changes = view_.apply(message);
     if (changes.any()) changed_(changes);
 }
 
-// The control plane itself lacks news: another may have it. Where all lack it, each is tried in turn.
-void ControlSession::leave_if_stale(const wire::Heartbeat& heartbeat) {
-    const auto silence =
-        static_cast<runtime::Time>(heartbeat.leader_contact_ms) * runtime::tenths_per_millisecond;
-    if (silence < distribution::leader_silence_limit) return;
-    sessions_.close(session_);
-    session_closed(session_);
-}
-
 void ControlSession::session_closed(transport::SessionId session) {
-    if (session != session_) return;
-    session_ = 0;
-    if (open_) logging::log(Level::warning, Event::session_lost, {});
-    open_ = false;
-    connect_later();
+    const bool was_current = session == search_.current();
+    search_.closed(session);
+    if (!was_current) return;
+    logging::log(Level::warning, Event::session_lost, {});
+    // Not at once: this is called while sessions are being gone through.
+    review_.start(runtime::tenths_per_millisecond, [this] { review(); });
 }
 
 void ControlSession::beat() {
     heartbeat_.start(distribution::heartbeat_interval, [this] { beat(); });
-    if (!open_) return;
-    if (loop_.now() - heard_at_ > distribution::silence_limit) {
-        sessions_.close(session_);
-        session_closed(session_);
-        return;
-    }
-    sessions_.send(session_, wire::Heartbeat{view_.configuration().version, 0, {}});
+    if (!search_.current()) return;
+    sessions_.send(search_.current(), wire::Heartbeat{view_.configuration().version, 0, {}});
 }
 
 }  // namespace dewweir::gateway
--- a/src/gateway/control_session.h
+++ b/src/gateway/control_session.h
@@ -1,5 +1,5 @@
-// This gateway's session with the control plane: keeps one open to a control plane that is in touch, tells it
-// that this gateway lives and takes the view of the whole from it. While none can be reached the last view
+// This gateway's session with the control plane: takes the view of the whole from one that is in step with a
+// majority (control_plane_search.h) and tells it that this gateway lives. While none is in step the last view
 // stays.
 #pragma once
 
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "distribution/view.h"
+#include "gateway/control_plane_search.h"
 #include "settings/settings.h"
 #include "transport/sessions.h"
 
@@ -29,13 +30,14 @@
     const wire::Member& self() const { return self_; }
 
   private:
-    void connect();
-    void connect_later();
     std::vector<std::string> candidates() const;
+    void review();
+    void review_later();
+    void attempt(const std::string& address);
+    void adopt(transport::SessionId session);
     void session_opened(transport::SessionId session) override;
     void session_received(transport::SessionId session, wire::Message&& message) override;
     void session_closed(transport::SessionId session) override;
-    void leave_if_stale(const wire::Heartbeat& heartbeat);
     void beat();
 
     runtime::EventLoop& loop_;
@@ -45,12 +47,12 @@
     wire::Member self_;
     Changed changed_;
     distribution::View view_;
-    transport::SessionId session_ = 0;
-    bool open_ = false;
-    std::size_t next_candidate_ = 0;
-    runtime::Time heard_at_ = 0;
+    ControlPlaneSearch search_;
     runtime::Timer heartbeat_;
-    runtime::Timer reconnect_;
+    runtime::Timer review_;
 };
 
+// The intervals that this process's settings lead to.
+distribution::SearchIntervals search_intervals(const settings::Settings& settings);
+
 }  // namespace dewweir::gateway
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -4,8 +4,6 @@
 #include <rapidjson/writer.h>
 
 #include <algorithm>
-#include <fstream>
-#include <sstream>
 
 #include "api/server.h"
 #include "configuration/parser.h"
@@ -14,6 +12,8 @@
 #include "gateway/identity.h"
 #include "gateway/proxy.h"
 #include "logging/log.h"
+#include "process/identity.h"
+#include "process/settings_watch.h"
 #include "transport/addresses.h"
 
 namespace dewweir::gateway {
@@ -32,7 +32,6 @@
 // Before the end of `grace` the process must have ended by itself.
 constexpr runtime::Time end_margin = 400 * runtime::tenths_per_millisecond;
 constexpr runtime::Time drain_check = 50 * runtime::tenths_per_millisecond;
-constexpr runtime::Time watch_interval = runtime::tenths_per_second;
 constexpr std::string_view directory_ttl = "2s";
 
 Proxy::Options proxy_options(const settings::Settings& settings) {
@@ -63,24 +62,23 @@
   public:
     Process(const settings::Settings& settings, const std::string& path)
         : settings_(settings),
-          path_(path),
           loop_(settings.self.limits.max_fds - reserved_descriptors),
           sessions_(loop_),
-          control_(loop_, sessions_, settings, describe_gateway(settings),
+          control_(loop_, sessions_, settings, process::describe_process(settings, wire::Role::gateway),
                    [this](const distribution::Changes& changes) { view_changed(changes); }),
           quotas_(loop_, settings.self.node, quota_bound(settings)),
           proxy_(loop_, quotas_, proxy_options(settings)),
           readiness_(loop_, most_call_bytes),
           directory_(loop_, most_call_bytes),
-          end_(loop_) {
+          end_(loop_),
+          watch_(loop_, path, [this](const settings::Settings& changed) { settings_changed(changed); }) {
         declare_calls();
     }
 
     int run() {
         if (!listen()) return exit_cannot_listen;
-        loop_.on_signals([this] { terminate(); }, [this] { reload(); });
-        settings_text_ = read_file();
-        watch_settings();
+        loop_.on_signals([this] { terminate(); }, [this] { watch_.reload(); });
+        watch_.start();
         control_.start();
         logging::log(Level::info, Event::started, {});
         loop_.run();
@@ -105,7 +103,7 @@
     std::optional<std::string> listen_all() {
         const settings::Bind& bind = settings_.network.bind;
         std::optional<std::string> fault =
-            quotas_.bind(transport::udp_endpoint(internal_endpoint(settings_)));
+            quotas_.bind(transport::udp_endpoint(process::internal_endpoint(settings_)));
         if (!fault && bind.front) fault = proxy_.front().listen(transport::tcp_endpoint(*bind.front));
         if (!fault && bind.readiness) fault = readiness_.listen(transport::tcp_endpoint(*bind.readiness));
         if (!fault && bind.directory) fault = directory_.listen(transport::tcp_endpoint(*bind.directory));
@@ -141,28 +139,8 @@
                      {{"version", static_cast<std::int64_t>(update.version)}});
     }
 
-    std::string read_file() const {
-        std::ifstream file(path_);
-        std::stringstream text;
-        text << file.rdbuf();
-        return text.str();
-    }
-
-    // The file may change without a signal.
-    void watch_settings() {
-        if (read_file() != settings_text_) reload();
-        watch_.start(watch_interval, [this] { watch_settings(); });
-    }
-
-    void reload() {
-        settings_text_ = read_file();
-        const settings::SettingsResult read = settings::read_settings(settings_text_);
-        if (const auto* const error = std::get_if<settings::SettingsError>(&read)) {
-            logging::log(Level::error, Event::settings_refused, {{"key", std::string_view(error->key)}});
-            return;
-        }
-        control_.set_seeds(std::get<settings::Settings>(read).network.seed_nodes);
-        logging::log(Level::info, Event::settings_reloaded, {});
+    void settings_changed(const settings::Settings& settings) {
+        control_.set_seeds(settings.network.seed_nodes);
     }
 
     void terminate() {
@@ -187,7 +165,6 @@
     }
 
     const settings::Settings settings_;
-    const std::string path_;
     runtime::EventLoop loop_;
     transport::Sessions sessions_;
     ControlSession control_;
@@ -196,8 +173,7 @@
     api::Server readiness_;
     api::Server directory_;
     runtime::Timer end_;
-    runtime::Timer watch_{loop_};
-    std::string settings_text_;  // as last read
+    process::SettingsWatch watch_;
     bool terminating_ = false;
     runtime::Time accept_until_ = 0;
     runtime::Time end_at_ = 0;
--- a/src/logging/log.cpp
+++ b/src/logging/log.cpp
@@ -35,6 +35,8 @@
     "endpoint_ejected",
     "endpoint_restored",
     "storage_failed",
+    "storage_recovered",
+    "state_unreadable",
 };
 
 constexpr std::array<std::string_view, 4> level_names = {"debug", "info", "warning", "error"};
--- a/src/logging/log.h
+++ b/src/logging/log.h
@@ -35,6 +35,8 @@
     endpoint_ejected,
     endpoint_restored,
     storage_failed,
+    storage_recovered,
+    state_unreadable,
     count
 };
 
--- a/src/program/roles.cpp
+++ b/src/program/roles.cpp
@@ -37,7 +37,7 @@
     }
     const auto& settings = std::get<settings::Settings>(read);
     logging::start(settings.self.node, logging::Level::info);
-    return role == gateway_role ? gateway::run(settings, path) : control_plane::run(settings);
+    return role == gateway_role ? gateway::run(settings, path) : control_plane::run(settings, path);
 }
 
 }  // namespace
--- a/src/storage/values.cpp
+++ b/src/storage/values.cpp
@@ -17,6 +17,9 @@
 
 constexpr std::size_t checksum_bytes = 8;
 constexpr unsigned bits_of_byte = 8;
+constexpr std::uint32_t membership_fields = 4;
+// Stored before voters were exchanged in joint steps.
+constexpr std::uint32_t earlier_membership_fields = 2;
 
 std::string checksum(std::string_view key, std::uint8_t version, std::string_view body) {
     // The length of the key parts it from the version and the body.
@@ -45,9 +48,11 @@
 }
 
 void pack(Packer& packer, const Membership& membership) {
-    packer.pack_array(2);
+    packer.pack_array(membership_fields);
     pack(packer, membership.voters);
     pack(packer, membership.learners);
+    pack(packer, membership.outgoing);
+    packer.pack(membership.wanted_voters);
 }
 
 std::string text_of(const msgpack::sbuffer& buffer) { return std::string(buffer.data(), buffer.size()); }
@@ -73,8 +78,14 @@
 }
 
 Membership membership_from(const msgpack::object& object) {
-    const msgpack::object* field = fields(object, 2);
-    return Membership{replicas_from(field[0]), replicas_from(field[1])};
+    const bool earlier =
+        object.type == msgpack::type::ARRAY && object.via.array.size == earlier_membership_fields;
+    const msgpack::object* field = fields(object, earlier ? earlier_membership_fields : membership_fields);
+    Membership membership{replicas_from(field[0]), replicas_from(field[1])};
+    if (earlier) return membership;
+    membership.outgoing = replicas_from(field[2]);
+    membership.wanted_voters = field[3].as<std::uint32_t>();
+    return membership;
 }
 
 EntryKind kind_from(const msgpack::object& object) {
--- a/src/wire/consensus_messages.h
+++ b/src/wire/consensus_messages.h
@@ -42,7 +42,8 @@
     };
 
     DEWWEIR_WIRE_STRUCT(dewweir::consensus::Replica, value.id, value.address)
-    DEWWEIR_WIRE_STRUCT(dewweir::consensus::Membership, value.voters, value.learners)
+    DEWWEIR_WIRE_STRUCT(dewweir::consensus::Membership, value.voters, value.learners, value.outgoing,
+                        value.wanted_voters)
     DEWWEIR_WIRE_STRUCT(dewweir::consensus::Entry, value.term, value.index, value.kind, value.payload,
                         value.membership)
     DEWWEIR_WIRE_STRUCT(dewweir::consensus::PreVoteRequest, value.term, value.campaign_term, value.last_index,
@@ -60,10 +61,14 @@
     DEWWEIR_WIRE_STRUCT(dewweir::consensus::HeartbeatResponse, value.term, value.round, value.received,
                         value.synced)
     DEWWEIR_WIRE_STRUCT(dewweir::consensus::SnapshotChunk, value.term, value.index, value.snapshot_term,
-                        value.membership, value.offset, value.data, value.last)
+                        value.membership, value.offset, value.data, value.last, value.checksum)
     DEWWEIR_WIRE_STRUCT(dewweir::consensus::SnapshotChunkResponse, value.term, value.index,
                         value.received_bytes)
     DEWWEIR_WIRE_STRUCT(dewweir::consensus::TimeoutNow, value.term)
+    DEWWEIR_WIRE_STRUCT(dewweir::consensus::ReadIndexRequest, value.term, value.token)
+    DEWWEIR_WIRE_STRUCT(dewweir::consensus::ReadIndexResponse, value.term, value.token, value.index)
+    DEWWEIR_WIRE_STRUCT(dewweir::consensus::LeaveRequest, value.term)
+    DEWWEIR_WIRE_STRUCT(dewweir::consensus::LeaveResponse, value.term, value.may_go)
 
     }  // namespace adaptor
 }
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -61,12 +61,16 @@
     MSGPACK_DEFINE(protocol, self);
 };
 
+// The staleness of a control plane that has no proof of ever having been in step with a majority.
+constexpr std::uint64_t never_in_step = UINT64_MAX;
+
 // Tells the receiver that the sender lives and what it has; sent by both ends at every heartbeat interval.
 struct Heartbeat {
-    std::uint32_t configuration = 0;      // the version in force at the sender, 0 for none
-    std::uint64_t leader_contact_ms = 0;  // age of the sender's last contact with the leader
-    std::string leader_control;           // where the leader's operator calls go, if known
-    MSGPACK_DEFINE(configuration, leader_contact_ms, leader_control);
+    std::uint32_t configuration = 0;  // the version in force at the sender, 0 for none
+    std::uint64_t staleness_ms =
+        never_in_step;           // for how long changes may have been acknowledged that it lacks
+    std::string leader_control;  // where the leader's operator calls go, if known
+    MSGPACK_DEFINE(configuration, staleness_ms, leader_control);
 };
 
 // The whole configuration as the operator sent it.
@@ -154,9 +158,16 @@
     MSGPACK_DEFINE(tenant, gateway, sequence, others, elapsed_ms);
 };
 
-using Message =
-    std::variant<Hello, Heartbeat, ConfigurationUpdate, EvacuationsUpdate, InstancesUpdate, MembersUpdate,
-                 MemberChanged, MembersReport, ConsensusMessage, JoinRequest, CountStatement, CountAnswer>;
+// Asks a control plane for a heartbeat at once, from a gateway that looks for one that is in step; it is a
+// member only after its Hello.
+struct Probe {
+    std::uint32_t protocol = protocol_version;
+    MSGPACK_DEFINE(protocol);
+};
+
+using Message = std::variant<Hello, Heartbeat, ConfigurationUpdate, EvacuationsUpdate, InstancesUpdate,
+                             MembersUpdate, MemberChanged, MembersReport, ConsensusMessage, JoinRequest,
+                             CountStatement, CountAnswer, Probe>;
 
 }  // namespace dewweir::wire
 
--- a/tests/capacity/hollow_gateway.cpp
+++ b/tests/capacity/hollow_gateway.cpp
@@ -18,10 +18,13 @@
 constexpr std::string_view configuration_text =
     R"({"epoch":"00000003","routes":[],"services":[],"limits":{},"tenants":[]})";
 
-// The other end: answers a gateway's first message with a configuration.
+// The other end: in step when it is asked, and answers a gateway's greeting with a configuration.
 struct ControlPlane : transport::SessionUser {
     explicit ControlPlane(transport::Sessions& sessions) : sessions(sessions) {}
     void session_received(transport::SessionId session, wire::Message&& message) override {
+        if (std::holds_alternative<wire::Probe>(message)) {
+            sessions.send(session, wire::Heartbeat{3, 0, {}});
+        }
         const auto* const hello = std::get_if<wire::Hello>(&message);
         if (!hello) return;
         node = hello->self.node;
--- a/tests/consensus/checker.cpp
+++ b/tests/consensus/checker.cpp
@@ -48,6 +48,16 @@
     value_seen(version, value);
 }
 
+// The register remembers the newest changes alone.
+void Checker::repeat_refused(Version version, Value value, Version known_at_start) {
+    const auto found = acknowledged_.find(version);
+    const bool acknowledged = found != acknowledged_.end() && found->second == value;
+    const bool newest = version == known_at_start && version == known_;
+    if (acknowledged && newest) {
+        violated(Property::repeat_not_refused, "a repeat of version " + std::to_string(version));
+    }
+}
+
 void Checker::read_answered(Version version, Value value, Version known_at_start) {
     ++reads_;
     if (version < known_at_start) {
--- a/tests/consensus/checker.h
+++ b/tests/consensus/checker.h
@@ -23,6 +23,7 @@
     one_change_per_version,
     no_lost_change,
     no_stale_read,
+    repeat_not_refused,
 };
 
 struct Violation {
@@ -41,6 +42,8 @@
     // The newest version that some client knows; an operation that starts now must not see an older one.
     Version known() const { return known_; }
     void change_acknowledged(Version version, Value value, Version known_at_start);
+    // A change that was sent again was refused.
+    void repeat_refused(Version version, Value value, Version known_at_start);
     void read_answered(Version version, Value value, Version known_at_start);
 
     const std::vector<Violation>& violations() const { return violations_; }
--- a/tests/consensus/disk.h
+++ b/tests/consensus/disk.h
@@ -19,6 +19,7 @@
     // The process or machine stops: the first `kept` of the waiting operations reach the disk.
     void stop(std::size_t kept);
     void wipe();
+    void forget_unsynced() { waiting_.clear(); }
     const PersistentState& state() const { return state_; }
 
   private:
--- a/tests/consensus/histories.cpp
+++ b/tests/consensus/histories.cpp
@@ -54,5 +54,9 @@
     CHECK(some_history_violates(Sabotage::read_without_quorum, 200));
 }
 
+TEST_CASE("the checker sees a control plane that shows its state because it hears a leader") {
+    CHECK(some_history_violates(Sabotage::serve_while_leader_is_heard, 200));
+}
+
 }  // namespace
 }  // namespace dewweir::consensus::testing
--- a/tests/consensus/history.cpp
+++ b/tests/consensus/history.cpp
@@ -7,21 +7,28 @@
 
 constexpr std::array<std::size_t, 3> sizes{3, 5, 7};
 constexpr int steps = 300;
+constexpr int steps_of_long_history = 1'200;     // a minute, with cuts of 14 to 25 s and hundreds of changes
+constexpr std::uint64_t long_history_every = 8;  // seeds
+constexpr milliseconds grace{6'000};
 constexpr milliseconds step_length{50};
 constexpr double fault_chance = 0.12;   // a step
 constexpr double repair_chance = 0.25;  // of a fault, a step
 
 class History {
   public:
-    History(std::uint64_t seed, Sabotage sabotage) : world_(sizes[seed % sizes.size()], seed, sabotage) {
+    History(std::uint64_t seed, Sabotage sabotage)
+        : world_(sizes[seed % sizes.size()], seed, sabotage),
+          long_((seed / sizes.size()) % long_history_every == 0) {
         result_.machines = sizes[seed % sizes.size()];
     }
 
     HistoryResult run() {
-        for (int step = 0; step < steps; ++step) {
-            if (world_.chance(fault_chance)) add_fault();
+        const int count = long_ ? steps_of_long_history : steps;
+        for (int step = 0; step < count; ++step) {
+            if (world_.chance(long_ ? fault_chance / 4 : fault_chance)) add_fault();
             if (world_.chance(repair_chance)) restart_one();
-            if (world_.chance(repair_chance)) world_.network().cuts.clear();
+            const bool may_heal = world_.now() >= cuts_last_until_;
+            if (may_heal && world_.chance(repair_chance)) world_.network().cuts.clear();
             ask();
             world_.repair_membership();
             world_.run_for(step_length);
@@ -31,6 +38,7 @@
         result_.violations = world_.checker().violations();
         result_.changes = world_.checker().acknowledged();
         result_.reads = world_.checker().reads();
+        result_.left = world_.left();
         result_.committed = world_.checker().last_committed();
         return result_;
     }
@@ -44,6 +52,8 @@
         for (MachineIndex index = 0; index < world_.machines().size(); ++index) {
             world_.propose(index);
             world_.read(index);
+            world_.serve_state(index);
+            if (world_.chance(0.3)) world_.repeat(index);
             if (world_.chance(0.3)) world_.propose(index);
             if (world_.chance(0.2)) world_.propose(index, world_.draw(4));
         }
@@ -53,7 +63,7 @@
         ++result_.faults;
         const MachineIndex one = any();
         const MachineIndex other = any();
-        switch (world_.draw(14)) {
+        switch (world_.draw(17)) {
             case 0: world_.stop(one); break;
             case 1: world_.lose_power(one); break;
             case 2: all_lose_power(); break;
@@ -68,6 +78,9 @@
             case 11: hand_over(one); break;
             case 12: step_down(one); break;
             case 13: stop_and_start(one); break;
+            case 14: world_.fill_disk(one, up_to(4000)); break;
+            case 15: world_.leave(one, grace); break;
+            case 16: leave_for_good(one); break;
         }
     }
 
@@ -81,6 +94,17 @@
             if (ways != 0) world_.cut(one, index);
             if (ways != 1) world_.cut(index, one);
         }
+        if (long_) cuts_last_until_ = world_.now() + milliseconds(14'000) + up_to(11'000);
+    }
+
+    // The substitute first, as in a planned replacement.
+    void leave_for_good(MachineIndex one) {
+        Machine& machine = world_.machines()[one];
+        if (!world_.may_lose_disk() || !machine.raft || machine.gone || machine.leaving) return;
+        world_.add_machine();
+        Machine& leaver = world_.machines()[one];
+        leaver.leaves_for_good = true;
+        world_.leave(one, grace);
     }
 
     void spoil_network() {
@@ -139,13 +163,10 @@
 
     void calm_down() {
         world_.network() = Network{};
-        for (MachineIndex index = 0; index < world_.machines().size(); ++index) {
-            world_.machines()[index].frozen_until = world_.now();
-            world_.machines()[index].disk_hangs_until = world_.now();
-            world_.start(index);
-        }
+        for (MachineIndex index = 0; index < world_.machines().size(); ++index) { world_.end_faults(index); }
         const TimePoint from = world_.now();
         while (world_.now() - from < recovery_bound && !result_.recovered) {
+            for (MachineIndex index = 0; index < world_.machines().size(); ++index) world_.start(index);
             world_.repair_membership();
             world_.run_for(step_length);
             if (world_.whole()) result_.recovered = commits_and_reads();
@@ -161,6 +182,8 @@
     }
 
     World world_;
+    bool long_;
+    TimePoint cuts_last_until_{};
     HistoryResult result_;
 };
 
--- a/tests/consensus/history.h
+++ b/tests/consensus/history.h
@@ -17,6 +17,7 @@
     std::size_t reads = 0;    // answered
     std::size_t faults = 0;
     std::size_t lost_disks = 0;
+    std::size_t left = 0;  // as planned, when the group did without them
     Index committed = 0;
 };
 
--- a/tests/consensus/history_table.cpp
+++ b/tests/consensus/history_table.cpp
@@ -13,6 +13,7 @@
     if (!result.recovered) ++row.not_recovered;
     row.faults += result.faults;
     row.lost_disks += result.lost_disks;
+    row.left += result.left;
     row.changes += result.changes;
     row.reads += result.reads;
     row.committed += result.committed;
@@ -32,6 +33,7 @@
         file << ", \"longest_recovery_ms\": " << row.longest_recovery.count();
         file << ", \"faults\": " << row.faults;
         file << ", \"lost_disks\": " << row.lost_disks;
+        file << ", \"left_as_planned\": " << row.left;
         file << ", \"changes_acknowledged\": " << row.changes;
         file << ", \"reads_answered\": " << row.reads;
         file << ", \"entries_committed\": " << row.committed << "}";
--- a/tests/consensus/history_table.h
+++ b/tests/consensus/history_table.h
@@ -22,6 +22,7 @@
         std::size_t not_recovered = 0;
         std::size_t faults = 0;
         std::size_t lost_disks = 0;
+        std::size_t left = 0;
         std::size_t changes = 0;
         std::size_t reads = 0;
         std::size_t committed = 0;
--- a/tests/consensus/world.cpp
+++ b/tests/consensus/world.cpp
@@ -1,7 +1,6 @@
 #include "consensus/world.h"
 
 #include <algorithm>
-#include <sstream>
 #include <utility>
 
 namespace dewweir::consensus::testing {
@@ -10,26 +9,12 @@
 constexpr Index entries_between_snapshots = 25;
 constexpr milliseconds longest_sync{12};
 
-std::string encode(std::uint64_t first, std::uint64_t second) {
-    return std::to_string(first) + " " + std::to_string(second);
-}
-
-Register decode_register(const std::string& text) {
-    Register result;
-    std::istringstream(text) >> result.version >> result.value;
-    return result;
-}
-
-Change decode_change(const std::string& text) {
-    Change result;
-    std::istringstream(text) >> result.expected >> result.value;
-    return result;
-}
-
 }  // namespace
 
 World::World(std::size_t machines, std::uint64_t seed, Sabotage sabotage)
     : random_(seed), sabotage_(sabotage) {
+    options_.guards.joint_exchange = sabotage != Sabotage::exchange_in_one_step;
+    options_.guards.ask_before_leaving = sabotage != Sabotage::leave_unasked;
     options_.max_append_bytes = 64;
     options_.max_inflight_appends = 4;
     options_.max_snapshot_chunk_bytes = 3;
@@ -85,7 +70,7 @@
 
 void World::start(MachineIndex index) {
     Machine& machine = machines_[index];
-    if (machine.raft || machine.gone) return;
+    if (machine.raft || machine.gone || now_ < machine.disk_refuses_until) return;
     const bool empty_disk = machine.disk.state().self.id == 0;
     const bool has_lived = machine.life > 0;
     const bool takes_old_id = sabotage_ == Sabotage::old_id_after_wipe;
@@ -100,50 +85,14 @@
     const Membership initial = machine.joins ? Membership{} : first_membership_;
     machine.raft = std::make_unique<Raft>(options_, state, initial, random_(), now_);
     machine.state = state.snapshot ? decode_register(state.snapshot->data) : Register{};
+    machine.leaving = false;
+    machine.leaves_for_good = false;
+    machine.refused_through = 0;
     machine.applied = machine.raft->log().snapshot_index();
     machine.tick_at = TimePoint::max();
     drain(index);
 }
 
-void World::stop(MachineIndex index) {
-    Machine& machine = machines_[index];
-    machine.raft.reset();
-    machine.changes.clear();
-    machine.reads.clear();
-    machine.disk.stop(draw(machine.disk.unsynced() + 1));
-}
-
-void World::lose_power(MachineIndex index) {
-    machines_[index].disk.stop(0);
-    stop(index);
-}
-
-void World::wipe(MachineIndex index) {
-    stop(index);
-    machines_[index].disk.wipe();
-}
-
-void World::freeze(MachineIndex index, milliseconds span) { machines_[index].frozen_until = now_ + span; }
-
-void World::hang_disk(MachineIndex index, milliseconds span) {
-    machines_[index].disk_hangs_until = now_ + span;
-}
-
-void World::replace(MachineIndex index) {
-    wipe(index);
-    machines_[index].gone = true;
-    const MachineIndex added = machines_.size();
-    Machine& machine = machines_.emplace_back();
-    machine.replica = new_replica("10.0.1." + std::to_string(added) + ":7000");
-    machine.joins = true;
-    by_address_[machine.replica.address] = added;
-    start(added);
-}
-
-void World::cut(MachineIndex from, MachineIndex to) {
-    network_.cuts.insert({machines_[from].replica.address, machines_[to].replica.address});
-}
-
 void World::drain(MachineIndex index) {
     Machine& machine = machines_[index];
     Raft& raft = *machine.raft;
@@ -167,7 +116,7 @@
     answer_reads(machine);
     if (ready.write) write(index, *ready.write);
     if (machine.applied >= raft.log().snapshot_index() + entries_between_snapshots) {
-        raft.compact(machine.applied, encode(machine.state.version, machine.state.value));
+        raft.compact(machine.applied, encode(machine.state));
         drain(index);
         return;
     }
@@ -212,6 +161,7 @@
             if (previous_term) checker_.entry_written(entry, *previous_term);
         }
     }
+    if (now_ < machine.disk_refuses_until) return;  // written as a whole once the disk takes bytes again
     machine.disk.submit(write);
     const WriteSequence sequence = write.sequence;
     const std::uint64_t life = machine.life;
@@ -221,6 +171,7 @@
     post(done, [this, index, life, sequence, report] {
         Machine& owner = machines_[index];
         if (owner.life != life || !owner.raft) return;
+        if (now_ < owner.disk_refuses_until || sequence <= owner.refused_through) return;
         owner.disk.sync_through(sequence);
         on_machine(index, life, report);
     });
@@ -228,74 +179,6 @@
     post(now_, [this, index, life, report] { on_machine(index, life, report); });
 }
 
-void World::apply(Machine& machine, const Entry& entry) {
-    machine.applied = entry.index;
-    bool changed = false;
-    if (entry.kind == EntryKind::command) {
-        const Change change = decode_change(entry.payload);
-        changed = change.expected == machine.state.version;
-        if (changed) machine.state = Register{change.expected + 1, change.value};
-    }
-    const auto pending = machine.changes.find(entry.index);
-    if (pending == machine.changes.end()) return;
-    const PendingChange change = pending->second;
-    machine.changes.erase(pending);
-    const bool own = entry.term == change.term;
-    if (!own) return;
-    if (changed) {
-        checker_.change_acknowledged(machine.state.version, change.value, change.known_at_start);
-    } else {
-        checker_.read_answered(machine.state.version, machine.state.value, change.known_at_start);
-    }
-}
-
-void World::answer_reads(Machine& machine) {
-    auto answer = [this, &machine](const auto& item) {
-        const PendingRead& read = item.second;
-        if (!read.safe || machine.applied < read.index) return false;
-        checker_.read_answered(machine.state.version, machine.state.value, read.known_at_start);
-        return true;
-    };
-    std::erase_if(machine.reads, answer);
-}
-
-bool World::propose(MachineIndex index) {
-    return propose(index, std::max(checker_.known(), machines_[index].state.version));
-}
-
-bool World::propose(MachineIndex index, Version expected) {
-    Machine& machine = machines_[index];
-    if (!machine.raft || now_ < machine.frozen_until) return false;
-    const Value value = next_value_++;
-    bool taken = false;
-    with(index, [&](Raft& raft) {
-        const ProposeResult result = raft.propose(now_, encode(expected, value));
-        const auto* accepted = std::get_if<Accepted>(&result);
-        if (!accepted) return;
-        machine.changes[accepted->index] = {accepted->term, value, checker_.known()};
-        taken = true;
-    });
-    return taken;
-}
-
-bool World::read(MachineIndex index) {
-    Machine& machine = machines_[index];
-    if (!machine.raft || now_ < machine.frozen_until) return false;
-    if (sabotage_ == Sabotage::read_without_quorum && machine.raft->role() == Role::leader) {
-        checker_.read_answered(machine.state.version, machine.state.value, checker_.known());
-        return true;
-    }
-    const ReadToken token = next_token_++;
-    machine.reads[token].known_at_start = checker_.known();
-    bool taken = false;
-    with(index, [&](Raft& raft) {
-        const std::optional<Refused> refused = raft.read_index(now_, token);
-        if (refused) machine.reads.erase(token);
-        taken = !refused;
-    });
-    return taken;
-}
-
 std::optional<MachineIndex> World::leader() const {
     std::optional<MachineIndex> best;
     for (MachineIndex index = 0; index < machines_.size(); ++index) {
@@ -319,7 +202,7 @@
         const bool in_step = machine.raft && machine.applied >= leading.applied;
         if (!in_step || !find_voter(membership, machine.replica.id)) return false;
     }
-    return membership.voters.size() == running && membership.learners.empty();
+    return membership.voters.size() == running && membership.learners.empty() && membership.outgoing.empty();
 }
 
 bool World::may_lose_disk() const {
@@ -332,24 +215,7 @@
         const bool has_disk = machine.disk.state().self.id == machine.replica.id;
         if (!has_disk || !find_voter(membership, machine.replica.id)) return false;
     }
-    return membership.voters.size() == machines && membership.learners.empty();
-}
-
-// Brings replicas of empty disks in as learners and has those of machines gone for good removed.
-void World::repair_membership() {
-    const std::optional<MachineIndex> at = leader();
-    if (!at || now_ < machines_[*at].frozen_until) return;
-    const Membership membership = machines_[*at].raft->membership();
-    for (const Machine& machine : machines_) {
-        const ReplicaId id = machine.replica.id;
-        const bool member = find_voter(membership, id) || find_learner(membership, id);
-        if (machine.gone == member) {
-            const MembershipChange change = machine.gone ? MembershipChange(RemoveReplica{id})
-                                                         : MembershipChange(AddLearner{machine.replica});
-            with(*at, [&](Raft& raft) { raft.propose_membership(now_, change); });
-            return;
-        }
-    }
+    return membership.voters.size() == machines && membership.learners.empty() && membership.outgoing.empty();
 }
 
 }  // namespace dewweir::consensus::testing
--- a/tests/consensus/world.h
+++ b/tests/consensus/world.h
@@ -17,15 +17,36 @@
 namespace dewweir::consensus::testing {
 
 // A fault of the owner's, put in to show that the checker sees it.
-enum class Sabotage : std::uint8_t { none, old_id_after_wipe, persisted_before_sync, read_without_quorum };
+enum class Sabotage : std::uint8_t {
+    none,
+    old_id_after_wipe,
+    persisted_before_sync,
+    read_without_quorum,
+    serve_while_leader_is_heard,  // a follower shows its state because it hears a leader
+    exchange_in_one_step,         // without the joint step
+    leave_unasked,
+};
 
 using MachineIndex = std::size_t;
 
+// So many of the newest changes are known by their content, so that a repeated one is acknowledged again.
+constexpr std::size_t remembered_changes = 4;
+
+struct AcceptedChange {
+    Version version = 0;
+    Value value = 0;
+    bool operator==(const AcceptedChange&) const = default;
+};
+
 struct Register {
     Version version = 0;
     Value value = 0;
+    std::vector<AcceptedChange> recent{};
 };
 
+std::string encode(const Register& state);
+Register decode_register(const std::string& text);
+
 struct Change {
     Version expected = 0;
     Value value = 0;
@@ -35,6 +56,7 @@
     Term term = 0;
     Value value = 0;
     Version known_at_start = 0;
+    bool repeat = false;
 };
 
 struct PendingRead {
@@ -52,6 +74,10 @@
     bool joins = false;          // its replica is not of the first membership
     TimePoint frozen_until{};
     TimePoint disk_hangs_until{};
+    TimePoint disk_refuses_until{};
+    WriteSequence refused_through = 0;  // writes that the disk never took; a later one holds all of them
+    bool leaving = false;
+    bool leaves_for_good = false;
     TimePoint tick_at = TimePoint::max();
     Register state;
     Index applied = 0;
@@ -90,12 +116,19 @@
     void hang_disk(MachineIndex index, milliseconds span);
     void replace(MachineIndex index);  // gone for good; a machine at another address comes instead
     void cut(MachineIndex from, MachineIndex to);
+    void fill_disk(MachineIndex index, milliseconds span);
+    void end_faults(MachineIndex index);  // of the machine and its disk
+    void leave(MachineIndex index, milliseconds grace);
+    MachineIndex add_machine();
 
     // The operator's and the clients' calls.
     void repair_membership();
     bool propose(MachineIndex index);  // on top of the newest version known
     bool propose(MachineIndex index, Version expected);
+    bool repeat(MachineIndex index);  // of one of the newest changes sent
     bool read(MachineIndex index);
+    void serve_state(MachineIndex index);
+    std::size_t left() const { return left_; }  // as planned, with leave
 
     std::optional<MachineIndex> leader() const;  // of the highest term
     // Every running machine's replica is a voter for the leader and has applied all that the leader has, and
@@ -125,6 +158,9 @@
     void answer_reads(Machine& machine);
     void schedule_tick(MachineIndex index);
     Replica new_replica(const std::string& address);
+    void rewrite_disk(MachineIndex index);
+    void ask_to_leave(MachineIndex index, std::uint64_t life, TimePoint end);
+    bool send_change(MachineIndex index, const Change& change, bool repeat);
 
     TimePoint now_{};
     std::mt19937_64 random_;
@@ -140,6 +176,8 @@
     ReplicaId next_id_ = 1;
     Value next_value_ = 1;
     ReadToken next_token_ = 1;
+    std::vector<Change> sent_;  // the newest changes
+    std::size_t left_ = 0;
 };
 
 }  // namespace dewweir::consensus::testing
--- a/tests/control/state_machine.cpp
+++ b/tests/control/state_machine.cpp
@@ -103,6 +103,21 @@
     CHECK_FALSE(decode_command(std::string("\x92\0\xa1z", 4)));
 }
 
+TEST_CASE("a repeat of a version that is forgotten is neither acknowledged nor refused") {
+    StateMachine machine;
+    constexpr std::uint32_t more_than_remembered = 1030;
+    for (std::uint32_t version = 1; version <= more_than_remembered; ++version) {
+        REQUIRE(machine.apply(version, PutConfiguration{version - 1, version, "text"}) == Outcome::accepted);
+    }
+    StateMachine restored;
+    REQUIRE(restored.restore(machine.snapshot()));
+    for (StateMachine* const one : {&machine, &restored}) {
+        CHECK(one->apply(2000, PutConfiguration{0, 1, "text"}) == Outcome::forgotten);
+        CHECK(one->apply(2001, PutConfiguration{99, 100, "text"}) == Outcome::accepted);
+        CHECK(one->apply(2002, PutConfiguration{99, 100, "other"}) == Outcome::version_conflict);
+    }
+}
+
 TEST_CASE("a machine restored from a snapshot goes on as the one it was taken of") {
     std::mt19937 random(2);
     for (int round = 0; round < 50; ++round) {
--- a/tests/wire/codec.cpp
+++ b/tests/wire/codec.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t answer_kind = std::variant_size_v<Message> - 1;
+constexpr std::size_t answer_kind = std::variant_size_v<Message> - 2;  // of CountAnswer
 
 Member some_member() {
     return {"node-1",      7,   Role::control_plane, "zone-a", "region-1", "10.0.0.1:8400", "10.0.0.1:80",
@@ -47,6 +47,7 @@
         JoinRequest{{9, "10.0.0.3:7000"}},
         CountStatement{1ull << 63, 2, 3, 1500, 20, 0.25, 7, false},
         CountAnswer{6, 7, 8, 1e300, 9},
+        Probe{},
     };
 }
 
