--- a/cmake/system.cmake
+++ b/cmake/system.cmake
@@ -75,6 +75,9 @@
   endif()
   set_tests_properties(whole_path PROPERTIES TIMEOUT 75 RUN_SERIAL ON)
   if(TARGET dewweir_system)
+    add_test(NAME packages
+      COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/packages/listed ${CMAKE_BINARY_DIR})
+    set_tests_properties(packages PROPERTIES TIMEOUT 120)
     foreach(name operator_commands page_examples)
       add_test(NAME ${name}
         COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/program/${name} $<TARGET_FILE:dewweir_system>)
