A replica that was put out is given the vote where its log is up to date

The set is gone: a replica whose log is up to date knows of its removal and does not ask; it also lived in memory alone.

--- a/src/consensus/election.cpp
+++ b/src/consensus/election.cpp
@@ -62,7 +62,8 @@
 }
 
 void Raft::on(const Replica& from, const PreVoteRequest& request) {
-    if (removed_.contains(from.id)) return;
+    // A replica that was put out needs no other answer: one whose log is up to date knows of that and does
+    // not ask. It may also have been taken in again by entries that have not come here yet.
     const bool newer = request.campaign_term > term_;
     const bool up_to_date = is_up_to_date(request.last_index, request.last_term);
     const bool granted = newer && up_to_date && !hears_leader();
@@ -82,7 +83,6 @@
 }
 
 void Raft::on(const Replica& from, const VoteRequest& request) {
-    if (removed_.contains(from.id)) return;
     const bool disturbs = request.term > term_ && hears_leader() && !request.leadership_transfer;
     if (disturbs) return;
     if (request.term > term_) become_follower(request.term);
--- a/src/consensus/raft.cpp
+++ b/src/consensus/raft.cpp
@@ -42,7 +42,6 @@
     commit_ = std::min(known_commit, log_.last_index());
     durable_commit_ = state.hard_state.commit;
     applied_ = log_.snapshot_index();
-    committed_membership_ = log_.membership_at(applied_);
     if (is_first_start(state, initial)) writes_.snapshot_changed();
     timer_.start(now_);
 }
@@ -204,22 +203,7 @@
     std::vector<Entry> committed;
     if (applied_ < commit_) committed = log_.range(applied_ + 1, commit_);
     applied_ = commit_;
-    for (const Entry& entry : committed) {
-        if (entry.kind == EntryKind::membership) note_removed(entry.membership);
-    }
     return committed;
 }
 
-void Raft::note_removed(const Membership& membership) {
-    auto note = [this, &membership](const Replica& replica) {
-        if (!is_member(membership, replica.id)) removed_.insert(replica.id);
-    };
-    auto forget = [this](const Replica& replica) { removed_.erase(replica.id); };
-    const std::vector<Replica> before = all_members(committed_membership_);
-    const std::vector<Replica> after = all_members(membership);
-    std::for_each(before.begin(), before.end(), note);
-    std::for_each(after.begin(), after.end(), forget);
-    committed_membership_ = membership;
-}
-
 }  // namespace dewweir::consensus
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -155,7 +155,6 @@
     void advance_commit_to(Index index);
     std::optional<Write> collect_write();
     std::vector<Entry> collect_committed();
-    void note_removed(const Membership& membership);
     bool is_voter() const { return has_vote(log_.membership(), self_.id); }
     Refused refused(Refusal reason) const { return {reason, leader()}; }
 
@@ -260,8 +259,6 @@
     Index applied_ = 0;             // given out
     Index durable_commit_ = 0;      // the commit index as last written
     WriteSequence term_write_ = 0;  // the write that holds the term
-    Membership committed_membership_;
-    std::set<ReplicaId> removed_;  // left the committed membership
 
     std::set<ReplicaId> votes_;  // candidates: who agreed
 
--- a/src/consensus/snapshot_transfer.cpp
+++ b/src/consensus/snapshot_transfer.cpp
@@ -82,7 +82,6 @@
     snapshot->membership = description.membership;
     snapshot->data = std::move(data);
     const Index index = snapshot->index;
-    note_removed(snapshot->membership);
     restore_ = snapshot;
     const bool kept_entries = log_.restore(std::move(snapshot));
     if (!kept_entries) writes_.log_replaced(index + 1);
--- a/tests/consensus/promises.cpp
+++ b/tests/consensus/promises.cpp
@@ -114,6 +114,28 @@
     CHECK(raft.term() == term + 1);
 }
 
+// Found by the history of seed 22170: one that was put out and taken in again was refused by a voter that had
+// heard of the first alone, and the two never made a majority.
+TEST_CASE("a replica that was put out is given the vote where its log shows that it was taken in again") {
+    Raft raft = settled_follower();
+    Entry put_out = command(2);
+    put_out.kind = EntryKind::membership;
+    put_out.membership = Membership{{self, second}, {}};
+    raft.receive(TimePoint{}, {second, self, AppendRequest{term, start_index, start_term, 2, {put_out}}});
+    raft.persisted(TimePoint{}, raft.take().write->sequence);
+    raft.take();
+    REQUIRE(raft.commit_index() == 2);
+    const TimePoint later = TimePoint{} + std::chrono::seconds(5);
+    raft.receive(later, {third, self, PreVoteRequest{term, term + 1, 4, term}});
+    const std::optional<PreVoteResponse> newer = sent<PreVoteResponse>(raft.take());
+    REQUIRE(newer);
+    CHECK(newer->granted);
+    raft.receive(later, {third, self, PreVoteRequest{term, term + 1, start_index, start_term}});
+    const std::optional<PreVoteResponse> older = sent<PreVoteResponse>(raft.take());
+    REQUIRE(older);
+    CHECK_FALSE(older->granted);
+}
+
 // A leader of the term after its last entry's, whose own disk has everything but the leader's first entry.
 Raft elected_leader(const std::vector<Entry>& entries) {
     PersistentState state;
