--- a/src/control/state_machine.cpp
+++ b/src/control/state_machine.cpp
@@ -26,7 +26,9 @@
 // All of the bytes as one object; throws where they are none or go on behind it.
 msgpack::object_handle unpack(std::string_view bytes) {
     std::size_t taken = 0;
-    msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), taken);
+    const msgpack::unpack_limit limit(bytes.size(), bytes.size(), bytes.size(), bytes.size(), bytes.size());
+    msgpack::object_handle handle =
+        msgpack::unpack(bytes.data(), bytes.size(), taken, nullptr, nullptr, limit);
     if (taken != bytes.size()) throw msgpack::type_error();
     return handle;
 }
--- a/src/control_plane/raft_log.cpp
+++ b/src/control_plane/raft_log.cpp
@@ -266,8 +266,10 @@
         raft_->propose_membership(loop_.steady_now(), consensus::AddLearner{replica});
         return process();
     }
+    // Two that take each other for the leader must not pass it to and fro.
+    const bool heard = loop_.now() - leader_heard_at_ < silence_before_join;
     const std::optional<std::string> leader = leader_address();
-    if (leader && *leader != replica.address) links_.send_join(*leader, replica);
+    if (heard && leader && *leader != replica.address) links_.send_join(*leader, replica);
 }
 
 void RaftLog::leave() {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -16,6 +16,13 @@
     }
 }
 
+// Every entry takes a byte at least: more than there are bytes can't be, and nothing is laid out for them.
+// Throws where the bytes are no object.
+msgpack::object_handle unpack(std::string_view bytes, std::size_t& taken) {
+    const msgpack::unpack_limit limit(bytes.size(), bytes.size(), bytes.size(), bytes.size(), bytes.size());
+    return msgpack::unpack(bytes.data(), bytes.size(), taken, nullptr, nullptr, limit);
+}
+
 }  // namespace
 
 std::string encode(const Message& message) {
@@ -28,13 +35,9 @@
 }
 
 std::optional<Message> decode(std::string_view bytes) {
-    // Every entry takes a byte at least: more than there are bytes can't be, and nothing is laid out for
-    // them.
-    const msgpack::unpack_limit limit(bytes.size(), bytes.size(), bytes.size(), bytes.size(), bytes.size());
     try {
         std::size_t taken = 0;
-        const msgpack::object_handle handle =
-            msgpack::unpack(bytes.data(), bytes.size(), taken, nullptr, nullptr, limit);
+        const msgpack::object_handle handle = unpack(bytes, taken);
         if (taken != bytes.size()) return std::nullopt;
         const msgpack::object& message = handle.get();
         if (message.type != msgpack::type::ARRAY || message.via.array.size != 2) return std::nullopt;
@@ -56,7 +59,9 @@
 
 std::optional<consensus::Envelope> unwrap(const ConsensusMessage& message) {
     try {
-        const msgpack::object_handle handle = msgpack::unpack(message.body.data(), message.body.size());
+        std::size_t taken = 0;
+        const msgpack::object_handle handle = unpack(message.body, taken);
+        if (taken != message.body.size()) return std::nullopt;
         auto body = decode_kind<consensus::Message>(message.kind, handle.get());
         if (!body) return std::nullopt;
         return consensus::Envelope{message.from, message.to, std::move(*body)};
