A leaving control plane takes operators' calls until it goes

Cause: since a leaver waits until the group does without it, one that nobody can follow as leader would lead with its door closed for up to grace. Change: the door closes 0.3 s before the end.

--- a/src/control_plane/process.cpp
+++ b/src/control_plane/process.cpp
@@ -22,7 +22,7 @@
 constexpr runtime::Time end_delay = 300 * runtime::tenths_per_millisecond;
 constexpr runtime::Time end_check = 50 * runtime::tenths_per_millisecond;
 // Before the end of `grace` the process must have ended by itself.
-constexpr runtime::Time end_margin = 500 * runtime::tenths_per_millisecond;
+constexpr runtime::Time end_margin = 800 * runtime::tenths_per_millisecond;
 constexpr int exit_cannot_listen = 1;
 
 std::vector<std::string> internal_seeds(const settings::Settings& settings) {
@@ -94,21 +94,25 @@
     }
 
     // Leadership goes to another at once; what was asked here is repeated there. The process ends when the
-    // group does without it, at the latest just before it would be killed.
+    // group does without it, at the latest just before it would be killed. Until then it takes operators'
+    // calls: it may be the only one that can.
     void terminate() {
         if (terminating_) return;
         terminating_ = true;
         logging::log(logging::Level::info, logging::Event::stopping, {});
-        server_.stop_listening();
         log_.leave();
         const runtime::Time grace = runtime::tenths(settings_.invariants.bounds.grace);
-        end_at_ = loop_.now() + std::max<runtime::Time>(grace - end_margin, end_delay);
-        end_.start(end_delay, [this] { end_if_possible(); });
+        end_at_ = loop_.now() + std::max<runtime::Time>(grace - end_margin, 0);
+        end_if_possible();
     }
 
     void end_if_possible() {
-        if (log_.may_leave() || loop_.now() >= end_at_) return loop_.stop();
-        end_.start(end_check, [this] { end_if_possible(); });
+        if (!log_.may_leave() && loop_.now() < end_at_) {
+            end_.start(end_check, [this] { end_if_possible(); });
+            return;
+        }
+        server_.stop_listening();
+        end_.start(end_delay, [this] { loop_.stop(); });
     }
 
     void state_changed() override {
