--- a/src/program/explain_command.cpp
+++ b/src/program/explain_command.cpp
@@ -3,43 +3,37 @@
 #include <tclap/CmdLine.h>
 
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <optional>
-#include <sstream>
 
 #include "configuration/parser.h"
 #include "explain/bounds.h"
+#include "program/failure.h"
+#include "program/files.h"
 
 namespace dewweir::program {
 namespace {
 
 constexpr const char* settings_variable = "DEWWEIR_CONFIG";
-constexpr int exit_bad_file = 2;
-constexpr int exit_bad_usage = 64;
-
-std::optional<std::string> read_file(const std::string& path) {
-    std::ifstream file(path);
-    std::stringstream text;
-    text << file.rdbuf();
-    if (file) return text.str();
-    std::cerr << "dewweir: " << path << " cannot be read\n";
-    return std::nullopt;
+int fail(const Failure& failure) {
+    std::cerr << describe_failure(failure, false);
+    return number_of(failure.code);
 }
 
 int explain(const std::string& settings_path, const std::string& configuration_path, int gateways) {
-    const std::optional<std::string> settings_text = read_file(settings_path);
-    const std::optional<std::string> configuration_text = read_file(configuration_path);
-    if (!settings_text || !configuration_text) return exit_bad_file;
-    const settings::SettingsResult settings = settings::read_settings(*settings_text);
+    const FileResult settings_file = read_file(settings_path);
+    if (const auto* const failure = std::get_if<Failure>(&settings_file)) return fail(*failure);
+    const FileResult configuration_file = read_file(configuration_path);
+    if (const auto* const failure = std::get_if<Failure>(&configuration_file)) return fail(*failure);
+    const settings::SettingsResult settings = settings::read_settings(std::get<FileText>(settings_file).text);
     if (const auto* const error = std::get_if<settings::SettingsError>(&settings)) {
-        std::cerr << "dewweir: settings: " << error->key << ": " << error->advice << "\n";
-        return exit_bad_file;
+        return fail(
+            {ExitCode::bad_settings, settings_path + ": " + error->key + " is refused", error->advice});
     }
-    const configuration::ParseResult configuration = configuration::parse_configuration(*configuration_text);
+    const configuration::ParseResult configuration =
+        configuration::parse_configuration(std::get<FileText>(configuration_file).text);
     if (const auto* const rejection = std::get_if<configuration::Rejection>(&configuration)) {
-        std::cerr << "dewweir: configuration: " << rejection->path << ": " << rejection->advice << "\n";
-        return exit_bad_file;
+        const std::string place = configuration_path + ": refused at " + rejection->path;
+        return fail({ExitCode::bad_configuration, place, rejection->advice});
     }
     std::cout << explain::explain_bounds(std::get<settings::Settings>(settings),
                                          std::get<configuration::Configuration>(configuration), gateways);
@@ -62,14 +56,14 @@
         line.parse(argc, argv);
         if (gateways.getValue() < 1) {
             std::cerr << "dewweir: --gateways: 1 or more\n";
-            return exit_bad_usage;
+            return number_of(ExitCode::usage);
         }
         return explain(settings.getValue(), file.getValue(), gateways.getValue());
     } catch (const TCLAP::ExitException& end) {  // after --help or --version
         return end.getExitStatus();
     } catch (const TCLAP::ArgException& fault) {
         std::cerr << "dewweir: " << fault.argId() << ": " << fault.error() << "\n";
-        return exit_bad_usage;
+        return number_of(ExitCode::usage);
     }
 }
 
--- a/src/program/roles.cpp
+++ b/src/program/roles.cpp
@@ -3,14 +3,14 @@
 #include <tclap/CmdLine.h>
 
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include "control_plane/process.h"
 #include "gateway/process.h"
 #include "logging/log.h"
 #include "program/exit_codes.h"
+#include "program/failure.h"
+#include "program/files.h"
 #include "program/help.h"
 #include "settings/settings.h"
 
@@ -22,15 +22,13 @@
 constexpr std::string_view control_plane_role = "control-plane";
 
 int start(const std::string& role, const std::string& path) {
-    std::ifstream file(path);
-    std::stringstream text;
-    text << file.rdbuf();
-    if (!file) {
-        std::cerr << "dewweir: settings file " << path << " cannot be read: name it in " << settings_variable
-                  << "\n";
-        return number_of(ExitCode::bad_settings);
+    const FileResult file = read_file(path);
+    if (const auto* const failure = std::get_if<Failure>(&file)) {
+        const std::string advice = std::string("name the settings file in ") + settings_variable;
+        std::cerr << describe_failure({failure->code, failure->reason, advice}, false);
+        return number_of(failure->code);
     }
-    const settings::SettingsResult read = settings::read_settings(text.str());
+    const settings::SettingsResult read = settings::read_settings(std::get<FileText>(file).text);
     if (const auto* const error = std::get_if<settings::SettingsError>(&read)) {
         std::cerr << "dewweir: settings: " << error->key << ": " << error->advice << "\n";
         return number_of(ExitCode::bad_settings);
