--- a/tests/consensus/failover.cpp
+++ b/tests/consensus/failover.cpp
@@ -78,7 +78,8 @@
     }
 }
 
-// From the loss until a change that was sent after it is acknowledged; nothing where that takes longer than `bound`.
+// From the loss until a change that was sent after it is acknowledged; nothing where that takes longer than
+// `bound`.
 std::optional<milliseconds> time_without_leader(Loss loss, std::uint64_t seed, std::size_t machines,
                                                 milliseconds longest_delay) {
     World world(machines, seed);
@@ -125,7 +126,8 @@
                     times.push_back(*time);
                 }
                 const Spread spread = spread_of(times);
-                rows += std::string(rows.empty() ? "\n" : ",\n") + "  {\"machines\": " + std::to_string(machines) +
+                rows += std::string(rows.empty() ? "\n" : ",\n") +
+                        "  {\"machines\": " + std::to_string(machines) +
                         ", \"longest_one_way_ms\": " + std::to_string(delay.count()) + ", \"loss\": \"" +
                         name_of(loss) + "\", \"least_ms\": " + std::to_string(spread.least.count()) +
                         ", \"median_ms\": " + std::to_string(spread.middle.count()) +
@@ -135,10 +137,11 @@
     }
     const char* const path = std::getenv("DEWWEIR_FAILOVER_TABLE");
     if (!path) return;
-    std::ofstream(path) << "{\n \"what\": \"from the loss of the leader until a change sent after it is acknowledged, in "
-                           "virtual time\",\n \"command\": \"DEWWEIR_FAILOVERS="
-                        << seeds << " consensus_tests 'after each kind of loss*'\",\n \"seeds\": \"0 to " << seeds - 1
-                        << "\",\n \"rows\": [" << rows << "\n ]\n}\n";
+    std::ofstream(path)
+        << "{\n \"what\": \"from the loss of the leader until a change sent after it is acknowledged, in "
+           "virtual time\",\n \"command\": \"DEWWEIR_FAILOVERS="
+        << seeds << " consensus_tests 'after each kind of loss*'\",\n \"seeds\": \"0 to " << seeds - 1
+        << "\",\n \"rows\": [" << rows << "\n ]\n}\n";
 }
 
 }  // namespace
--- a/tests/consensus/histories.cpp
+++ b/tests/consensus/histories.cpp
@@ -1,6 +1,5 @@
-// Random histories of a whole group. DEWWEIR_HISTORIES sets how many (300 unless told otherwise), from the seed
-// DEWWEIR_FIRST_SEED (0) on;
-// DEWWEIR_HISTORIES_TABLE names a file for their table.
+// Random histories of a whole group. DEWWEIR_HISTORIES sets how many (300 unless told otherwise), from the
+// seed DEWWEIR_FIRST_SEED (0) on; DEWWEIR_HISTORIES_TABLE names a file for their table.
 #include <catch2/catch.hpp>
 #include <cstdlib>
 
@@ -44,8 +43,9 @@
     CHECK(reads > 10 * wanted_histories());
     const char* path = std::getenv("DEWWEIR_HISTORIES_TABLE");
     if (!path) return;
-    const std::string command =
-        "DEWWEIR_FIRST_SEED=" + std::to_string(first_seed()) + " DEWWEIR_HISTORIES=" + std::to_string(wanted_histories()) + " consensus_tests 'no history*'";
+    const std::string command = "DEWWEIR_FIRST_SEED=" + std::to_string(first_seed()) +
+                                " DEWWEIR_HISTORIES=" + std::to_string(wanted_histories()) +
+                                " consensus_tests 'no history*'";
     table.write(path, command);
 }
 
