A disk whose store was not whole never gives its replica the identity of the first start

Cause: found on reading the change again: a store that was discarded looked like an empty disk, and with bootstrap still set the seed would have taken the identity of its address, with an empty vote. Change: DiskContent tells the three apart; begin ends where the replica's part has.

--- a/src/control_plane/raft_log.cpp
+++ b/src/control_plane/raft_log.cpp
@@ -61,11 +61,12 @@
 
 // ---- the disk ----
 
-void RaftLog::disk_opened(consensus::PersistentState state) {
-    if (state.self.id != 0) return begin(std::move(state), {});
+void RaftLog::disk_opened(DiskContent content, consensus::PersistentState state) {
+    if (content == DiskContent::replica) return begin(std::move(state), {});
     const bool seed =
         std::find(options_.seeds.begin(), options_.seeds.end(), options_.address) != options_.seeds.end();
-    const bool first_start = options_.bootstrap && seed;
+    // Never with a disk that has held another life: a new replica begins, and never speaks for the old one.
+    const bool first_start = options_.bootstrap && seed && content == DiskContent::empty;
     const consensus::ReplicaId id = first_start ? first_identity(options_.address) : drawn_identity();
     state.self = {id, options_.address};
     store_self_ = state.self;
@@ -88,6 +89,7 @@
                                               loop_.steady_now());
     user_.state_changed();
     process();
+    if (!raft_) return;  // its part has ended
     review_membership();
     ask_for_freshness();
 }
--- a/src/control_plane/raft_log.h
+++ b/src/control_plane/raft_log.h
@@ -55,7 +55,7 @@
         std::function<void(const ProposalResult&)> done;
     };
 
-    void disk_opened(consensus::PersistentState state) override;
+    void disk_opened(DiskContent content, consensus::PersistentState state) override;
     void disk_written(consensus::WriteSequence sequence) override;
     void disk_refused() override;
     void disk_recovered() override;
--- a/src/control_plane/replica_disk.cpp
+++ b/src/control_plane/replica_disk.cpp
@@ -35,6 +35,7 @@
 void ReplicaDisk::opened(storage::OpenResult result) {
     const bool first = state_ == State::unread;
     consensus::PersistentState state;
+    DiskContent content = DiskContent::replica;
     if (auto* const stored = std::get_if<consensus::PersistentState>(&result)) {
         state = std::move(*stored);
     } else {
@@ -45,15 +46,18 @@
                 logging::log(Level::error, Event::storage_failed, {{"what", std::string_view(none.what)}});
             return open_later();
         }
-        if (none.reason != storage::NoStateReason::empty && !discard(none)) return open_later();
+        const bool is_empty = none.reason == storage::NoStateReason::empty;
+        if (!is_empty && !discard(none)) return open_later();
+        content = held_another_ ? DiskContent::discarded : DiskContent::empty;
     }
     state_ = State::takes;
-    if (first) return user_.disk_opened(std::move(state));
+    if (first) return user_.disk_opened(content, std::move(state));
     logging::log(Level::info, Event::storage_recovered, {});
     user_.disk_recovered();
 }
 
 bool ReplicaDisk::discard(const storage::NoState& reason) {
+    held_another_ = true;
     logging::log(Level::error, Event::storage_failed,
                  {{"where", std::string_view(reason.where)}, {"what", std::string_view(reason.what)}});
     return store_->discard_all().reason == storage::NoStateReason::empty;
--- a/src/control_plane/replica_disk.h
+++ b/src/control_plane/replica_disk.h
@@ -14,11 +14,17 @@
 
 namespace dewweir::control_plane {
 
+enum class DiskContent : std::uint8_t {
+    replica,    // the state of one
+    empty,      // never used
+    discarded,  // it held a store that was not whole: what was acknowledged here may be gone
+};
+
 class DiskUser {
   public:
     virtual ~DiskUser() = default;
-    // What the disk holds; without an identity where it is empty, or held a store that was not whole.
-    virtual void disk_opened(consensus::PersistentState state) = 0;
+    // `state` is that of a replica; of other content it has no identity.
+    virtual void disk_opened(DiskContent content, consensus::PersistentState state) = 0;
     virtual void disk_written(consensus::WriteSequence sequence) = 0;
     // Writes since the last one that was reported may be lost; no more are taken.
     virtual void disk_refused() = 0;
@@ -59,6 +65,7 @@
     std::shared_ptr<storage::ReplicaStore> store_;
     storage::DiskWriter writer_;
     State state_ = State::unread;
+    bool held_another_ = false;  // a store that was not whole, discarded or about to be
     runtime::Timer reopening_;
 };
 
