Stored values read within bounds

Cause: the fuzz target of stored values asked for 64 GB after 488 inputs: a value's body was read without limits (a forged one alone: values are sealed by a sum).

--- a/src/storage/values.cpp
+++ b/src/storage/values.cpp
@@ -99,7 +99,10 @@
 auto decoded(std::string_view body, Read read) -> std::optional<decltype(read(msgpack::object()))> {
     try {
         std::size_t offset = 0;
-        const msgpack::object_handle handle = msgpack::unpack(body.data(), body.size(), offset);
+        // Every entry takes a byte at least: nothing is laid out for more than there are bytes.
+        const msgpack::unpack_limit limit(body.size(), body.size(), body.size(), body.size(), body.size());
+        const msgpack::object_handle handle =
+            msgpack::unpack(body.data(), body.size(), offset, nullptr, nullptr, limit);
         if (offset != body.size()) return std::nullopt;
         return read(handle.get());
     } catch (const msgpack::unpack_error&) { return std::nullopt; } catch (const msgpack::type_error&) {
