Logs tell when a list of hosts was published and applied, and what was open at the end

Change: stopped (open requests and connections), instance_list_published at the leader and instance_list_applied at each gateway with their revision, so that the way of the news can be read off, and how many attempts wait for a connection to a host that may be sent nothing new. No decision changes.

--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -63,6 +63,10 @@
     update.revision = next_revision();
     view_.apply(update);
     broadcast(update);
+    logging::log(Level::info, Event::instance_list_published,
+                 {{"revision", static_cast<std::int64_t>(update.revision.number)},
+                  {"changed", static_cast<std::int64_t>(update.changed.size())},
+                  {"gone", static_cast<std::int64_t>(update.gone.size())}});
 }
 
 wire::Revision FleetServer::next_revision() { return {log_.term(), ++published_}; }
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -123,9 +123,17 @@
         if (changes.configuration) take_configuration(control_.view().configuration());
         if (changes.members) quotas_.members_changed(control_.view().members());
         proxy_.view_changed(control_.view(), changes);
+        if (changes.instances) log_instances();
         control_.set_ready(ready());
     }
 
+    void log_instances() {
+        const auto revision = control_.view().instances_revision().number;
+        logging::log(Level::info, Event::instance_list_applied,
+                     {{"revision", static_cast<std::int64_t>(revision)},
+                      {"connecting_to_unusable", static_cast<std::int64_t>(proxy_.connecting_to_unusable())}});
+    }
+
     void take_configuration(const wire::ConfigurationUpdate& update) {
         configuration::ParseResult parsed = configuration::parse_configuration(update.text);
         auto* const configuration = std::get_if<configuration::Configuration>(&parsed);
@@ -160,10 +168,17 @@
         if (!accepting) proxy_.front().stop_listening();
         const bool empty = proxy_.open_requests() == 0 && proxy_.front().connections() == 0 &&
                            loop_.connections().finishing() == 0;
-        if ((!accepting && empty) || loop_.now() >= end_at_) return loop_.stop();
+        if ((!accepting && empty) || loop_.now() >= end_at_) return stop();
         end_.start(drain_check, [this] { check_drained(); });
     }
 
+    void stop() {
+        logging::log(Level::info, Event::stopped,
+                     {{"open_requests", static_cast<std::int64_t>(proxy_.open_requests())},
+                      {"open_connections", static_cast<std::int64_t>(proxy_.front().connections())}});
+        loop_.stop();
+    }
+
     const settings::Settings settings_;
     runtime::EventLoop loop_;
     transport::Sessions sessions_;
--- a/src/gateway/proxy_pools.cpp
+++ b/src/gateway/proxy_pools.cpp
@@ -59,6 +59,14 @@
     if (changes.instances || changes.evacuations || changes.members) refresh_endpoints();
 }
 
+std::size_t Proxy::connecting_to_unusable() {
+    std::size_t count = 0;
+    for (const auto& [id, endpoint] : endpoints_.all()) {
+        if (!endpoint.usable) count += upstreams_.connecting(id);
+    }
+    return count;
+}
+
 int Proxy::gateways_nearby() const {
     const auto nearby = std::count_if(members_.begin(), members_.end(), [&](const auto& member) {
         return member.second.role == wire::Role::gateway && member.second.zone == locality_.zone;
--- a/src/gateway/upstreams.cpp
+++ b/src/gateway/upstreams.cpp
@@ -154,6 +154,14 @@
     return connection->waiting.size() + (connection->up ? loop_.connections().unsent(connection->socket) : 0);
 }
 
+std::size_t Upstreams::connecting(EndpointId endpoint) {
+    std::size_t count = 0;
+    connections_.each([&](AttemptId, const Connection& connection) {
+        if (connection.endpoint == endpoint && connection.request && !connection.up) ++count;
+    });
+    return count;
+}
+
 void Upstreams::pause(AttemptId attempt) {
     if (Connection* const connection = connections_.find(attempt)) connection->paused = true;
 }
--- a/src/gateway/upstreams.h
+++ b/src/gateway/upstreams.h
@@ -77,6 +77,8 @@
     // More of the request's body.
     void send_body(AttemptId attempt, std::string_view body, bool complete);
     std::size_t unsent(AttemptId attempt);
+    // Attempts at the endpoint that wait for their connection: nothing of them has been written.
+    std::size_t connecting(EndpointId endpoint);
     // Reads no more of the answer until `read_on`: the client is slower than the host.
     void pause(AttemptId attempt);
     void read_on(AttemptId attempt);
