--- a/src/gateway/proxy.h
+++ b/src/gateway/proxy.h
@@ -31,7 +31,8 @@
     Front& front() { return front_; }
     bool has_configuration() const { return table_ != nullptr; }
     std::size_t open_requests() const { return requests_.size(); }
-    // Attempts at hosts that may be sent nothing new, still waiting for their connections.
+    // Attempts that wait for their connections: of all, and of those at hosts that may be sent nothing new.
+    std::size_t connecting();
     std::size_t connecting_to_unusable();
 
     // A later configuration is in force from now on; requests that were routed keep their routes.
--- a/src/gateway/proxy_pools.cpp
+++ b/src/gateway/proxy_pools.cpp
@@ -59,6 +59,12 @@
     if (changes.instances || changes.evacuations || changes.members) refresh_endpoints();
 }
 
+std::size_t Proxy::connecting() {
+    std::size_t count = 0;
+    for (const auto& [id, endpoint] : endpoints_.all()) count += upstreams_.connecting(id);
+    return count;
+}
+
 std::size_t Proxy::connecting_to_unusable() {
     std::size_t count = 0;
     for (const auto& [id, endpoint] : endpoints_.all()) {
--- /dev/null
+++ b/tests/gateway_sockets/leaving_hosts.cpp
@@ -0,0 +1,61 @@
+// A host that leaves while a request for it waits for its connection: the decision was made on a list that is
+// no longer the latest when the first byte could be written.
+#include "world.h"
+
+using namespace dewweir::gateway::tests;
+
+namespace {
+
+// The client's request has been given to the host, and its connection is not up yet.
+void until_connecting(World& world) {
+    world.step_until([&] { return world.proxy().connecting() == 1; });
+}
+
+void nothing_reaches_the_host(World& world) {
+    world.settle();
+    REQUIRE(world.proxy().connecting() == 0);
+    if (world.host_connections() > 0) CHECK(world.host().received.empty());
+}
+
+}  // namespace
+
+TEST_CASE("A request that waits for its connection isn't sent to a host that leaves by then") {
+    World world;
+    world.connect().send(get("a1"));
+    until_connecting(world);
+    world.host_leaves();
+    nothing_reaches_the_host(world);
+}
+
+TEST_CASE("Nor to a host whose zone is evacuated by then") {
+    World world;
+    world.connect().send(get("a1"));
+    until_connecting(world);
+    world.evacuate();
+    nothing_reaches_the_host(world);
+}
+
+TEST_CASE("It goes out once there is a host again, and once only") {
+    World world;
+    Peer& client = world.connect();
+    client.send(post("a1", "hello"));
+    until_connecting(world);
+    world.host_leaves();
+    nothing_reaches_the_host(world);
+    world.host_stays();
+    const std::size_t last = world.host_connections();
+    Peer& host = world.host_has("\r\n\r\nhello", last);
+    host.send(answer("200 OK", "a1", "done"));
+    world.client_has(client, "done");
+    CHECK(host.count("X-Attempt-Id") == 1);
+}
+
+TEST_CASE("What a leaving host has of a request is finished there") {
+    World world;
+    Peer& client = world.connect();
+    client.send(post("a1", "hello"));
+    Peer& host = world.host_has("\r\n\r\nhello");
+    world.host_leaves();
+    host.send(answer("200 OK", "a1", "done"));
+    world.client_has(client, "done");
+}
--- a/tests/gateway_sockets/world.h
+++ b/tests/gateway_sockets/world.h
@@ -40,6 +40,16 @@
         return true;
     }
 
+    // One step of the loop at a time, until the state is reached and not a step further.
+    void step_until(const std::function<bool()>& reached) {
+        const auto end = std::chrono::steady_clock::now() + patience;
+        while (!reached()) {
+            REQUIRE(std::chrono::steady_clock::now() < end);
+            loop_.deadlines().run_passed();
+            if (!reached()) loop_.io().poll_one();
+        }
+    }
+
     // Goes on until no socket of this process has anything to do.
     void settle() {
         constexpr int quiet_turns = 200;
@@ -76,6 +86,17 @@
         REQUIRE(until([&] { return client.ended; }));
     }
     std::size_t host_connections() const { return host_connections_.size(); }
+    // The list says that the host leaves, or that it is back.
+    void host_leaves() {
+        instance_.state = wire::InstanceState::draining;
+        list_host();
+    }
+    void host_stays() {
+        instance_.state = wire::InstanceState::ready;
+        list_host();
+    }
+    // Its zone is evacuated.
+    void evacuate() { proxy_.view_changed(view_, view_.apply(wire::EvacuationsUpdate{1, {"zone"}})); }
     runtime::EventLoop& loop() { return loop_; }
     Proxy& proxy() { return proxy_; }
 
@@ -125,19 +146,24 @@
         proxy_.configure(std::make_shared<const configuration::Configuration>(std::move(made)));
     }
     void add_host() {
-        wire::Instance instance;
-        instance.id = "i-1";
-        instance.service = "shop";
-        instance.address = "127.0.0.1:" + std::to_string(host_.local_endpoint().port());
-        instance.zone = "zone";
-        instance.capacity = 64;
-        proxy_.view_changed(view_, view_.apply(wire::InstancesUpdate{{1, 1}, true, {instance}, {}}));
+        instance_.id = "i-1";
+        instance_.service = "shop";
+        instance_.address = "127.0.0.1:" + std::to_string(host_.local_endpoint().port());
+        instance_.zone = "zone";
+        instance_.capacity = 64;
+        list_host();
+    }
+    void list_host() {
+        const wire::InstancesUpdate update{{1, ++list_revision_}, true, {instance_}, {}};
+        proxy_.view_changed(view_, view_.apply(update));
     }
 
     runtime::EventLoop loop_;
     QuotaClient quotas_;
     Proxy proxy_;
     distribution::View view_;
+    wire::Instance instance_;
+    std::uint64_t list_revision_ = 0;
     asio::ip::tcp::acceptor host_;
     std::vector<std::unique_ptr<Peer>> host_connections_;
     std::vector<std::unique_ptr<Peer>> clients_;
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -65,6 +65,7 @@
     platform_rate_per_s: float = 40.0
     platform_max_lag: str = "400ms"
     beat_interval: str = "500ms"
+    link_mbps: float = 1000.0  # of a gateway's machine
 
 
 def default_bounds():
@@ -311,7 +312,7 @@
             "self.limits.cores=1",
             "self.limits.memory_mb=260",
             "self.limits.max_fds=1000",
-            "self.limits.link_mbps=1000.0",
+            f"self.limits.link_mbps={self.plan.link_mbps if machine.is_gateway else 1000.0}",
         ]
         if machine.is_gateway:
             return lines + ["self.limits.disk_mb=0"]
--- a/tests/system/hosts.py
+++ b/tests/system/hosts.py
@@ -120,6 +120,12 @@
         """Says `Connection: close` in every answer from now on."""
         self.draining = True
 
+    def fill(self):
+        """From now on nothing finds a slot here, and nothing is said of it."""
+        self.running = self.plan.capacity
+        self.plan.queue = 0
+        self.plan.silent_when_full = True
+
     @property
     def alive(self):
         """Whether this host listens."""
@@ -151,6 +157,8 @@
         except asyncio.TimeoutError:
             return False
         arrived = time.monotonic()
+        if request.target != HEALTH_PATH:
+            self.ledger.arrived.add(request.headers.get("X-Attempt-Id"))
         refusal = self._refuse(request)
         if refusal is not None:
             return await self._send(connection, request, refusal)
--- a/tests/system/judge.py
+++ b/tests/system/judge.py
@@ -138,12 +138,14 @@
 
 
 def judge_lost(ledger, runs_of, bounds):
-    """LOST: around a SIGTERM, a request that ran ends without a whole answer, and not by the host's doing."""
+    """LOST: around a SIGTERM, a request that reached a host ends without a whole answer, and not by its doing."""
     lives = [life for life in ledger.lives if life.terminated is not None]
     breaches = []
     for entry in ledger.tries:
         runs = runs_of[entry.attempt]
-        if entry.outcome not in (TryOutcome.CLOSED, TryOutcome.CUT) or not runs:
+        if entry.outcome not in (TryOutcome.CLOSED, TryOutcome.CUT):
+            continue
+        if not runs and entry.attempt not in ledger.arrived:
             continue
         if any(run.ending is RunEnding.BROKE_OFF for run in runs):
             continue
--- a/tests/system/ledger.py
+++ b/tests/system/ledger.py
@@ -129,6 +129,7 @@
 
     tries: list = field(default_factory=list)
     runs: list = field(default_factory=list)
+    arrived: set = field(default_factory=set)  # ids of requests that reached a host, whether or not they ran
     turned_away: int = 0
     orders: list = field(default_factory=list)
     reads: list = field(default_factory=list)
--- a/tests/system/world.py
+++ b/tests/system/world.py
@@ -1,5 +1,7 @@
 """A whole world for a test: three zones of two regions with all processes and stand-ins in them."""
 
+from dataclasses import dataclass, field
+
 from system import wire
 from system.clients import Client, ClientPlan
 from system.configuration import ConfigurationPlan, RoutePlan, TenantPlan
@@ -55,12 +57,12 @@
     return plan
 
 
-def _machines():
+def _machines(plan):
     machines = []
     for number, zone in enumerate(CORE_ZONES):
         ip = f"127.0.0.{FIRST_CORE + number}"
         machines.append(Machine(f"core-{number + 1}", "control-plane", ip, zone, ZONES[zone]))
-    for number, zone in enumerate(GATEWAY_ZONES):
+    for number, zone in enumerate(plan.gateway_zones):
         ip = f"127.0.0.{FIRST_GATEWAY + number}"
         machines.append(Machine(f"gateway-{number + 1}", "gateway", ip, zone, ZONES[zone]))
     return machines
@@ -70,20 +72,31 @@
     return [(service, zone) for service in SERVICES for zone in ZONES]
 
 
+@dataclass
+class WorldPlan:
+    """What differs from test to test. `bounds` override figures of the settings."""
+
+    bounds: dict = field(default_factory=dict)
+    link_mbps: float = 1000.0
+    gateway_zones: list = field(default_factory=lambda: list(GATEWAY_ZONES))
+
+
 class World:
     """Everything one test runs, sharing one ledger."""
 
-    def __init__(self, program):
+    def __init__(self, program, plan=None):
+        plan = plan or WorldPlan()
         self.ledger = Ledger()
-        machines = _machines()
+        machines = _machines(plan)
         host_ips = [f"127.0.0.{FIRST_HOST + number}" for number in range(len(_host_places()))]
         ports = choose_ports([machine.ip for machine in machines] + host_ips + [PLATFORM_IP])
         self.hosts = []
         for ip, (service, zone) in zip(host_ips, _host_places()):
-            plan = HostPlan(service, zone, wire.Address(ip, ports.front))
-            self.hosts.append(Host(plan, self.ledger))
+            host_plan = HostPlan(service, zone, wire.Address(ip, ports.front))
+            self.hosts.append(Host(host_plan, self.ledger))
         self.platform = Platform(PlatformPlan(wire.Address(PLATFORM_IP, ports.front)), self.hosts)
-        fleet_plan = FleetPlan(program, machines, ZONES, self.platform.plan.address, ports)
+        fleet_plan = FleetPlan(program, machines, ZONES, self.platform.plan.address, ports, plan.bounds)
+        fleet_plan.link_mbps = plan.link_mbps
         self.fleet = Fleet(fleet_plan, self.ledger)
         controls = [process.control for process in self.fleet.control_planes]
         self.operator = Operator(self.ledger, controls, OPERATOR_SEED)
