Attempts that wait for their connection are withdrawn from hosts that may be sent less

Change: when a host leaves, is gone, its zone is evacuated or it turns cold, attempts that wait for a connection there end as not sent, after the pools know of the change, and are decided on anew; the log counts them.

--- a/src/gateway/endpoints.cpp
+++ b/src/gateway/endpoints.cpp
@@ -19,7 +19,7 @@
     return found == endpoints_.end() ? nullptr : &found->second;
 }
 
-std::vector<EndpointId> EndpointTable::update(const distribution::View& view, runtime::Time now) {
+std::vector<EndpointId> EndpointTable::remove_missing(const distribution::View& view) {
     std::vector<EndpointId> gone;
     for (auto at = by_instance_.begin(); at != by_instance_.end();) {
         if (view.instances().contains(at->first)) {
@@ -30,10 +30,18 @@
         endpoints_.erase(at->second);
         at = by_instance_.erase(at);
     }
+    return gone;
+}
+
+EndpointChanges EndpointTable::update(const distribution::View& view, runtime::Time now) {
+    EndpointChanges changes;
+    changes.gone = remove_missing(view);
     for (const auto& [id, instance] : view.instances()) {
         const auto [at, fresh] = by_instance_.try_emplace(id, last_ + 1);
         if (fresh) ++last_;
         Endpoint& endpoint = endpoints_[at->second];
+        const bool was_usable = endpoint.usable;
+        const bool was_warm = endpoint.cold_until <= now;
         const bool cold_again = fresh || endpoint.instance.cold_left_ms != instance.cold_left_ms;
         if (cold_again) endpoint.cold_until = now + instance.cold_left_ms * runtime::tenths_per_millisecond;
         endpoint.id = at->second;
@@ -46,8 +54,10 @@
         if (taken_back) endpoint.cold_until = std::max(endpoint.cold_until, now + list_lag_);
         endpoint.evacuated = evacuated;
         endpoint.usable = instance.state == wire::InstanceState::ready && !evacuated;
+        const bool turned_cold = was_warm && endpoint.cold_until > now;
+        if (was_usable && (!endpoint.usable || turned_cold)) changes.restricted.push_back(endpoint.id);
     }
-    return gone;
+    return changes;
 }
 
 }  // namespace dewweir::gateway
--- a/src/gateway/endpoints.h
+++ b/src/gateway/endpoints.h
@@ -30,19 +30,27 @@
     std::map<std::string, std::string> region_of_zone;
 };
 
+// What an update has changed for requests that are on their way.
+struct EndpointChanges {
+    std::vector<EndpointId> gone;
+    // Those that may be sent less than before: they leave, their zone is evacuated, or they have turned cold.
+    std::vector<EndpointId> restricted;
+};
+
 class EndpointTable {
   public:
     explicit EndpointTable(Locality locality) : locality_(std::move(locality)) {}
 
     // How long the list may lag behind a host that has turned cold while its zone was evacuated.
     void set_list_lag(runtime::Time lag) { list_lag_ = lag; }
-    // Takes over the view's instances and evacuations. Endpoints that are gone are returned.
-    std::vector<EndpointId> update(const distribution::View& view, runtime::Time now);
+    // Takes over the view's instances and evacuations.
+    EndpointChanges update(const distribution::View& view, runtime::Time now);
 
     const std::map<EndpointId, Endpoint>& all() const { return endpoints_; }
     const Endpoint* find(EndpointId id) const;
 
   private:
+    std::vector<EndpointId> remove_missing(const distribution::View& view);
     Distance distance_to(const std::string& zone, const std::string& region) const;
     std::string region_of(const std::string& zone) const;
 
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -131,7 +131,7 @@
         const auto revision = control_.view().instances_revision().number;
         logging::log(Level::info, Event::instance_list_applied,
                      {{"revision", static_cast<std::int64_t>(revision)},
-                      {"connecting_to_unusable", static_cast<std::int64_t>(proxy_.connecting_to_unusable())}});
+                      {"connecting", static_cast<std::int64_t>(proxy_.connecting())}});
     }
 
     void take_configuration(const wire::ConfigurationUpdate& update) {
--- a/src/gateway/proxy.h
+++ b/src/gateway/proxy.h
@@ -31,9 +31,8 @@
     Front& front() { return front_; }
     bool has_configuration() const { return table_ != nullptr; }
     std::size_t open_requests() const { return requests_.size(); }
-    // Attempts that wait for their connections: of all, and of those at hosts that may be sent nothing new.
-    std::size_t connecting();
-    std::size_t connecting_to_unusable();
+    // Attempts that wait for their connections.
+    std::size_t connecting() { return upstreams_.connecting(); }
 
     // A later configuration is in force from now on; requests that were routed keep their routes.
     void configure(std::shared_ptr<const configuration::Configuration> configuration);
@@ -102,6 +101,7 @@
     void refresh_pools();
     void refresh_endpoints();
     void drop_retired();
+    void withdraw_attempts(const EndpointChanges& changes);
     int gateways_nearby() const;
     double cold_rate_of(const std::string& service) const;
     bool is_cold(const Endpoint& endpoint) const { return endpoint.cold_until > loop_.now(); }
--- a/src/gateway/proxy_pools.cpp
+++ b/src/gateway/proxy_pools.cpp
@@ -3,6 +3,7 @@
 #include <random>
 
 #include "gateway/proxy.h"
+#include "logging/log.h"
 #include "transport/addresses.h"
 
 namespace dewweir::gateway {
@@ -48,8 +49,10 @@
         cold_.members_changed(members_);
         refresh_pools();
     }
+    EndpointChanges endpoints;
     if (changes.instances || changes.evacuations) {
-        for (const EndpointId gone : endpoints_.update(view, loop_.now())) {
+        endpoints = endpoints_.update(view, loop_.now());
+        for (const EndpointId gone : endpoints.gone) {
             upstreams_.remove(gone);
             cold_.forget(gone);
             cold_reviews_.erase(gone);
@@ -57,20 +60,17 @@
         refresh_pools();
     }
     if (changes.instances || changes.evacuations || changes.members) refresh_endpoints();
+    withdraw_attempts(endpoints);
 }
 
-std::size_t Proxy::connecting() {
-    std::size_t count = 0;
-    for (const auto& [id, endpoint] : endpoints_.all()) count += upstreams_.connecting(id);
-    return count;
-}
-
-std::size_t Proxy::connecting_to_unusable() {
-    std::size_t count = 0;
-    for (const auto& [id, endpoint] : endpoints_.all()) {
-        if (!endpoint.usable) count += upstreams_.connecting(id);
-    }
-    return count;
+// After the pools know of the change: they decide anew at once.
+void Proxy::withdraw_attempts(const EndpointChanges& changes) {
+    std::size_t withdrawn = 0;
+    for (const EndpointId id : changes.gone) withdrawn += upstreams_.withdraw(id);
+    for (const EndpointId id : changes.restricted) withdrawn += upstreams_.withdraw(id);
+    if (withdrawn == 0) return;
+    logging::log(logging::Level::info, logging::Event::attempts_withdrawn,
+                 {{"count", static_cast<std::int64_t>(withdrawn)}});
 }
 
 int Proxy::gateways_nearby() const {
--- a/src/gateway/upstreams.cpp
+++ b/src/gateway/upstreams.cpp
@@ -67,6 +67,26 @@
     if (left != hosts_.end() && left->second.connections == 0) hosts_.erase(left);
 }
 
+std::size_t Upstreams::connecting() {
+    std::size_t count = 0;
+    connections_.each([&](AttemptId, const Connection& connection) { count += !connection.up; });
+    return count;
+}
+
+std::vector<AttemptId> Upstreams::connecting_to(EndpointId endpoint) {
+    std::vector<AttemptId> waiting;
+    connections_.each([&](AttemptId id, const Connection& connection) {
+        if (connection.endpoint == endpoint && connection.request && !connection.up) waiting.push_back(id);
+    });
+    return waiting;
+}
+
+std::size_t Upstreams::withdraw(EndpointId endpoint) {
+    const std::vector<AttemptId> waiting = connecting_to(endpoint);
+    for (const AttemptId id : waiting) over(id, AttemptOutcome::not_sent);
+    return waiting.size();
+}
+
 AttemptId Upstreams::take_idle(Host& host) {
     while (!host.idle.empty()) {
         const AttemptId id = host.idle.back();
@@ -154,14 +174,6 @@
     return connection->waiting.size() + (connection->up ? loop_.connections().unsent(connection->socket) : 0);
 }
 
-std::size_t Upstreams::connecting(EndpointId endpoint) {
-    std::size_t count = 0;
-    connections_.each([&](AttemptId, const Connection& connection) {
-        if (connection.endpoint == endpoint && connection.request && !connection.up) ++count;
-    });
-    return count;
-}
-
 void Upstreams::pause(AttemptId attempt) {
     if (Connection* const connection = connections_.find(attempt)) connection->paused = true;
 }
--- a/src/gateway/upstreams.h
+++ b/src/gateway/upstreams.h
@@ -71,14 +71,17 @@
     void add(EndpointId endpoint, const asio::ip::tcp::endpoint& address, std::size_t most_connections);
     // Nothing more is sent there; what is out goes on.
     void remove(EndpointId endpoint);
+    // Attempts there that wait for their connection end as `not_sent`: they were decided on by what was known
+    // before, and nothing of them has been written. Returns how many.
+    std::size_t withdraw(EndpointId endpoint);
+    // Attempts that wait for their connection, at any host.
+    std::size_t connecting();
 
     // `attempt_over` follows, in a later turn of the loop at the earliest.
     AttemptId start(RequestId request, EndpointId endpoint, const AttemptRequest& sent, runtime::Time within);
     // More of the request's body.
     void send_body(AttemptId attempt, std::string_view body, bool complete);
     std::size_t unsent(AttemptId attempt);
-    // Attempts at the endpoint that wait for their connection: nothing of them has been written.
-    std::size_t connecting(EndpointId endpoint);
     // Reads no more of the answer until `read_on`: the client is slower than the host.
     void pause(AttemptId attempt);
     void read_on(AttemptId attempt);
@@ -118,6 +121,7 @@
     void ended(net::Handle socket, std::uint32_t mark) override;
     void drained(net::Handle socket, std::uint32_t mark) override;
 
+    std::vector<AttemptId> connecting_to(EndpointId endpoint);
     AttemptId take_idle(Host& host);
     AttemptId open(EndpointId endpoint, Host& host);
     void write(Connection& connection, std::string_view bytes);
--- a/src/logging/log.cpp
+++ b/src/logging/log.cpp
@@ -31,6 +31,7 @@
     "instance_list_published",
     "instance_list_failed",
     "instance_list_applied",
+    "attempts_withdrawn",
     "breaker_opened",
     "breaker_closed",
     "endpoint_ejected",
--- a/src/logging/log.h
+++ b/src/logging/log.h
@@ -31,6 +31,7 @@
     instance_list_published,
     instance_list_failed,
     instance_list_applied,
+    attempts_withdrawn,
     breaker_opened,
     breaker_closed,
     endpoint_ejected,
--- a/tests/gateway/members.cpp
+++ b/tests/gateway/members.cpp
@@ -74,7 +74,9 @@
     distribution::View view;
     set_instances(view, 1,
                   {instance("1", "a"), instance("2", "b"), instance("3", "c"), instance("4", "unknown")});
-    CHECK(table.update(view, 0).empty());
+    const EndpointChanges first = table.update(view, 0);
+    CHECK(first.gone.empty());
+    CHECK(first.restricted.empty());
     CHECK(endpoint_of(table, "1").distance == Distance::same_zone);
     CHECK(endpoint_of(table, "2").distance == Distance::same_region);
     CHECK(endpoint_of(table, "3").distance == Distance::other_region);
@@ -91,11 +93,11 @@
     const EndpointId first = endpoint_of(table, "1").id;
     const EndpointId second = endpoint_of(table, "2").id;
     set_instances(view, 2, {instance("2", "a"), instance("3", "a")});
-    CHECK(table.update(view, 1) == std::vector<EndpointId>{first});
+    CHECK(table.update(view, 1).gone == std::vector<EndpointId>{first});
     CHECK(table.find(first) == nullptr);
     CHECK(table.find(second)->instance.id == "2");
     set_instances(view, 3, {instance("1", "a"), instance("2", "a"), instance("3", "a")});
-    CHECK(table.update(view, 2).empty());
+    CHECK(table.update(view, 2).gone.empty());
     CHECK(endpoint_of(table, "2").id == second);
     CHECK(endpoint_of(table, "1").id > endpoint_of(table, "3").id);
     CHECK(table.all().size() == 3);
@@ -118,6 +120,24 @@
     CHECK_FALSE(endpoint_of(table, "1").usable);
 }
 
+TEST_CASE("endpoints that may be sent less than before are told once") {
+    EndpointTable table = some_table();
+    distribution::View view;
+    set_instances(view, 1, {instance("1", "a"), instance("2", "b"), instance("3", "c")});
+    table.update(view, 0);
+    const std::vector<EndpointId> all = {endpoint_of(table, "1").id, endpoint_of(table, "2").id,
+                                         endpoint_of(table, "3").id};
+    wire::Instance draining = instance("1", "a");
+    draining.state = wire::InstanceState::draining;
+    set_instances(view, 2, {draining, instance("2", "b"), instance("3", "c", 500)});
+    view.apply(wire::EvacuationsUpdate{1, {"b"}});
+    CHECK(table.update(view, 1).restricted == all);
+    CHECK(table.update(view, 2).restricted.empty());
+    set_instances(view, 3, {instance("1", "a"), instance("2", "b"), instance("3", "c")});
+    view.apply(wire::EvacuationsUpdate{2, {}});
+    CHECK(table.update(view, 3).restricted.empty());
+}
+
 TEST_CASE("an endpoint's cold time counts from when it was told, once") {
     EndpointTable table = some_table();
     distribution::View view;
