A leaving gateway answers every request that it has read before it ends

Change: the end is a sequence of states of its own (gateway/shutdown): draining, closing, answering, ended. While it closes, idle connections are closed and further requests refused; at nine tenths of grace what is open is answered, 503 where no host was sent it, else 504; hosts are given no more time than the gateway has.

--- a/src/gateway/front.cpp
+++ b/src/gateway/front.cpp
@@ -33,6 +33,11 @@
 
 void Front::drain() {
     draining_ = true;
+    close_idle();
+}
+
+// One on which something has come that was not read yet is left: its request is answered.
+void Front::close_idle() {
     std::vector<ClientId> idle;
     clients_.each([&](ClientId id, Client& client) {
         if (client.state == State::idle) idle.push_back(id);
@@ -45,6 +50,7 @@
 
 void Front::stop_listening() {
     if (listener_) listener_->close();
+    close_idle();
 }
 
 void Front::accepted(asio::ip::tcp::socket socket) {
--- a/src/gateway/front.h
+++ b/src/gateway/front.h
@@ -45,6 +45,7 @@
     void set_limits(const configuration::ClientLimits& limits);
     // From now on every answer closes its connection, and idle ones are closed.
     void drain();
+    // No further connection is taken, and those that are idle by now are closed.
     void stop_listening();
     std::size_t connections() const { return clients_.size(); }
 
@@ -95,6 +96,7 @@
     void set_deadline(ClientId id, Client& client, runtime::Time from_now);
     void deadline_passed(ClientId id);
     void close(ClientId id, Client& client);
+    void close_idle();
 
     runtime::EventLoop& loop_;
     RequestUser& user_;
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -11,6 +11,7 @@
 #include "gateway/directory.h"
 #include "gateway/identity.h"
 #include "gateway/proxy.h"
+#include "gateway/shutdown.h"
 #include "logging/log.h"
 #include "process/identity.h"
 #include "process/settings_watch.h"
@@ -27,11 +28,7 @@
 constexpr int exit_cannot_listen = 1;
 // From the platform's list to here: its reading interval and the way, with a margin.
 constexpr runtime::Time list_margin = 1500 * runtime::tenths_per_millisecond;
-// After SIGTERM clients that still hold this address are taken for so long, as a part of `grace`.
-constexpr double accepting_part = 0.5;
-// Before the end of `grace` the process must have ended by itself.
-constexpr runtime::Time end_margin = 400 * runtime::tenths_per_millisecond;
-constexpr runtime::Time drain_check = 50 * runtime::tenths_per_millisecond;
+constexpr runtime::Time shutdown_check = 50 * runtime::tenths_per_millisecond;
 constexpr std::string_view directory_ttl = "2s";
 
 Proxy::Options proxy_options(const settings::Settings& settings) {
@@ -70,7 +67,8 @@
           proxy_(loop_, quotas_, proxy_options(settings)),
           readiness_(loop_, most_call_bytes),
           directory_(loop_, most_call_bytes),
-          end_(loop_),
+          shutdown_(runtime::tenths(settings.invariants.bounds.grace)),
+          shutdown_check_(loop_),
           watch_(loop_, path, [this](const settings::Settings& changed) { settings_changed(changed); }) {
         declare_calls();
     }
@@ -117,7 +115,7 @@
         return false;
     }
 
-    bool ready() const { return proxy_.has_configuration() && !terminating_; }
+    bool ready() const { return proxy_.has_configuration() && !shutdown_.begun(); }
 
     void view_changed(const distribution::Changes& changes) {
         if (changes.configuration) take_configuration(control_.view().configuration());
@@ -152,24 +150,25 @@
     }
 
     void terminate() {
-        if (terminating_) return;
-        terminating_ = true;
+        if (shutdown_.begun()) return;
         logging::log(Level::info, Event::stopping, {});
+        shutdown_.begin(loop_.now());
         control_.set_ready(false);
-        proxy_.front().drain();
-        const runtime::Time grace = runtime::tenths(settings_.invariants.bounds.grace);
-        accept_until_ = loop_.now() + static_cast<runtime::Time>(accepting_part * static_cast<double>(grace));
-        end_at_ = loop_.now() + grace - end_margin;
-        check_drained();
+        proxy_.drain(shutdown_.answers_at());
+        continue_shutdown();
     }
 
-    void check_drained() {
-        const bool accepting = loop_.now() < accept_until_;
-        if (!accepting) proxy_.front().stop_listening();
-        const bool empty = proxy_.open_requests() == 0 && proxy_.front().connections() == 0 &&
-                           loop_.connections().finishing() == 0;
-        if ((!accepting && empty) || loop_.now() >= end_at_) return stop();
-        end_.start(drain_check, [this] { check_drained(); });
+    bool idle() {
+        return proxy_.open_requests() == 0 && proxy_.front().connections() == 0 &&
+               loop_.connections().finishing() == 0;
+    }
+
+    void continue_shutdown() {
+        const ShutdownState state = shutdown_.advance(loop_.now(), idle());
+        if (state >= ShutdownState::closing) proxy_.take_no_more();
+        if (state >= ShutdownState::answering) proxy_.answer_open();
+        if (state == ShutdownState::ended) return stop();
+        shutdown_check_.start(shutdown_check, [this] { continue_shutdown(); });
     }
 
     void stop() {
@@ -187,11 +186,9 @@
     Proxy proxy_;
     api::Server readiness_;
     api::Server directory_;
-    runtime::Timer end_;
+    Shutdown shutdown_;
+    runtime::Timer shutdown_check_;
     process::SettingsWatch watch_;
-    bool terminating_ = false;
-    runtime::Time accept_until_ = 0;
-    runtime::Time end_at_ = 0;
 };
 
 }  // namespace
--- a/src/gateway/proxy.cpp
+++ b/src/gateway/proxy.cpp
@@ -68,6 +68,7 @@
     const std::string_view attempt_id = reader.field("X-Attempt-Id");
     const std::string_view host = reader.field("Host");
     if (attempt_id.empty() || host.empty()) return answer_error(client, 400, {});
+    if (!takes_requests_) return answer_error(client, 503, {});
     const RequestAddress address{host, reader.target(), reader.field("Authorization"), attempt_id};
     const RoutingResult result = route_request(table_.get(), address);
     if (const auto* const error = std::get_if<RoutingError>(&result)) {
@@ -94,6 +95,7 @@
     const runtime::Time deadline = runtime::tenths(request.routed.route->deadline);
     const runtime::Time patience = parse_time_left(reader.field("X-Time-Left-Ms")).value_or(deadline);
     request.expires = loop_.now() + std::min(deadline, patience);
+    if (answers_at_) request.expires = std::min(request.expires, *answers_at_);
     if (!reader.chunked() && reader.has_field("Content-Length")) {
         request.fields.append("Content-Length: ").append(std::to_string(reader.body_length())).append("\r\n");
     }
--- a/src/gateway/proxy.h
+++ b/src/gateway/proxy.h
@@ -34,6 +34,13 @@
     // Attempts that wait for their connections.
     std::size_t connecting() { return upstreams_.connecting(); }
 
+    // The process ends soon: every answer closes its connection, and no request is given time beyond `answers_at`.
+    void drain(runtime::Time answers_at);
+    // Neither connections nor requests are taken any more; what is open goes on. Again: changes nothing.
+    void take_no_more();
+    // What is still open is answered now: as never to run where nothing of it was sent to a host.
+    void answer_open();
+
     // A later configuration is in force from now on; requests that were routed keep their routes.
     void configure(std::shared_ptr<const configuration::Configuration> configuration);
     void view_changed(const distribution::View& view, const distribution::Changes& changes);
@@ -125,6 +132,8 @@
     std::map<ServicePool*, PoolEntry> pool_entries_;
     net::Slots<Request> requests_;
     std::map<ClientId, RequestId> by_client_;
+    std::optional<runtime::Time> answers_at_;  // once the process is to end
+    bool takes_requests_ = true;
 };
 
 }  // namespace dewweir::gateway
