Hosts are sent requests by a list whose age is measured, and only while it is young enough

Change: gateways stamp their heartbeats, control planes send the stamp back at once behind all news, with the age of their list; while age, round trip and an interval add up to more than drain, requests are refused with Retry-After and waiting attempts withdrawn.

--- a/src/control/instance_poller.cpp
+++ b/src/control/instance_poller.cpp
@@ -44,7 +44,7 @@
     if (!page) return failed();
     gathered_.merge(page->instances);
     if (page->next_token && !page->next_token->empty()) return ask(*page->next_token);
-    read_(gathered_);
+    read_(gathered_, begun_at_);
     again_later();
 }
 
--- a/src/control/instance_poller.h
+++ b/src/control/instance_poller.h
@@ -11,7 +11,8 @@
 
 class InstancePoller {
   public:
-    using Read = std::function<void(const Instances&)>;
+    // `begun_at`: the list shows at least what the platform showed then.
+    using Read = std::function<void(const Instances&, runtime::Time begun_at)>;
 
     InstancePoller(runtime::EventLoop& loop, const asio::ip::tcp::endpoint& platform, Read read);
 
--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -12,6 +12,14 @@
 using logging::Event;
 using logging::Level;
 
+namespace {
+
+// Once a reading of the list takes longer, or the leader is lost, the platform or the core is in trouble, and the age says
+// no more of how long news takes.
+constexpr runtime::Time longest_list_age = 1200 * runtime::tenths_per_millisecond;
+
+}  // namespace
+
 FleetServer::FleetServer(runtime::EventLoop& loop, transport::Sessions& sessions, const wire::Member& self,
                          const ReplicatedLog& log, runtime::Time freshness_limit)
     : loop_(loop),
@@ -52,8 +60,9 @@
     if (view_.evacuations().index != before) broadcast(evacuations);
 }
 
-void FleetServer::instances_read(const control::Instances& instances) {
+void FleetServer::instances_read(const control::Instances& instances, runtime::Time begun_at) {
     if (!log_.leads()) return;
+    list_as_of_ = begun_at;
     // A leader's first list is whole: others may hold what this process never knew.
     const bool whole = view_.instances_revision().term != log_.term();
     wire::InstancesUpdate update =
@@ -202,6 +211,7 @@
         return;
     }
     if (std::holds_alternative<wire::Probe>(message)) return send_heartbeat(session);
+    if (const auto* const asked = std::get_if<wire::Heartbeat>(&message)) return answer_stamp(session, *asked);
     if (const auto* const hello = std::get_if<wire::Hello>(&message)) return greeted(session, peer, *hello);
     if (const auto* const changed = std::get_if<wire::MemberChanged>(&message)) {
         return member_changed(peer, changed->self);
@@ -213,7 +223,22 @@
     }
 }
 
+// Behind all news that has been sent there.
+void FleetServer::answer_stamp(transport::SessionId session, const wire::Heartbeat& asked) {
+    if (asked.stamp == 0) return;
+    wire::Heartbeat answer = heartbeat();
+    answer.echo = asked.stamp;
+    sessions_.send(session, answer);
+}
+
+runtime::Time FleetServer::list_age() const {
+    return std::min(loop_.now() - list_as_of_, longest_list_age);
+}
+
 void FleetServer::from_leader(const wire::Message& message) {
+    if (const auto* const heartbeat = std::get_if<wire::Heartbeat>(&message)) {
+        list_as_of_ = loop_.now() - heartbeat->list_age_ms * runtime::tenths_per_millisecond;
+    }
     const std::uint64_t before = view_.evacuations().index;
     const distribution::Changes changes = view_.apply(message);
     // Evacuations are passed on also where only their place in the log is later.
@@ -276,6 +301,7 @@
         heartbeat.staleness_ms =
             static_cast<std::uint64_t>(std::max<runtime::Time>(0, *age) / runtime::tenths_per_millisecond);
     heartbeat.leader_control = leader_control().value_or("");
+    heartbeat.list_age_ms = static_cast<std::uint32_t>(list_age() / runtime::tenths_per_millisecond);
     return heartbeat;
 }
 
--- a/src/control_plane/fleet_server.h
+++ b/src/control_plane/fleet_server.h
@@ -30,8 +30,8 @@
     void publish_state();
     // This process leads now, or no longer, or another leader is known.
     void leadership_changed();
-    // The platform's list as just read; at the leader alone.
-    void instances_read(const control::Instances& instances);
+    // The platform's list as just read; at the leader alone. It is no older than `begun_at`.
+    void instances_read(const control::Instances& instances, runtime::Time begun_at);
 
     // For how long changes may have been acknowledged, or news told by the leader, that this process lacks;
     // nothing where it was never in step.
@@ -55,11 +55,13 @@
 
     void send_heartbeat(transport::SessionId session);
     wire::Heartbeat heartbeat() const;
+    runtime::Time list_age() const;
     bool in_step() const;
     void send_views();
     void greeted(transport::SessionId session, Peer& peer, const wire::Hello& hello);
     void member_changed(Peer& peer, const wire::Member& member);
     void from_leader(const wire::Message& message);
+    void answer_stamp(transport::SessionId session, const wire::Heartbeat& asked);
     void members_changed();
     void publish_members();
     void publish_members_now();
@@ -82,6 +84,7 @@
     std::function<void(const wire::ConsensusMessage&)> consensus_;
     control::MemberTable members_;
     std::uint64_t published_ = 0;  // updates in this term
+    runtime::Time list_as_of_ = 0;  // all news of instances that the platform told before is in the view
     transport::SessionId to_leader_ = 0;
     runtime::Time leader_told_at_ = 0;
     std::string leader_address_;  // that `to_leader_` goes to
--- a/src/control_plane/process.cpp
+++ b/src/control_plane/process.cpp
@@ -63,7 +63,9 @@
           server_(loop_, most_call_bytes),
           api_(server_, log_, fleet_),
           poller_(loop_, transport::tcp_endpoint(settings.substrate.cloud_api.address),
-                  [this](const control::Instances& instances) { fleet_.instances_read(instances); }),
+                  [this](const control::Instances& instances, runtime::Time begun_at) {
+                      fleet_.instances_read(instances, begun_at);
+                  }),
           end_(loop_),
           watch_(loop_, path,
                  [this](const settings::Settings& changed) { log_.set_seeds(internal_seeds(changed)); }) {}
--- a/src/gateway/control_session.cpp
+++ b/src/gateway/control_session.cpp
@@ -20,7 +20,8 @@
 
 // Gateways begin with different control planes, so that none has them all.
 ControlSession::ControlSession(runtime::EventLoop& loop, transport::Sessions& sessions,
-                               const settings::Settings& settings, const wire::Member& self, Changed changed)
+                               const settings::Settings& settings, const wire::Member& self, Changed changed,
+                               LeaseChanged lease_changed)
     : loop_(loop),
       sessions_(sessions),
       internal_port_(settings.network.ephemeral_ports.first),
@@ -28,6 +29,8 @@
       self_(self),
       changed_(std::move(changed)),
       search_(search_intervals(settings), std::hash<std::string>{}(self.node)),
+      lease_changed_(std::move(lease_changed)),
+      lease_(runtime::tenths(settings.invariants.bounds.drain)),
       heartbeat_(loop),
       review_(loop) {}
 
@@ -93,6 +96,7 @@
             staleness = static_cast<runtime::Time>(heartbeat->staleness_ms) * runtime::tenths_per_millisecond;
         }
         search_.told(session, staleness, loop_.now());
+        if (session == search_.current()) echoed(*heartbeat);
         return review();
     }
     if (session != search_.current()) return;
@@ -109,10 +113,27 @@
     review_.start(runtime::tenths_per_millisecond, [this] { review(); });
 }
 
+void ControlSession::echoed(const wire::Heartbeat& heartbeat) {
+    if (heartbeat.echo == 0) return;
+    const runtime::Time list_age = heartbeat.list_age_ms * runtime::tenths_per_millisecond;
+    lease_.echoed(static_cast<runtime::Time>(heartbeat.echo), list_age, loop_.now());
+    tell_lease();
+}
+
+void ControlSession::tell_lease() {
+    if (std::exchange(lease_told_, lease_.holds()) != lease_.holds()) lease_changed_(lease_);
+}
+
 void ControlSession::beat() {
     heartbeat_.start(distribution::heartbeat_interval, [this] { beat(); });
+    lease_.review(loop_.now());
+    tell_lease();
     if (!search_.current()) return;
-    sessions_.send(search_.current(), wire::Heartbeat{view_.configuration().version, 0, {}});
+    wire::Heartbeat heartbeat;
+    heartbeat.configuration = view_.configuration().version;
+    heartbeat.staleness_ms = 0;
+    heartbeat.stamp = static_cast<std::uint64_t>(loop_.now());
+    sessions_.send(search_.current(), heartbeat);
 }
 
 }  // namespace dewweir::gateway
--- a/src/gateway/control_session.h
+++ b/src/gateway/control_session.h
@@ -8,6 +8,7 @@
 
 #include "distribution/view.h"
 #include "gateway/control_plane_search.h"
+#include "gateway/list_lease.h"
 #include "settings/settings.h"
 #include "transport/sessions.h"
 
@@ -17,8 +18,11 @@
   public:
     using Changed = std::function<void(const distribution::Changes&)>;
 
+    using LeaseChanged = std::function<void(const ListLease&)>;
+
     ControlSession(runtime::EventLoop& loop, transport::Sessions& sessions,
-                   const settings::Settings& settings, const wire::Member& self, Changed changed);
+                   const settings::Settings& settings, const wire::Member& self, Changed changed,
+                   LeaseChanged lease_changed);
 
     void start();
     // Tells whether this gateway takes new clients.
@@ -39,6 +43,8 @@
     void session_received(transport::SessionId session, wire::Message&& message) override;
     void session_closed(transport::SessionId session) override;
     void beat();
+    void echoed(const wire::Heartbeat& heartbeat);
+    void tell_lease();
 
     runtime::EventLoop& loop_;
     transport::Sessions& sessions_;
@@ -48,6 +54,9 @@
     Changed changed_;
     distribution::View view_;
     ControlPlaneSearch search_;
+    LeaseChanged lease_changed_;
+    ListLease lease_;
+    bool lease_told_ = true;
     runtime::Timer heartbeat_;
     runtime::Timer review_;
 };
--- a/src/gateway/proxy.cpp
+++ b/src/gateway/proxy.cpp
@@ -17,6 +17,8 @@
 // Kept off the client's time, for the answer's way.
 constexpr runtime::Time answer_margin = 20 * runtime::tenths_per_millisecond;
 constexpr std::string_view retry_without_configuration = "Retry-After: 0.5\r\n";
+// By then what fills the link has passed, and its age is known anew.
+constexpr std::string_view retry_with_old_list = "Retry-After: 1\r\n";
 
 quota::TenantId number_of(std::string_view tenant) { return XXH3_64bits(tenant.data(), tenant.size()); }
 
@@ -69,6 +71,7 @@
     const std::string_view host = reader.field("Host");
     if (attempt_id.empty() || host.empty()) return answer_error(client, 400, {});
     if (!takes_requests_) return answer_error(client, 503, {});
+    if (!list_young_) return answer_error(client, 503, retry_with_old_list);
     const RequestAddress address{host, reader.target(), reader.field("Authorization"), attempt_id};
     const RoutingResult result = route_request(table_.get(), address);
     if (const auto* const error = std::get_if<RoutingError>(&result)) {
--- a/src/gateway/proxy.h
+++ b/src/gateway/proxy.h
@@ -44,6 +44,8 @@
     // A later configuration is in force from now on; requests that were routed keep their routes.
     void configure(std::shared_ptr<const configuration::Configuration> configuration);
     void view_changed(const distribution::View& view, const distribution::Changes& changes);
+    // Whether hosts may be sent requests by the list of them; while it is too old, requests are refused.
+    void set_list_young(bool young);
 
   private:
     struct Request {
@@ -134,6 +136,7 @@
     std::map<ClientId, RequestId> by_client_;
     std::optional<runtime::Time> answers_at_;  // once the process is to end
     bool takes_requests_ = true;
+    bool list_young_ = true;
 };
 
 }  // namespace dewweir::gateway
--- a/src/gateway/proxy_pools.cpp
+++ b/src/gateway/proxy_pools.cpp
@@ -73,6 +73,12 @@
                  {{"count", static_cast<std::int64_t>(withdrawn)}});
 }
 
+void Proxy::set_list_young(bool young) {
+    list_young_ = young;
+    if (young) return;
+    for (const auto& [id, endpoint] : endpoints_.all()) upstreams_.withdraw(id);
+}
+
 int Proxy::gateways_nearby() const {
     const auto nearby = std::count_if(members_.begin(), members_.end(), [&](const auto& member) {
         return member.second.role == wire::Role::gateway && member.second.zone == locality_.zone;
@@ -167,7 +173,7 @@
 
 bool Proxy::admit(EndpointId id) {
     const Endpoint* const endpoint = endpoints_.find(id);
-    if (!endpoint || !endpoint->usable) return false;
+    if (!endpoint || !endpoint->usable || !list_young_) return false;
     if (!is_cold(*endpoint)) return true;
     const bool admitted = cold_.spend(*endpoint, cold_rate_of(endpoint->instance.service), loop_.now());
     loop_.post([this, id] { review_cold(id); });
--- a/src/logging/log.cpp
+++ b/src/logging/log.cpp
@@ -32,6 +32,8 @@
     "instance_list_failed",
     "instance_list_applied",
     "attempts_withdrawn",
+    "list_lease_lost",
+    "list_lease_renewed",
     "breaker_opened",
     "breaker_closed",
     "endpoint_ejected",
--- a/src/logging/log.h
+++ b/src/logging/log.h
@@ -32,6 +32,8 @@
     instance_list_failed,
     instance_list_applied,
     attempts_withdrawn,
+    list_lease_lost,
+    list_lease_renewed,
     breaker_opened,
     breaker_closed,
     endpoint_ejected,
--- a/tests/capacity/hollow_gateway.cpp
+++ b/tests/capacity/hollow_gateway.cpp
@@ -23,7 +23,7 @@
     explicit ControlPlane(transport::Sessions& sessions) : sessions(sessions) {}
     void session_received(transport::SessionId session, wire::Message&& message) override {
         if (std::holds_alternative<wire::Probe>(message)) {
-            sessions.send(session, wire::Heartbeat{3, 0, {}});
+            sessions.send(session, wire::Heartbeat{3, 0, {}, 0, 0, 0});
         }
         const auto* const hello = std::get_if<wire::Hello>(&message);
         if (!hello) return;
--- a/tests/gateway_sockets/leaving_hosts.cpp
+++ b/tests/gateway_sockets/leaving_hosts.cpp
@@ -50,6 +50,26 @@
     CHECK(host.count("X-Attempt-Id") == 1);
 }
 
+TEST_CASE("While the list of hosts is too old nothing is sent by it, and clients are told to come back") {
+    World world;
+    Peer& waiting = world.connect();
+    waiting.send(post("a1", "hello"));
+    until_connecting(world);
+    world.proxy().set_list_young(false);
+    nothing_reaches_the_host(world);
+    world.client_has(waiting, "HTTP/1.1 503 ");
+    Peer& client = world.connect();
+    client.send(post("a2", "hello"));
+    world.client_has(client, "HTTP/1.1 503 ");
+    CHECK(client.has("Retry-After: "));
+    world.proxy().set_list_young(true);
+    client.send(post("a3", "hello"));
+    world.until([&] { return world.host_connections() > 1; });
+    const std::size_t last = world.host_connections() - 1;
+    world.host_has("X-Attempt-Id: a3", last).send(answer("200 OK", "a3", "done"));
+    world.client_has(client, "done");
+}
+
 TEST_CASE("What a leaving host has of a request is finished there") {
     World world;
     Peer& client = world.connect();
--- a/tests/wire/codec.cpp
+++ b/tests/wire/codec.cpp
@@ -34,7 +34,7 @@
 std::vector<Message> all_kinds() {
     return {
         Hello{protocol_version, some_member()},
-        Heartbeat{3, 1ull << 40, "10.0.0.1:81"},
+        Heartbeat{3, 1ull << 40, "10.0.0.1:81", 1ull << 41, 1ull << 42, 700},
         ConfigurationUpdate{4, std::string("{\"a\":\0}", 7)},
         EvacuationsUpdate{5, {"zone-a", ""}},
         InstancesUpdate{{2, 9}, true, {some_instance(), {}}, {"i-2"}},
