A soak of our own over real processes, and DRAIN in the judge

Need: no test of ours had clients that use their connections until a process is gone while signals, restarts, changes and leaving hosts come in series and overlap. The judge knows DRAIN, and a kill in a life excuses what it cut.

--- a/cmake/system.cmake
+++ b/cmake/system.cmake
@@ -79,6 +79,9 @@
       add_test(NAME ${name} COMMAND ${Python3_EXECUTABLE} ${SYSTEM_TESTS}/${name} $<TARGET_FILE:dewweir_system>)
       set_tests_properties(${name} PROPERTIES TIMEOUT 75 RUN_SERIAL ON)
     endforeach()
+    add_test(NAME soak
+      COMMAND ${Python3_EXECUTABLE} ${SYSTEM_TESTS}/soak $<TARGET_FILE:dewweir_system> --seeds 1:3)
+    set_tests_properties(soak PROPERTIES TIMEOUT 180 RUN_SERIAL ON)
     add_test(NAME packages
       COMMAND ${Python3_EXECUTABLE} ${CMAKE_SOURCE_DIR}/tests/packages/listed ${CMAKE_BINARY_DIR})
     set_tests_properties(packages PROPERTIES TIMEOUT 120)
--- a/tests/system/configuration.py
+++ b/tests/system/configuration.py
@@ -41,6 +41,11 @@
     return not needs_key or tenant_of(configuration, key) is not None
 
 
+def render_version(epoch):
+    """A version as it stands in bodies and headers."""
+    return f"{epoch:08x}"
+
+
 @dataclass
 class RoutePlan:
     """A route of a test configuration; `backends` maps services to weights."""
@@ -79,7 +84,7 @@
     def render(self):
         """The body of the configuration."""
         return {
-            "epoch": f"{self.epoch:08x}",
+            "epoch": render_version(self.epoch),
             "routes": [_render_route(route) for route in self.routes],
             "services": [_render_service(name) for name in self.services],
             "limits": {
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -189,8 +189,20 @@
 
     def kill(self):
         """Sends SIGKILL."""
+        if self.running:
+            self.fleet.ledger.faults.append(time.monotonic())
+            if self.life is not None:
+                self.life.killed = time.monotonic()
         self._signal(signal.SIGKILL)
 
+    async def freeze(self, span_s):
+        """Stands still for so long."""
+        self.fleet.ledger.faults.append(time.monotonic())
+        self._signal(signal.SIGSTOP)
+        await asyncio.sleep(span_s)
+        self._signal(signal.SIGCONT)
+        self.fleet.ledger.faults.append(time.monotonic())
+
     def hang_up(self):
         """Sends SIGHUP: the settings file has changed."""
         self._signal(signal.SIGHUP)
--- a/tests/system/judge.py
+++ b/tests/system/judge.py
@@ -37,6 +37,7 @@
     breaches += judge_unasked(ledger)
     breaches += judge_promises(ledger, runs_of)
     breaches += judge_lost(ledger, runs_of, bounds)
+    breaches += judge_drain(ledger, bounds)
     breaches += judge_quota(ledger, bounds)
     breaches += judge_denied(ledger, bounds)
     breaches += judge_configuration.judge(ledger, bounds)
@@ -159,9 +160,25 @@
 def _around_end(entry, life, bounds):
     if entry.gateway != life.address:
         return False
+    if life.killed is not None and life.killed <= entry.ended:
+        return False
     return entry.sent <= life.terminated + bounds.grace_s + 1.0 and entry.ended >= life.terminated
 
 
+def judge_drain(ledger, bounds):
+    """DRAIN: a run at a host later than the bound after the list showed that it leaves, with no fault lately."""
+    breaches = []
+    for run in ledger.runs:
+        shown = ledger.leaving.get(run.host)
+        if shown is None or run.started <= shown + bounds.drain_s:
+            continue
+        if any(run.started - bounds.contact_s - bounds.drain_s <= fault <= run.started for fault in ledger.faults):
+            continue
+        late_ms = (run.started - shown) * 1000
+        breaches.append(Breach(Rule.DRAIN, run.attempt, f"{late_ms:.0f} ms after {run.host} was seen to leave"))
+    return breaches
+
+
 def judge_quota(ledger, bounds):
     """QUOTA: a tenant's requests that were sent and run inside some window, against its highest limit."""
     sent_at = {entry.attempt: entry.sent for entry in ledger.tries}
--- a/tests/system/ledger.py
+++ b/tests/system/ledger.py
@@ -120,6 +120,7 @@
     address: str
     started: float
     terminated: Optional[float] = None
+    killed: Optional[float] = None
     ended: Optional[float] = None
 
 
@@ -134,3 +135,5 @@
     orders: list = field(default_factory=list)
     reads: list = field(default_factory=list)
     lives: list = field(default_factory=list)
+    leaving: dict = field(default_factory=dict)  # by host id: when the platform's list shows that it leaves
+    faults: list = field(default_factory=list)  # moments at which processes were killed or stood still
--- a/tests/system/platform.py
+++ b/tests/system/platform.py
@@ -71,6 +71,9 @@
     def publish(self):
         """Takes the hosts of this moment into the list; it shows them after the lag."""
         self._snapshots.append(_Snapshot(time.monotonic(), self._list_now()))
+        for host in self.hosts:
+            if host.alive and host.draining:
+                host.ledger.leaving.setdefault(host.instance, time.monotonic() + self.plan.max_lag_s)
 
     def watch(self, readiness):
         """Polls a gateway's readiness address from now on; `ready` holds the last answer."""
--- a/tests/system/rules.py
+++ b/tests/system/rules.py
@@ -14,6 +14,7 @@
     DENIED = "proper requests refused"
     ROUTE = "a run at a service that no configuration names for it, or with a key that none held"
     LOST = "a request lost around a planned end"
+    DRAIN = "a run at a host that had said long before that it leaves"
     QUOTA = "more runs of a tenant than its quota"
     CONFIG = "a configuration that is not in force, refused, lost or older was followed"
 
@@ -37,6 +38,8 @@
     config_apply_s: float = 3.0
     downgrade_slack_s: float = 0.25
     grace_s: float = 6.0
+    drain_s: float = 3.0
+    contact_s: float = 4.0
     quota_window_s: float = 5.0
     quota_overshoot: float = 0.1
     quota_slack: int = 20
