--- a/tests/system/judge.py
+++ b/tests/system/judge.py
@@ -162,6 +162,8 @@
         return False
     if life.killed is not None and life.killed <= entry.ended:
         return False
+    if life.ended is not None and entry.sent > life.ended:  # it met a later life
+        return False
     return entry.sent <= life.terminated + bounds.grace_s + 1.0 and entry.ended >= life.terminated
 
 
