--- a/src/api/server.cpp
+++ b/src/api/server.cpp
@@ -73,6 +73,18 @@
     if (listener_) listener_->close();
 }
 
+void Server::answer_open(const Response& response) {
+    struct OpenCall {
+        std::uint32_t mark;
+        std::uint64_t number;
+    };
+    std::vector<OpenCall> open;
+    clients_.each([&](std::uint32_t mark, const Client& client) {
+        if (client.handling) open.push_back({mark, client.request});
+    });
+    for (const OpenCall& call : open) respond(call.mark, call.number, response);
+}
+
 void Server::accepted(asio::ip::tcp::socket socket) {
     const std::uint32_t mark = clients_.add(most_body_);
     if (!mark) return;
--- a/src/api/server.h
+++ b/src/api/server.h
@@ -49,6 +49,8 @@
     void declare(std::string_view method, std::string_view path, Handler handler);
     std::optional<std::string> listen(const asio::ip::tcp::endpoint& address);
     void stop_listening();
+    // Every request that is being handled gets this answer now; what its handler says later counts no more.
+    void answer_open(const Response& response);
 
   private:
     struct Call {
--- a/src/capacity_world/hollow_gateway.cpp
+++ b/src/capacity_world/hollow_gateway.cpp
@@ -24,9 +24,10 @@
                              const settings::Settings& settings, Observer observer)
     : settings_(settings),
       loop_(loop),
-      control_(loop, sessions, settings, process::describe_process(settings, wire::Role::gateway),
-               [this](const distribution::Changes& changes) { view_changed(changes); },
-               [](const gateway::ListLease&) {}),
+      control_(
+          loop, sessions, settings, process::describe_process(settings, wire::Role::gateway),
+          [this](const distribution::Changes& changes) { view_changed(changes); },
+          [](const gateway::ListLease&) {}),
       quotas_(loop, settings.self.node, gateway::quota_bound(settings)),
       endpoints_({settings.self.zone, settings.self.region, settings.network.zones}),
       observer_(std::move(observer)) {}
--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-// Once a reading of the list takes longer, or the leader is lost, the platform or the core is in trouble, and the age says
-// no more of how long news takes.
+// Once a reading of the list takes longer, or the leader is lost, the platform or the core is in trouble, and
+// the age says no more of how long news takes.
 constexpr runtime::Time longest_list_age = 1200 * runtime::tenths_per_millisecond;
 
 }  // namespace
@@ -211,7 +211,8 @@
         return;
     }
     if (std::holds_alternative<wire::Probe>(message)) return send_heartbeat(session);
-    if (const auto* const asked = std::get_if<wire::Heartbeat>(&message)) return answer_stamp(session, *asked);
+    if (const auto* const asked = std::get_if<wire::Heartbeat>(&message))
+        return answer_stamp(session, *asked);
     if (const auto* const hello = std::get_if<wire::Hello>(&message)) return greeted(session, peer, *hello);
     if (const auto* const changed = std::get_if<wire::MemberChanged>(&message)) {
         return member_changed(peer, changed->self);
@@ -231,9 +232,7 @@
     sessions_.send(session, answer);
 }
 
-runtime::Time FleetServer::list_age() const {
-    return std::min(loop_.now() - list_as_of_, longest_list_age);
-}
+runtime::Time FleetServer::list_age() const { return std::min(loop_.now() - list_as_of_, longest_list_age); }
 
 void FleetServer::from_leader(const wire::Message& message) {
     if (const auto* const heartbeat = std::get_if<wire::Heartbeat>(&message)) {
--- a/src/control_plane/fleet_server.h
+++ b/src/control_plane/fleet_server.h
@@ -83,7 +83,7 @@
     std::map<transport::SessionId, Peer> peers_;
     std::function<void(const wire::ConsensusMessage&)> consensus_;
     control::MemberTable members_;
-    std::uint64_t published_ = 0;  // updates in this term
+    std::uint64_t published_ = 0;   // updates in this term
     runtime::Time list_as_of_ = 0;  // all news of instances that the platform told before is in the view
     transport::SessionId to_leader_ = 0;
     runtime::Time leader_told_at_ = 0;
--- a/src/control_plane/process.cpp
+++ b/src/control_plane/process.cpp
@@ -114,7 +114,15 @@
             return;
         }
         server_.stop_listening();
-        end_.start(end_delay, [this] { loop_.stop(); });
+        end_.start(end_delay, [this] { end(); });
+    }
+
+    // Orders that are not settled by now may be in force or not: nothing is promised.
+    void end() {
+        server_.answer_open({api::Status::service_unavailable,
+                             api::error_body("this control plane ends", "repeat the call at another one")});
+        logging::log(logging::Level::info, logging::Event::stopped, {});
+        loop_.stop();
     }
 
     void state_changed() override {
--- a/src/gateway/list_lease.cpp
+++ b/src/gateway/list_lease.cpp
@@ -13,8 +13,8 @@
 void ListLease::echoed(runtime::Time stamped, runtime::Time list_age, runtime::Time now) {
     echoed_at_ = now;
     round_trip_ = now - stamped;
-    // The news' way here is part of the round trip, the request's way out is the other; until the next stamp is back
-    // the list grows older by an interval.
+    // The news' way here is part of the round trip, the request's way out is the other; until the next stamp
+    // is back the list grows older by an interval.
     const runtime::Time latest_arrival = list_age + round_trip_ + distribution::heartbeat_interval + margin;
     holds_ = latest_arrival <= drain_;
 }
--- a/src/gateway/list_lease.h
+++ b/src/gateway/list_lease.h
@@ -1,7 +1,8 @@
-// Whether the list of hosts that a gateway holds is young enough to be gone by. A host that says it leaves may still be
-// sent requests for a bounded time; reading the list, the news' way here and a request's way to its host all
-// take of it, and where this machine's link is full each way takes seconds. The two ways are measured together, by the
-// gateway's own stamps that its control plane sends back, so no clocks are compared. Pure.
+// Whether the list of hosts that a gateway holds is young enough to be gone by. A host that says it leaves
+// may still be sent requests for a bounded time; reading the list, the news' way here and a request's way to
+// its host all take of it, and where this machine's link is full each way takes seconds. The two ways are
+// measured together, by the gateway's own stamps that its control plane sends back, so no clocks are
+// compared. Pure.
 #pragma once
 
 #include <cstdint>
@@ -18,8 +19,8 @@
     // The control plane has sent back the stamp made at `stamped`, behind all news it had when it got it; its
     // list was `list_age` old then.
     void echoed(runtime::Time stamped, runtime::Time list_age, runtime::Time now);
-    // Silence says nothing of this machine's link: the control plane is lost, or another one is looked for. To be
-    // called now and then; a lease that was lost does not stay so without a word.
+    // Silence says nothing of this machine's link: the control plane is lost, or another one is looked for.
+    // To be called now and then; a lease that was lost does not stay so without a word.
     void review(runtime::Time now);
     // Whether requests may be sent by the list; true until the first stamp is back.
     bool holds() const { return holds_; }
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -61,9 +61,10 @@
         : settings_(settings),
           loop_(settings.self.limits.max_fds - reserved_descriptors),
           sessions_(loop_),
-          control_(loop_, sessions_, settings, process::describe_process(settings, wire::Role::gateway),
-                   [this](const distribution::Changes& changes) { view_changed(changes); },
-                   [this](const ListLease& lease) { lease_changed(lease); }),
+          control_(
+              loop_, sessions_, settings, process::describe_process(settings, wire::Role::gateway),
+              [this](const distribution::Changes& changes) { view_changed(changes); },
+              [this](const ListLease& lease) { lease_changed(lease); }),
           quotas_(loop_, settings.self.node, quota_bound(settings)),
           proxy_(loop_, quotas_, proxy_options(settings)),
           readiness_(loop_, most_call_bytes),
@@ -127,11 +128,10 @@
     }
 
     void lease_changed(const ListLease& lease) {
-        logging::log(
-            lease.holds() ? Level::info : Level::warning,
-            lease.holds() ? Event::list_lease_renewed : Event::list_lease_lost,
-            {{"round_trip_ms",
-              static_cast<std::int64_t>(lease.round_trip() / runtime::tenths_per_millisecond)}});
+        logging::log(lease.holds() ? Level::info : Level::warning,
+                     lease.holds() ? Event::list_lease_renewed : Event::list_lease_lost,
+                     {{"round_trip_ms",
+                       static_cast<std::int64_t>(lease.round_trip() / runtime::tenths_per_millisecond)}});
         proxy_.set_list_young(lease.holds());
     }
 
--- a/src/gateway/proxy.h
+++ b/src/gateway/proxy.h
@@ -34,7 +34,8 @@
     // Attempts that wait for their connections.
     std::size_t connecting() { return upstreams_.connecting(); }
 
-    // The process ends soon: every answer closes its connection, and no request is given time beyond `answers_at`.
+    // The process ends soon: every answer closes its connection, and no request is given time beyond
+    // `answers_at`.
     void drain(runtime::Time answers_at);
     // Neither connections nor requests are taken any more; what is open goes on. Again: changes nothing.
     void take_no_more();
--- a/src/gateway/shutdown.cpp
+++ b/src/gateway/shutdown.cpp
@@ -3,8 +3,8 @@
 namespace dewweir::gateway {
 namespace {
 
-// Parts of `grace`. Clients go by directory answers that may be old; whoever comes later than the first part is
-// better served elsewhere, since a host would have too little time for its request.
+// Parts of `grace`. Clients go by directory answers that may be old; whoever comes later than the first part
+// is better served elsewhere, since a host would have too little time for its request.
 constexpr double accepting_part = 0.5;
 // A host that is at work keeps its request for as long as the rules ask; then the client is answered.
 constexpr double answering_part = 0.9;
--- a/src/gateway/shutdown.h
+++ b/src/gateway/shutdown.h
@@ -1,5 +1,5 @@
-// How a gateway ends after SIGTERM: which steps it takes when, so that every request it has read has its answer
-// before the process is gone. Pure: the clock is handed in.
+// How a gateway ends after SIGTERM: which steps it takes when, so that every request it has read has its
+// answer before the process is gone. Pure: the clock is handed in.
 #pragma once
 
 #include "runtime/event_loop.h"
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -68,10 +68,10 @@
 struct Heartbeat {
     std::uint32_t configuration = 0;  // the version in force at the sender, 0 for none
     std::uint64_t staleness_ms =
-        never_in_step;           // for how long changes may have been acknowledged that it lacks
-    std::string leader_control;  // where the leader's operator calls go, if known
-    std::uint64_t stamp = 0;     // of a gateway's own clock; 0: none
-    std::uint64_t echo = 0;      // the stamp that this answers; 0: none
+        never_in_step;              // for how long changes may have been acknowledged that it lacks
+    std::string leader_control;     // where the leader's operator calls go, if known
+    std::uint64_t stamp = 0;        // of a gateway's own clock; 0: none
+    std::uint64_t echo = 0;         // the stamp that this answers; 0: none
     std::uint32_t list_age_ms = 0;  // of the list of instances at the sender, when it sent this
     MSGPACK_DEFINE(configuration, staleness_ms, leader_control, stamp, echo, list_age_ms);
 };
--- a/tests/api/server_sockets.cpp
+++ b/tests/api/server_sockets.cpp
@@ -95,6 +95,25 @@
     CHECK(served.until([&] { return next.has("own"); }));
 }
 
+TEST_CASE("what is open when a process ends is answered, and answered once") {
+    Served served;
+    Peer& first = served.connect();
+    Peer& second = served.connect();
+    Peer& idle = served.connect();
+    first.send(put);
+    second.send(put);
+    REQUIRE(served.until([&] { return served.waiting.size() == 2; }));
+    served.server.answer_open({Status::service_unavailable, "ends"});
+    for (const Respond& respond : served.waiting) respond({Status::ok, "late"});
+    REQUIRE(served.until([&] { return first.has("ends") && second.has("ends"); }));
+    served.settle();
+    for (const Peer* const client : {&first, &second}) {
+        CHECK(client->received.starts_with("HTTP/1.1 503 "));
+        CHECK(client->count("HTTP/1.1 ") == 1);
+    }
+    CHECK(idle.received.empty());
+}
+
 TEST_CASE("a call parted at any byte is handled once, and one that ends at any byte not at all") {
     Served served;
     for (std::size_t first = 1; first < put.size(); ++first) {
--- a/tests/gateway/list_lease.cpp
+++ b/tests/gateway/list_lease.cpp
@@ -31,7 +31,8 @@
     for (runtime::Time round_trip = 0; round_trip <= 6000 * ms; round_trip += 50 * ms) {
         for (runtime::Time list_age = 0; list_age <= 2000 * ms; list_age += 50 * ms) {
             INFO(round_trip / ms << " ms there and back, list " << list_age / ms << " ms old");
-            // The oldest decision before the next stamp is back, however the round trip splits into its two ways.
+            // The oldest decision before the next stamp is back, however the round trip splits into its two
+            // ways.
             const runtime::Time arrival = list_age + round_trip + 400 * ms;
             if (arrival > drain) CHECK_FALSE(holds_after(round_trip, list_age));
             if (arrival < drain - 200 * ms) CHECK(holds_after(round_trip, list_age));
