--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -14,8 +14,8 @@
 
 namespace {
 
-// A reading every 0.7 s, the reading itself, and a follower's wait for the leader's next heartbeat. Beyond that
-// the platform or the core is in trouble, and the age says no more of how long news takes.
+// A reading every 0.7 s, the reading itself, and a follower's wait for the leader's next heartbeat. Beyond
+// that the platform or the core is in trouble, and the age says no more of how long news takes.
 constexpr runtime::Time longest_list_age = 1500 * runtime::tenths_per_millisecond;
 
 }  // namespace
