One place fills a stand-in host and empties it again

Cause: found on reading the change again: the soak wrote out what Host.fill does beside it, with the queue's length as a number of its own. Change: fill and clear, used by both.

--- a/tests/system/hosts.py
+++ b/tests/system/hosts.py
@@ -93,6 +93,7 @@
         self._free_slot = asyncio.Condition()
         self._connections = set()
         self._active_runs = []
+        self._queue_before = plan.queue
         self._server: Optional[asyncio.Server] = None
 
     async def start(self, cold=False):
@@ -121,11 +122,18 @@
         self.draining = True
 
     def fill(self):
-        """From now on nothing finds a slot here, and nothing is said of it."""
-        self.running = self.plan.capacity
+        """Until `clear`, nothing finds a slot here, and nothing is said of it."""
+        self.running += self.plan.capacity
+        self._queue_before = self.plan.queue
         self.plan.queue = 0
         self.plan.silent_when_full = True
 
+    def clear(self):
+        """Ends what `fill` began."""
+        self.running -= self.plan.capacity
+        self.plan.queue = self._queue_before
+        self.plan.silent_when_full = False
+
     @property
     def alive(self):
         """Whether this host listens."""
--- a/tests/system/soak_events.py
+++ b/tests/system/soak_events.py
@@ -126,14 +126,10 @@
         """Hosts of a service have no slot for a while, and shed without a word."""
         filled = self._take(self.world.hosts, 2)
         for host in filled:
-            host.plan.silent_when_full = True
-            host.plan.queue = 0
-            host.running += host.plan.capacity
+            host.fill()
         await asyncio.sleep(self.random.uniform(0.5, 2.0))
         for host in filled:
-            host.running -= host.plan.capacity
-            host.plan.queue = 8
-            host.plan.silent_when_full = False
+            host.clear()
         self._release(filled)
 
     async def hang_up(self):
