Logs tell who proposed a configuration on what base, and when a region's clients are sent elsewhere

Change: configuration_proposed (base, version), configuration_refused with base and place, at gateways with the reason; configuration_accepted only where the version has changed; region_without_gateways and region_with_gateways with the members known. No change of logic.

--- a/src/control_plane/operator_api.cpp
+++ b/src/control_plane/operator_api.cpp
@@ -13,6 +13,15 @@
 // When a caller may come back while no leader is known, in seconds.
 constexpr std::string_view retry_without_leader = "0.3";
 
+// What the log says of a configuration that is not taken; `version` 0: not known.
+void log_refusal(std::uint32_t base, std::uint32_t version, std::string_view reason, std::string_view place) {
+    logging::log(logging::Level::info, logging::Event::configuration_refused,
+                 {{"base", static_cast<std::int64_t>(base)},
+                  {"version", static_cast<std::int64_t>(version)},
+                  {"reason", reason},
+                  {"place", place}});
+}
+
 api::Response rejected(const configuration::Rejection& rejection) {
     const std::string reason(configuration::to_string(rejection.reason));
     return {api::Status::bad_request, api::error_body(reason + " at " + rejection.path, rejection.advice)};
@@ -92,8 +101,8 @@
     const auto base = configuration::parse_if_match(request.if_match);
     const configuration::ParseResult parsed = configuration::parse_configuration(request.body);
     if (const auto* const rejection = std::get_if<configuration::Rejection>(&parsed)) {
-        logging::log(logging::Level::info, logging::Event::configuration_refused,
-                     {{"reason", configuration::to_string(rejection->reason)}});
+        log_refusal(base.value_or(configuration::Version{}).number, 0,
+                    configuration::to_string(rejection->reason), rejection->path);
         return respond(rejected(*rejection));
     }
     if (!base) {
@@ -101,6 +110,9 @@
                                                                   "send the version this one builds on")});
     }
     const std::uint32_t version = std::get<configuration::Configuration>(parsed).epoch.number;
+    logging::log(
+        logging::Level::info, logging::Event::configuration_proposed,
+        {{"base", static_cast<std::int64_t>(base->number)}, {"version", static_cast<std::int64_t>(version)}});
     propose(control::PutConfiguration{base->number, version, request.body}, path, respond);
 }
 
--- a/src/control_plane/process.cpp
+++ b/src/control_plane/process.cpp
@@ -1,6 +1,7 @@
 #include "control_plane/process.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "control/instance_poller.h"
 #include "control_plane/fleet_server.h"
@@ -127,8 +128,10 @@
 
     void state_changed() override {
         fleet_.publish_state();
+        const std::uint32_t version = log_.state().configuration().version;
+        if (std::exchange(version_told_, version) == version) return;
         logging::log(logging::Level::info, logging::Event::configuration_accepted,
-                     {{"version", static_cast<std::int64_t>(log_.state().configuration().version)}});
+                     {{"version", static_cast<std::int64_t>(version)}});
     }
 
     void leadership_changed() override {
@@ -154,6 +157,7 @@
     process::SettingsWatch watch_;
     bool terminating_ = false;
     runtime::Time end_at_ = 0;
+    std::uint32_t version_told_ = 0;  // of the configuration that the log has named last
 };
 
 }  // namespace
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -1,6 +1,6 @@
 #include "gateway/directory.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace dewweir::gateway {
 namespace {
@@ -10,8 +10,7 @@
 
 }  // namespace
 
-std::vector<std::string> resolve(const std::map<std::string, wire::Member>& members,
-                                 const ClientPlace& place) {
+Resolution resolve(const std::map<std::string, wire::Member>& members, const ClientPlace& place) {
     std::vector<std::string> in_zone;
     std::vector<std::string> in_region;
     std::vector<std::string> all;
@@ -21,11 +20,11 @@
         if (member.region == place.region) in_region.push_back(member.front);
         if (member.zone == place.zone) in_zone.push_back(member.front);
     }
-    std::vector<std::string>& chosen = in_zone.size() >= enough_addresses ? in_zone
-                                       : !in_region.empty()               ? in_region
-                                                                          : all;
-    if (chosen.size() > most_addresses) chosen.resize(most_addresses);
-    return chosen;
+    Resolution resolution{Reach::elsewhere, std::move(all)};
+    if (!in_region.empty()) resolution = {Reach::region, std::move(in_region)};
+    if (in_zone.size() >= enough_addresses) resolution = {Reach::zone, std::move(in_zone)};
+    if (resolution.addresses.size() > most_addresses) resolution.addresses.resize(most_addresses);
+    return resolution;
 }
 
 }  // namespace dewweir::gateway
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -2,6 +2,7 @@
 // Pure.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -18,8 +19,14 @@
     std::string zone;
 };
 
-// `front` addresses, at most `most_addresses`.
-std::vector<std::string> resolve(const std::map<std::string, wire::Member>& members,
-                                 const ClientPlace& place);
+// How far from a client the gateways are that it is sent to, the nearest first.
+enum class Reach : std::uint8_t { zone, region, elsewhere };
+
+struct Resolution {
+    Reach reach = Reach::elsewhere;
+    std::vector<std::string> addresses;  // `front` addresses, at most `most_addresses`
+};
+
+Resolution resolve(const std::map<std::string, wire::Member>& members, const ClientPlace& place);
 
 }  // namespace dewweir::gateway
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -4,6 +4,7 @@
 #include <rapidjson/writer.h>
 
 #include <algorithm>
+#include <set>
 
 #include "api/server.h"
 #include "configuration/parser.h"
@@ -90,14 +91,28 @@
         readiness_.declare("GET", "/v1/ready", [this](const api::Request&, const api::Respond& respond) {
             respond({ready() ? api::Status::ok : api::Status::service_unavailable});
         });
-        directory_.declare(
-            "GET", "/v1/resolve", [this](const api::Request& request, const api::Respond& respond) {
-                const ClientPlace place{api::query_field(request.query, "region").value_or(""),
-                                        api::query_field(request.query, "zone").value_or("")};
-                const std::vector<std::string> addresses = resolve(control_.view().members(), place);
-                if (addresses.empty()) return respond({api::Status::service_unavailable});
-                respond({api::Status::ok, resolve_body(addresses)});
-            });
+        directory_.declare("GET", "/v1/resolve",
+                           [this](const api::Request& request, const api::Respond& respond) {
+                               const ClientPlace place{api::query_field(request.query, "region").value_or(""),
+                                                       api::query_field(request.query, "zone").value_or("")};
+                               const Resolution resolution = resolve(control_.view().members(), place);
+                               log_reach(place.region, resolution);
+                               if (resolution.addresses.empty())
+                                   return respond({api::Status::service_unavailable});
+                               respond({api::Status::ok, resolve_body(resolution.addresses)});
+                           });
+    }
+
+    // Tells when clients of a region begin to be sent out of it, and when that ends.
+    void log_reach(const std::string& region, const Resolution& resolution) {
+        const bool left = resolution.reach > Reach::region;
+        const bool changed = left ? regions_left_.insert(region).second : regions_left_.erase(region) > 0;
+        if (!changed) return;
+        logging::log(left ? Level::warning : Level::info,
+                     left ? Event::region_without_gateways : Event::region_with_gateways,
+                     {{"region", std::string_view(region)},
+                      {"named", static_cast<std::int64_t>(resolution.addresses.size())},
+                      {"members", static_cast<std::int64_t>(control_.view().members().size())}});
     }
 
     std::optional<std::string> listen_all() {
@@ -146,8 +161,10 @@
         configuration::ParseResult parsed = configuration::parse_configuration(update.text);
         auto* const configuration = std::get_if<configuration::Configuration>(&parsed);
         if (!configuration) {
-            logging::log(Level::error, Event::configuration_refused,
-                         {{"version", static_cast<std::int64_t>(update.version)}});
+            logging::log(
+                Level::error, Event::configuration_refused,
+                {{"version", static_cast<std::int64_t>(update.version)},
+                 {"reason", configuration::to_string(std::get<configuration::Rejection>(parsed).reason)}});
             return;
         }
         proxy_.configure(std::make_shared<const configuration::Configuration>(std::move(*configuration)));
@@ -198,6 +215,7 @@
     api::Server directory_;
     Shutdown shutdown_;
     runtime::Timer shutdown_check_;
+    std::set<std::string> regions_left_;  // whose clients were last sent to other regions
     process::SettingsWatch watch_;
 };
 
--- a/tests/gateway/members.cpp
+++ b/tests/gateway/members.cpp
@@ -53,20 +53,20 @@
 
 TEST_CASE("a client is sent to gateways of its zone, else of its region, else to all") {
     auto members = some_gateways();
-    CHECK(resolve(members, {"east", "zone-a"}) == Addresses{"a1:80"});
-    CHECK(resolve(members, {"east", "zone-x"}) == Addresses{"a1:80", "b1:80"});
-    CHECK(resolve(members, {"north", "zone-x"}) == Addresses{"a1:80", "b1:80", "c1:80"});
+    CHECK(resolve(members, {"east", "zone-a"}).addresses == Addresses{"a1:80"});
+    CHECK(resolve(members, {"east", "zone-x"}).addresses == Addresses{"a1:80", "b1:80"});
+    CHECK(resolve(members, {"north", "zone-x"}).addresses == Addresses{"a1:80", "b1:80", "c1:80"});
     members["a1"].ready = false;
-    CHECK(resolve(members, {"east", "zone-a"}) == Addresses{"b1:80"});
+    CHECK(resolve(members, {"east", "zone-a"}).addresses == Addresses{"b1:80"});
     members["b1"].front.clear();
     members["c1"].role = wire::Role::control_plane;
-    CHECK(resolve(members, {"east", "zone-a"}).empty());
+    CHECK(resolve(members, {"east", "zone-a"}).addresses.empty());
 }
 
 TEST_CASE("a client is told no more addresses than it can use") {
     std::map<std::string, wire::Member> members;
     for (int n = 0; n < 100; ++n) add(members, "g" + std::to_string(n), "zone-a", "east");
-    CHECK(resolve(members, {"east", "zone-a"}).size() == most_addresses);
+    CHECK(resolve(members, {"east", "zone-a"}).addresses.size() == most_addresses);
 }
 
 TEST_CASE("endpoints have their distance and region") {
