--- a/tests/system/configuration.py
+++ b/tests/system/configuration.py
@@ -149,14 +149,40 @@
     body: Optional[dict]
 
 
-def invalid_configurations(valid, current_epoch):
-    """One configuration for each reason to refuse one, each made from a valid one."""
+def _changer(valid):
+    """A function that makes an invalid configuration of a valid one."""
 
     def changed(reason, change):
         body = copy.deepcopy(valid)
         change(body)
         return InvalidConfiguration(reason, json.dumps(body).encode(), body)
 
+    return changed
+
+
+def unservable_configurations(valid):
+    """Configurations that can be read, and leave a route or all clients no chance to be served."""
+    changed = _changer(valid)
+
+    def split_route(body):
+        return next(route for route in body["routes"] if "weighted_backends" in route)
+
+    return [
+        changed("no time on a plain route", lambda body: body["routes"][0].update(deadline="0ms")),
+        changed("no time on a split route", lambda body: split_route(body).update(deadline="0s")),
+        changed("less than a millisecond", lambda body: split_route(body).update(deadline="0.4ms")),
+        changed("no connections to a service", lambda body: body["services"][0].update(max_conns=0)),
+        changed("no header fits", lambda body: body["limits"].update(max_header_bytes=0)),
+        changed("no time for a header", lambda body: body["limits"].update(header_timeout="0ms")),
+        changed("no time between requests", lambda body: body["limits"].update(idle_timeout="0ms")),
+        changed("no host name", lambda body: body["routes"][0].update(hostname="")),
+    ]
+
+
+def invalid_configurations(valid, current_epoch):
+    """One configuration for each reason to refuse one, each made from a valid one."""
+    changed = _changer(valid)
+
     def first_route(body):
         return body["routes"][0]
 
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -197,9 +197,17 @@
 
     async def freeze(self, span_s):
         """Stands still for so long."""
+        self.stop_still()
+        await asyncio.sleep(span_s)
+        self.go_on()
+
+    def stop_still(self):
+        """Stands still until it is told to go on."""
         self.fleet.ledger.faults.append(time.monotonic())
         self._signal(signal.SIGSTOP)
-        await asyncio.sleep(span_s)
+
+    def go_on(self):
+        """Ends `stop_still`."""
         self._signal(signal.SIGCONT)
         self.fleet.ledger.faults.append(time.monotonic())
 
