The directory keeps clients to the homes of their routes; a list of members that is not whole takes nobody out

Class: an answer that is acted on elsewhere, made from what happened to be known, without the constraint that binds its use and without knowing whether the knowledge is whole.

--- a/src/configuration/route_table.cpp
+++ b/src/configuration/route_table.cpp
@@ -58,6 +58,13 @@
         std::find(routes.lengths.begin(), routes.lengths.end(), length) != routes.lengths.end();
     if (!known) routes.lengths.push_back(length);
     routes.by_prefix.emplace(route.path_prefix, &route);
+    restrict_to(routes.homes, route.home_regions);
+}
+
+const HomeRegions& RouteTable::homes(std::string_view host) const {
+    static const HomeRegions everywhere;
+    const auto at = hosts_.find(without_port(host));
+    return at == hosts_.end() ? everywhere : at->second.homes;
 }
 
 const Route* RouteTable::find(std::string_view host, std::string_view path) const {
--- a/src/configuration/route_table.h
+++ b/src/configuration/route_table.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "configuration/configuration.h"
+#include "configuration/home_regions.h"
 
 namespace dewweir::configuration {
 
@@ -29,6 +30,10 @@
     // null if there is none. A query in `path` is ignored.
     const Route* find(std::string_view host, std::string_view path) const;
 
+    // The regions that every route of that host may be served in; all where no route has homes or there is no
+    // route.
+    const HomeRegions& homes(std::string_view host) const;
+
     // The tenant holding the key; null if there is none.
     const Tenant* find_tenant(std::string_view api_key) const;
 
@@ -45,6 +50,7 @@
     struct HostRoutes {
         std::vector<std::size_t> lengths;  // of the prefixes, each once, the longest first
         std::unordered_map<std::string_view, const Route*> by_prefix;
+        HomeRegions homes;
     };
 
     void add(const Route& route);
--- a/src/control/member_table.cpp
+++ b/src/control/member_table.cpp
@@ -28,13 +28,17 @@
     entry.expires_at = now + grace;
 }
 
-void MemberTable::adopt(Clock::time_point now, const std::vector<wire::Member>& members) {
+void MemberTable::adopt(Clock::time_point now, const std::vector<wire::Member>& members, bool all_known) {
+    if (!all_known) whole_at_ = now + options_.adoption_grace;
     for (const wire::Member& member : members) {
         entries_.try_emplace(member.node, Entry{member, {}, now + options_.adoption_grace});
     }
 }
 
+bool MemberTable::whole(Clock::time_point now) const { return !whole_at_ || *whole_at_ <= now; }
+
 void MemberTable::expire(Clock::time_point now) {
+    if (whole(now)) whole_at_.reset();
     std::erase_if(entries_, [&](const auto& item) {
         const std::optional<Clock::time_point>& expires_at = item.second.expires_at;
         return expires_at && *expires_at <= now;
@@ -42,7 +46,7 @@
 }
 
 std::optional<Clock::time_point> MemberTable::next_expiry() const {
-    std::optional<Clock::time_point> next;
+    std::optional<Clock::time_point> next = whole_at_;
     for (const auto& [node, entry] : entries_) {
         if (entry.expires_at && (!next || *entry.expires_at < *next)) next = entry.expires_at;
     }
--- a/src/control/member_table.h
+++ b/src/control/member_table.h
@@ -33,11 +33,14 @@
     // All members that have a session with the control plane `reporter` now.
     void report(Clock::time_point now, const std::string& reporter, const std::vector<wire::Member>& members);
     void reporter_lost(Clock::time_point now, const std::string& reporter);
-    // Members as another leader knew them, unless they are known here.
-    void adopt(Clock::time_point now, const std::vector<wire::Member>& members);
+    // Members as another leader knew them, unless they are known here. Unless these were `all_known`, the
+    // table is not whole for the grace of adoption.
+    void adopt(Clock::time_point now, const std::vector<wire::Member>& members, bool all_known);
+    // Whether a member that is missing here is gone, and not only unheard of yet.
+    bool whole(Clock::time_point now) const;
     // Drops whose lease is over.
     void expire(Clock::time_point now);
-    // When `expire` will drop the next one.
+    // When `expire` will drop the next one, or the table will be whole.
     std::optional<Clock::time_point> next_expiry() const;
 
     std::vector<wire::Member> members() const;
@@ -51,7 +54,8 @@
     void unreport(Clock::time_point now, Entry& entry, std::chrono::milliseconds grace);
 
     MemberTableOptions options_;
-    std::map<std::string, Entry> entries_;  // by node
+    std::map<std::string, Entry> entries_;       // by node
+    std::optional<Clock::time_point> whole_at_;  // nothing: it is whole
 };
 
 }  // namespace dewweir::control
--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -146,7 +146,7 @@
 
 void FleetServer::publish_members_now() {
     published_members_at_ = loop_.now();
-    wire::MembersUpdate update{next_revision(), members_.members()};
+    const wire::MembersUpdate update{next_revision(), members_.members(), members_.whole(loop_.steady_now())};
     if (view_.apply(update).members) broadcast(update);
     expire_members();
 }
@@ -170,7 +170,7 @@
         std::vector<wire::Member> known;
         for (const auto& [node, member] : view_.members()) known.push_back(member);
         members_ = control::MemberTable();
-        members_.adopt(loop_.steady_now(), known);
+        members_.adopt(loop_.steady_now(), known, view_.members_whole());
         members_changed();
     }
     led_ = log_.leads();
--- a/src/distribution/view.h
+++ b/src/distribution/view.h
@@ -17,7 +17,7 @@
     bool configuration = false;
     bool evacuations = false;
     bool instances = false;
-    bool members = false;
+    bool members = false;  // also where they turn out to be whole
 
     bool any() const { return configuration || evacuations || instances || members; }
 };
@@ -42,6 +42,8 @@
     wire::Revision instances_revision() const { return instances_revision_; }
     const std::map<std::string, wire::Member>& members() const { return members_; }  // by node
     wire::Revision members_revision() const { return members_revision_; }
+    // Whether `members` are all that there are, as far as the leader could know.
+    bool members_whole() const { return members_whole_; }
 
   private:
     wire::ConfigurationUpdate configuration_;
@@ -51,6 +53,7 @@
     wire::Revision instances_revision_;
     std::map<std::string, wire::Member> members_;
     wire::Revision members_revision_;
+    bool members_whole_ = false;
 };
 
 // What changes `from` into `to`.
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -1,13 +1,13 @@
-// Which gateways a client is sent to: those of its zone, else of its region, else all that take new clients.
-// Pure.
+// Which gateways a client is sent to: those of its zone, else of its region, else those of other regions, as
+// far as the routes of the host that it asks for may be served there. Pure.
 #pragma once
 
 #include <cstdint>
 #include <map>
 #include <string>
-#include <string_view>
 #include <vector>
 
+#include "configuration/home_regions.h"
 #include "wire/messages.h"
 
 namespace dewweir::gateway {
@@ -24,9 +24,12 @@
 
 struct Resolution {
     Reach reach = Reach::elsewhere;
-    std::vector<std::string> addresses;  // `front` addresses, at most `most_addresses`
+    std::vector<std::string> addresses;  // `front` addresses, at most `most_addresses`; empty: none will do
 };
 
-Resolution resolve(const std::map<std::string, wire::Member>& members, const ClientPlace& place);
+// `self`: the answering gateway as it is now, whatever the members say of it. `homes`: of the routes of the
+// client's host. A client may always be sent to gateways of its own region: it is there.
+Resolution resolve(const std::map<std::string, wire::Member>& members, const wire::Member& self,
+                   const ClientPlace& place, const configuration::HomeRegions& homes);
 
 }  // namespace dewweir::gateway
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -93,18 +93,24 @@
         });
         directory_.declare("GET", "/v1/resolve",
                            [this](const api::Request& request, const api::Respond& respond) {
-                               const ClientPlace place{api::query_field(request.query, "region").value_or(""),
-                                                       api::query_field(request.query, "zone").value_or("")};
-                               const Resolution resolution = resolve(control_.view().members(), place);
-                               log_reach(place.region, resolution);
-                               if (resolution.addresses.empty())
-                                   return respond({api::Status::service_unavailable});
-                               respond({api::Status::ok, resolve_body(resolution.addresses)});
+                               tell_gateways(request, respond);
                            });
     }
 
+    void tell_gateways(const api::Request& request, const api::Respond& respond) {
+        const std::string name = api::query_field(request.query, "name").value_or("");
+        const ClientPlace place{api::query_field(request.query, "region").value_or(""),
+                                api::query_field(request.query, "zone").value_or("")};
+        const Resolution resolution =
+            resolve(control_.view().members(), control_.self(), place, proxy_.homes(name));
+        log_reach(place.region, resolution);
+        if (resolution.addresses.empty()) return respond({api::Status::service_unavailable});
+        respond({api::Status::ok, resolve_body(resolution.addresses)});
+    }
+
     // Tells when clients of a region begin to be sent out of it, and when that ends.
     void log_reach(const std::string& region, const Resolution& resolution) {
+        if (control_.view().members().empty()) return;  // just started: nothing is known yet
         const bool left = resolution.reach > Reach::region;
         const bool changed = left ? regions_left_.insert(region).second : regions_left_.erase(region) > 0;
         if (!changed) return;
--- a/src/gateway/routing.cpp
+++ b/src/gateway/routing.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace dewweir::gateway {
 namespace {
@@ -36,24 +37,16 @@
     return last->service;
 }
 
-std::vector<std::string> sorted(std::vector<std::string> names) {
-    std::sort(names.begin(), names.end());
-    return names;
-}
-
 }  // namespace
 
 std::optional<std::vector<std::string>> allowed_regions(const configuration::Route& route,
                                                         const configuration::Tenant* tenant) {
-    std::vector<std::string> of_route = sorted(route.home_regions);
-    if (!tenant || tenant->home_regions.empty()) return of_route;
-    std::vector<std::string> of_tenant = sorted(tenant->home_regions);
-    if (of_route.empty()) return of_tenant;
-    std::vector<std::string> both;
-    std::set_intersection(of_route.begin(), of_route.end(), of_tenant.begin(), of_tenant.end(),
-                          std::back_inserter(both));
-    if (both.empty()) return std::nullopt;
-    return both;
+    configuration::HomeRegions homes;
+    configuration::restrict_to(homes, route.home_regions);
+    if (tenant) configuration::restrict_to(homes, tenant->home_regions);
+    if (!homes) return std::vector<std::string>();
+    if (homes->empty()) return std::nullopt;
+    return homes;
 }
 
 RoutingResult route_request(const configuration::RouteTable* table, const RequestAddress& address) {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -103,7 +103,10 @@
 struct MembersUpdate {
     Revision revision;
     std::vector<Member> members;
-    MSGPACK_DEFINE(revision, members);
+    // Whether these are all. Not where a leader that has only begun knew nobody: then who is missing may only
+    // not have been heard of yet. Since 2026-12; earlier senders meant all.
+    bool whole = true;
+    MSGPACK_DEFINE(revision, members, whole);
 };
 
 // The sender's own entry has changed.
--- a/tests/configuration/lookup_test.cpp
+++ b/tests/configuration/lookup_test.cpp
@@ -85,6 +85,31 @@
     CHECK(without_port("[::1]:80") == "[::1]");
 }
 
+TEST_CASE("a host's homes are those that all its routes with homes have in common") {
+    Configuration configuration;
+    const auto add = [&](const std::string& host, const std::string& prefix, std::vector<RegionName> homes) {
+        Route& route = configuration.routes.emplace_back();
+        route.hostname = host;
+        route.path_prefix = prefix;
+        route.home_regions = std::move(homes);
+    };
+    add("a.example", "/", {});
+    add("a.example", "/one/", {"west", "east"});
+    add("A.example", "/two/", {"east", "south", "west"});
+    add("b.example", "/", {});
+    add("c.example", "/", {"east"});
+    add("c.example", "/one/", {"west"});
+    const RouteTable table(std::make_shared<const Configuration>(configuration));
+    CHECK(table.homes("a.example:80") == HomeRegions(std::vector<RegionName>{"east", "west"}));
+    CHECK(table.homes("b.example") == HomeRegions());
+    CHECK(table.homes("unknown.example") == HomeRegions());
+    CHECK(table.homes("c.example") == HomeRegions(std::vector<RegionName>()));
+    CHECK(allows(table.homes("a.example"), "west"));
+    CHECK_FALSE(allows(table.homes("a.example"), "south"));
+    CHECK_FALSE(allows(table.homes("c.example"), "east"));
+    CHECK(allows(table.homes("b.example"), "anywhere"));
+}
+
 TEST_CASE("a tenant is found by each of its keys") {
     const RouteTable table = example_table();
     REQUIRE(table.find_tenant("key-2") != nullptr);
--- a/tests/control/member_table.cpp
+++ b/tests/control/member_table.cpp
@@ -81,10 +81,28 @@
     CHECK(table.members() == std::vector{member("a", 2)});
 }
 
+TEST_CASE("a table is whole at once where all were known, else once the grace of adoption is over") {
+    MemberTable table(graces);
+    CHECK(table.whole(start));
+    table.adopt(start, {member("a")}, true);
+    CHECK(table.whole(start));
+    MemberTable begun(graces);
+    begun.adopt(start, {}, false);
+    CHECK_FALSE(begun.whole(start + 2499ms));
+    CHECK(begun.next_expiry() == start + 2500ms);
+    begun.report(start + 1s, "control-1", {member("a")});
+    begun.expire(start + 2499ms);
+    CHECK(begun.next_expiry() == start + 2500ms);
+    begun.expire(start + 2500ms);
+    CHECK(begun.whole(start + 2500ms));
+    CHECK_FALSE(begun.next_expiry());
+    CHECK(nodes_of(begun) == "a ");
+}
+
 TEST_CASE("adopted members have their own grace, and known ones stay as they are known") {
     MemberTable table(graces);
     table.report(start, "control-1", {member("a", 2)});
-    table.adopt(start, {member("a", 1), member("b"), member("c")});
+    table.adopt(start, {member("a", 1), member("b"), member("c")}, true);
     CHECK(table.members().front() == member("a", 2));
     CHECK(table.next_expiry() == start + 2500ms);
     table.report(start + 2s, "control-1", {member("a", 2), member("b")});
--- a/tests/distribution/view.cpp
+++ b/tests/distribution/view.cpp
@@ -117,6 +117,31 @@
     CHECK(view.members_revision() == wire::Revision{1, 2});
 }
 
+TEST_CASE("a list of members that is not whole takes nobody out, and the whole one does") {
+    View view;
+    CHECK_FALSE(view.members_whole());
+    view.apply(wire::MembersUpdate{{1, 1}, {member("a"), member("b"), member("c")}, true});
+    CHECK(view.members_whole());
+    CHECK(view.apply(wire::MembersUpdate{{2, 1}, {member("b", false), member("d")}, false}).members);
+    CHECK_FALSE(view.members_whole());
+    CHECK(view.members() ==
+          std::map<std::string, wire::Member>{
+              {"a", member("a")}, {"b", member("b", false)}, {"c", member("c")}, {"d", member("d")}});
+    View late;
+    for (const wire::Message& message : view.whole()) apply(late, message);
+    CHECK(told(late) == told(view));
+    CHECK_FALSE(late.members_whole());
+    CHECK(view.apply(wire::MembersUpdate{{2, 2}, {member("b"), member("d")}, true}).members);
+    CHECK(view.members().size() == 2);
+}
+
+TEST_CASE("that members are whole is news, also where the same ones are named") {
+    View view;
+    view.apply(wire::MembersUpdate{{1, 1}, {member("a")}, false});
+    CHECK(view.apply(wire::MembersUpdate{{1, 2}, {member("a")}, true}).members);
+    CHECK_FALSE(view.apply(wire::MembersUpdate{{1, 3}, {member("a")}, true}).any());
+}
+
 TEST_CASE("an update in part changes what it names, a whole one everything") {
     View view;
     view.apply(wire::InstancesUpdate{{1, 1}, true, {instance("a"), instance("b")}, {}});
--- a/tests/gateway/members.cpp
+++ b/tests/gateway/members.cpp
@@ -29,6 +29,12 @@
     return members;
 }
 
+// Whom a gateway that takes no clients itself names.
+Addresses named(const std::map<std::string, wire::Member>& members, const ClientPlace& place,
+                const configuration::HomeRegions& homes = {}) {
+    return resolve(members, wire::Member{}, place, homes).addresses;
+}
+
 wire::Instance instance(const std::string& id, const std::string& zone, std::uint32_t cold_left_ms = 0) {
     return {id, "cart", "10.0.0.1:80", zone, 4, wire::InstanceState::ready, cold_left_ms};
 }
@@ -53,20 +59,56 @@
 
 TEST_CASE("a client is sent to gateways of its zone, else of its region, else to all") {
     auto members = some_gateways();
-    CHECK(resolve(members, {"east", "zone-a"}).addresses == Addresses{"a1:80"});
-    CHECK(resolve(members, {"east", "zone-x"}).addresses == Addresses{"a1:80", "b1:80"});
-    CHECK(resolve(members, {"north", "zone-x"}).addresses == Addresses{"a1:80", "b1:80", "c1:80"});
+    CHECK(named(members, {"east", "zone-a"}) == Addresses{"a1:80"});
+    CHECK(named(members, {"east", "zone-x"}) == Addresses{"a1:80", "b1:80"});
+    CHECK(named(members, {"north", "zone-x"}) == Addresses{"a1:80", "b1:80", "c1:80"});
     members["a1"].ready = false;
-    CHECK(resolve(members, {"east", "zone-a"}).addresses == Addresses{"b1:80"});
+    CHECK(named(members, {"east", "zone-a"}) == Addresses{"b1:80"});
     members["b1"].front.clear();
     members["c1"].role = wire::Role::control_plane;
-    CHECK(resolve(members, {"east", "zone-a"}).addresses.empty());
+    CHECK(named(members, {"east", "zone-a"}).empty());
+}
+
+TEST_CASE("a client whose routes have homes is sent to its own region and to homes, and nowhere else") {
+    auto members = some_gateways();
+    add(members, "d1", "zone-d", "south");
+    const configuration::HomeRegions homes = std::vector<std::string>{"south", "west"};
+    CHECK(named(members, {"east", "zone-a"}, homes) == Addresses{"a1:80"});
+    members["a1"].ready = false;
+    members["b1"].ready = false;
+    CHECK(named(members, {"east", "zone-a"}) == Addresses{"c1:80", "d1:80"});
+    CHECK(named(members, {"east", "zone-a"}, homes) == Addresses{"c1:80", "d1:80"});
+    CHECK(named(members, {"east", "zone-a"}, std::vector<std::string>{"east", "south"}) ==
+          Addresses{"d1:80"});
+    CHECK(named(members, {"east", "zone-a"}, std::vector<std::string>{"east"}).empty());
+    CHECK(named(members, {"east", "zone-a"}, std::vector<std::string>{}).empty());
+    CHECK(named(members, {"west", "zone-x"}, std::vector<std::string>{"east"}) == Addresses{"c1:80"});
+}
+
+TEST_CASE("how far a client is sent is told") {
+    auto members = some_gateways();
+    const wire::Member nobody;
+    CHECK(resolve(members, nobody, {"east", "zone-a"}, {}).reach == Reach::zone);
+    CHECK(resolve(members, nobody, {"east", "zone-x"}, {}).reach == Reach::region);
+    CHECK(resolve(members, nobody, {"north", "zone-x"}, {}).reach == Reach::elsewhere);
+    CHECK(resolve({}, nobody, {"east", "zone-a"}, {}).reach == Reach::elsewhere);
+}
+
+TEST_CASE("the answering gateway goes by itself and not by what the members say of it") {
+    auto members = some_gateways();
+    wire::Member self = members["a1"];
+    members.erase("a1");
+    members.erase("b1");
+    CHECK(resolve(members, self, {"east", "zone-a"}, {}).addresses == Addresses{"a1:80"});
+    members["a1"] = self;
+    self.ready = false;
+    CHECK(resolve(members, self, {"east", "zone-a"}, {}).addresses == Addresses{"c1:80"});
 }
 
 TEST_CASE("a client is told no more addresses than it can use") {
     std::map<std::string, wire::Member> members;
     for (int n = 0; n < 100; ++n) add(members, "g" + std::to_string(n), "zone-a", "east");
-    CHECK(resolve(members, {"east", "zone-a"}).addresses.size() == most_addresses);
+    CHECK(named(members, {"east", "zone-a"}).size() == most_addresses);
 }
 
 TEST_CASE("endpoints have their distance and region") {
--- a/tests/wire/codec.cpp
+++ b/tests/wire/codec.cpp
@@ -38,7 +38,7 @@
         ConfigurationUpdate{4, std::string("{\"a\":\0}", 7)},
         EvacuationsUpdate{5, {"zone-a", ""}},
         InstancesUpdate{{2, 9}, true, {some_instance(), {}}, {"i-2"}},
-        MembersUpdate{{2, 10}, {some_member(), {}}},
+        MembersUpdate{{2, 10}, {some_member(), {}}, false},
         MemberChanged{some_member()},
         MembersReport{{some_member()}},
         wrap({{1, "10.0.0.1:7000"},
