--- a/tests/system/clients.py
+++ b/tests/system/clients.py
@@ -8,7 +8,7 @@
 from typing import Optional
 from urllib.parse import urlencode
 
-from system import wire
+from system import ledger, wire
 from system.ledger import ClientTry, TryOutcome
 
 DIRECTORY_TRIES = 3
@@ -107,6 +107,7 @@
             ttl_s = min(seconds(body.get("ttl", "")), self.plan.ttl_max_s)
         except (OSError, asyncio.TimeoutError, wire.WireError, ValueError):
             return None
+        self.ledger.resolutions.append(ledger.Resolution(hostname, self.plan.region, addresses))
         if not 0 < len(addresses) <= MAX_ADDRESSES or ttl_s <= 0:
             return None
         return Resolution(addresses, time.monotonic() + ttl_s)
--- a/tests/system/fleet.py
+++ b/tests/system/fleet.py
@@ -255,6 +255,8 @@
         self.ledger = ledger
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="dewweir-system-"))
         self.processes = [Process(self, machine) for machine in plan.machines]
+        ledger.regions.update(plan.zones)
+        ledger.gateway_regions.update({str(p.front): p.machine.region for p in self.gateways})
 
     @property
     def gateways(self):
--- a/tests/system/judge.py
+++ b/tests/system/judge.py
@@ -6,7 +6,7 @@
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
-from system import configuration, judge_configuration
+from system import configuration, judge_configuration, judge_homes
 from system.ledger import RunEnding, TryOutcome
 from system.rules import Bounds, Breach, Rule
 
@@ -40,6 +40,7 @@
     breaches += judge_drain(ledger, bounds)
     breaches += judge_quota(ledger, bounds)
     breaches += judge_denied(ledger, bounds)
+    breaches += judge_homes.judge(ledger)
     breaches += judge_configuration.judge(ledger, bounds)
     return Verdict(breaches, _count(ledger, runs_of))
 
--- a/tests/system/ledger.py
+++ b/tests/system/ledger.py
@@ -124,6 +124,15 @@
     ended: Optional[float] = None
 
 
+@dataclass
+class Resolution:
+    """An answer of the directory: the gateways that it names to a client in a region."""
+
+    hostname: str
+    region: str
+    addresses: list
+
+
 @dataclass
 class Ledger:
     """All records of one test."""
@@ -136,4 +145,7 @@
     reads: list = field(default_factory=list)
     lives: list = field(default_factory=list)
     leaving: dict = field(default_factory=dict)  # by host id: when the platform's list shows that it leaves
+    resolutions: list = field(default_factory=list)
+    regions: dict = field(default_factory=dict)  # by zone
+    gateway_regions: dict = field(default_factory=dict)  # by address for clients
     faults: list = field(default_factory=list)  # moments at which processes were killed or stood still
--- a/tests/system/rules.py
+++ b/tests/system/rules.py
@@ -15,6 +15,7 @@
     ROUTE = "a run at a service that no configuration names for it, or with a key that none held"
     LOST = "a request lost around a planned end"
     DRAIN = "a run at a host that had said long before that it leaves"
+    HOME = "a run, or a client sent, outside the homes of its route"
     QUOTA = "more runs of a tenant than its quota"
     CONFIG = "a configuration that is not in force, refused, lost or older was followed"
 
--- a/tests/system/soak_events.py
+++ b/tests/system/soak_events.py
@@ -13,6 +13,7 @@
 from system.world import ZONES, first_configuration, second_configuration
 
 ORDER_BOUND_S = 12.0
+HOME_REGION = "north"
 END_MARGIN_S = 1.0
 SHORT_GAP_S = (0.1, 0.6)
 LIST_PART_OF_DRAIN = 1.3  # a leaving host goes on for so much of `drain`
@@ -35,6 +36,7 @@
         """Every series that may run, with its weight."""
         return {
             self.roll_gateways: 4,
+            self.roll_region: 1,
             self.hosts_leave: 4,
             self.change_configurations: 3,
             self.send_invalid: 2,
@@ -61,7 +63,10 @@
         self._busy.difference_update(things)
 
     async def put(self, plan, base):
-        """Sends a valid configuration; returns its order."""
+        """Sends a valid configuration, whose route for writing has a home; returns its order."""
+        for route in plan.routes:
+            if route.name == "write":
+                route.home_regions = [HOME_REGION]
         payload = json.dumps(plan.render()).encode()
         return await self.world.operator.put_config(payload, base, True, ORDER_BOUND_S)
 
@@ -111,7 +116,15 @@
 
     async def roll_gateways(self):
         """Gateways get SIGTERM one after the other, and start again; the next does not wait for the one before."""
-        rolled = self._take(self.world.fleet.gateways, max(1, len(self.world.fleet.gateways) // 3))
+        await self._roll(self._take(self.world.fleet.gateways, max(1, len(self.world.fleet.gateways) // 3)))
+
+    async def roll_region(self):
+        """The same with all gateways of a region that are free."""
+        region = self.random.choice(sorted(set(ZONES.values())))
+        gateways = [process for process in self.world.fleet.gateways if process.machine.region == region]
+        await self._roll(self._take(gateways, len(gateways)))
+
+    async def _roll(self, rolled):
         ends = []
         for process in rolled:
             ends.append(asyncio.create_task(self._end_and_start(process)))
--- a/tests/wire/codec.cpp
+++ b/tests/wire/codec.cpp
@@ -30,6 +30,13 @@
     return entry;
 }
 
+// As builds before 2026-12 have it.
+struct EarlierMembersUpdate {
+    Revision revision;
+    std::vector<Member> members;
+    MSGPACK_DEFINE(revision, members);
+};
+
 // One of every kind, in the order of Message.
 std::vector<Message> all_kinds() {
     return {
@@ -92,6 +99,25 @@
     CHECK_FALSE(statement.answer);
 }
 
+TEST_CASE("a list of members of an earlier build, which doesn't say so, is whole") {
+    const Message now = MembersUpdate{{2, 10}, {some_member()}, false};
+    msgpack::sbuffer buffer;
+    msgpack::packer packer(buffer);
+    packer.pack_array(2);
+    packer.pack(now.index());
+    packer.pack(EarlierMembersUpdate{{2, 10}, {some_member()}});
+    const auto read = decode({buffer.data(), buffer.size()});
+    REQUIRE(read);
+    const auto& members = std::get<MembersUpdate>(*read);
+    CHECK(members.revision == Revision{2, 10});
+    CHECK(members.members == std::vector{some_member()});
+    CHECK(members.whole);
+    // And an earlier build passes over what it does not know.
+    const std::string bytes = encode(now);
+    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+    CHECK(handle.get().via.array.ptr[1].as<EarlierMembersUpdate>().members.size() == 1);
+}
+
 TEST_CASE("consensus messages come back with their sender, receiver and fields") {
     const consensus::Envelope envelope{
         {1, "a"}, {2, "b"}, consensus::AppendRequest{3, 4, 5, 6, {some_entry()}}};
