Of other regions the directory names those that are a home to the most tenants

Change: RouteTable counts tenants at home in a region; the directory reads the table itself, and without one sends nobody out of its region.

--- a/src/configuration/route_table.cpp
+++ b/src/configuration/route_table.cpp
@@ -48,9 +48,15 @@
     tenants_.reserve(configuration_->tenants.size());
     for (const Tenant& tenant : configuration_->tenants) {
         for (const std::string& key : tenant.api_keys) tenants_.emplace(key, &tenant);
+        for (const RegionName& home : tenant.home_regions) ++tenants_at_home_[home];
     }
 }
 
+std::size_t RouteTable::tenants_at_home(const RegionName& region) const {
+    const auto at = tenants_at_home_.find(region);
+    return at == tenants_at_home_.end() ? 0 : at->second;
+}
+
 void RouteTable::add(const Route& route) {
     HostRoutes& routes = hosts_[route.hostname];
     const std::size_t length = route.path_prefix.size();
--- a/src/configuration/route_table.h
+++ b/src/configuration/route_table.h
@@ -33,6 +33,8 @@
     // The regions that every route of that host may be served in; all where no route has homes or there is no
     // route.
     const HomeRegions& homes(std::string_view host) const;
+    // How many of the tenants that have homes may be served in the region.
+    std::size_t tenants_at_home(const RegionName& region) const;
 
     // The tenant holding the key; null if there is none.
     const Tenant* find_tenant(std::string_view api_key) const;
@@ -58,6 +60,7 @@
     std::shared_ptr<const Configuration> configuration_;
     std::unordered_map<std::string_view, HostRoutes, HostHash, HostEqual> hosts_;
     std::unordered_map<std::string_view, const Tenant*> tenants_;
+    std::unordered_map<RegionName, std::size_t> tenants_at_home_;
 };
 
 // The rank of a request: the tenant's where it has one, else the route's. `tenant` may be null.
--- a/src/gateway/directory.cpp
+++ b/src/gateway/directory.cpp
@@ -11,16 +11,16 @@
 // Gateways that take new clients, by how far they are from one client.
 class Candidates {
   public:
-    Candidates(const ClientPlace& place, const configuration::HomeRegions& homes)
-        : place_(place), homes_(homes) {}
+    Candidates(const Client& client, const configuration::RouteTable* table)
+        : client_(client), table_(table) {}
 
     void add(const wire::Member& member) {
         if (member.role != wire::Role::gateway || !member.ready || member.front.empty()) return;
-        if (member.zone == place_.zone) in_zone_.push_back(member.front);
-        if (member.region == place_.region) {
+        if (member.zone == client_.zone) in_zone_.push_back(member.front);
+        if (member.region == client_.region) {
             in_region_.push_back(member.front);
-        } else if (configuration::allows(homes_, member.region)) {
-            elsewhere_.push_back(member.front);
+        } else if (table_ && configuration::allows(table_->homes(client_.hostname), member.region)) {
+            add_elsewhere(member);
         }
     }
 
@@ -31,18 +31,28 @@
     }
 
   private:
-    const ClientPlace& place_;
-    const configuration::HomeRegions& homes_;
+    // Only regions that are a home to as many tenants as any are kept.
+    void add_elsewhere(const wire::Member& member) {
+        const std::size_t tenants = table_->tenants_at_home(member.region);
+        if (tenants < most_tenants_) return;
+        if (tenants > most_tenants_) elsewhere_.clear();
+        most_tenants_ = tenants;
+        elsewhere_.push_back(member.front);
+    }
+
+    const Client& client_;
+    const configuration::RouteTable* table_;
     std::vector<std::string> in_zone_;
     std::vector<std::string> in_region_;
     std::vector<std::string> elsewhere_;  // where the client's routes may be served
+    std::size_t most_tenants_ = 0;        // that have a home in a region of `elsewhere_`
 };
 
 }  // namespace
 
 Resolution resolve(const std::map<std::string, wire::Member>& members, const wire::Member& self,
-                   const ClientPlace& place, const configuration::HomeRegions& homes) {
-    Candidates candidates(place, homes);
+                   const Client& client, const configuration::RouteTable* table) {
+    Candidates candidates(client, table);
     candidates.add(self);
     for (const auto& [node, member] : members) {
         if (node != self.node) candidates.add(member);
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -1,5 +1,6 @@
 // Which gateways a client is sent to: those of its zone, else of its region, else those of other regions, as
-// far as the routes of the host that it asks for may be served there. Pure.
+// far as the routes of the host that it asks for may be served there, and of these the regions that are a
+// home to the most tenants, since whose the client is it does not say. Pure.
 #pragma once
 
 #include <cstdint>
@@ -7,14 +8,16 @@
 #include <string>
 #include <vector>
 
-#include "configuration/home_regions.h"
+#include "configuration/route_table.h"
 #include "wire/messages.h"
 
 namespace dewweir::gateway {
 
 constexpr std::size_t most_addresses = 64;
 
-struct ClientPlace {
+// Who asks, and for what.
+struct Client {
+    std::string hostname;
     std::string region;
     std::string zone;
 };
@@ -27,9 +30,10 @@
     std::vector<std::string> addresses;  // `front` addresses, at most `most_addresses`; empty: none will do
 };
 
-// `self`: the answering gateway as it is now, whatever the members say of it. `homes`: of the routes of the
-// client's host. A client may always be sent to gateways of its own region: it is there.
+// `self`: the answering gateway as it is now, whatever the members say of it. `table`: of the configuration
+// in force; null for none, and then nobody is sent out of its region. To gateways of its own region a client
+// may always be sent: it is there.
 Resolution resolve(const std::map<std::string, wire::Member>& members, const wire::Member& self,
-                   const ClientPlace& place, const configuration::HomeRegions& homes);
+                   const Client& client, const configuration::RouteTable* table);
 
 }  // namespace dewweir::gateway
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -98,12 +98,13 @@
     }
 
     void tell_gateways(const api::Request& request, const api::Respond& respond) {
-        const std::string name = api::query_field(request.query, "name").value_or("");
-        const ClientPlace place{api::query_field(request.query, "region").value_or(""),
-                                api::query_field(request.query, "zone").value_or("")};
+        const auto field = [&](std::string_view name) {
+            return api::query_field(request.query, name).value_or("");
+        };
+        const Client client{field("name"), field("region"), field("zone")};
         const Resolution resolution =
-            resolve(control_.view().members(), control_.self(), place, proxy_.homes(name));
-        log_reach(place.region, resolution);
+            resolve(control_.view().members(), control_.self(), client, proxy_.route_table());
+        log_reach(client.region, resolution);
         if (resolution.addresses.empty()) return respond({api::Status::service_unavailable});
         respond({api::Status::ok, resolve_body(resolution.addresses)});
     }
--- a/src/gateway/proxy.h
+++ b/src/gateway/proxy.h
@@ -30,9 +30,8 @@
 
     Front& front() { return front_; }
     bool has_configuration() const { return table_ != nullptr; }
-    // The regions that every route of the host may be served in; none while no configuration is in force
-    // here.
-    configuration::HomeRegions homes(std::string_view host) const;
+    // Of the configuration in force; null while none is.
+    const configuration::RouteTable* route_table() const { return table_.get(); }
     std::size_t open_requests() const { return requests_.size(); }
     // Attempts that wait for their connections.
     std::size_t connecting() { return upstreams_.connecting(); }
--- a/src/gateway/proxy_pools.cpp
+++ b/src/gateway/proxy_pools.cpp
@@ -43,11 +43,6 @@
     refresh_endpoints();
 }
 
-configuration::HomeRegions Proxy::homes(std::string_view host) const {
-    if (!table_) return std::vector<configuration::RegionName>();
-    return table_->homes(host);
-}
-
 void Proxy::view_changed(const distribution::View& view, const distribution::Changes& changes) {
     if (changes.members) {
         members_ = view.members();
--- a/tests/gateway/members.cpp
+++ b/tests/gateway/members.cpp
@@ -29,10 +29,22 @@
     return members;
 }
 
+// Routes of the host "shop" with these homes, and a tenant for each list of homes.
+configuration::RouteTable table_with(std::vector<std::string> route_homes,
+                                     const std::vector<std::vector<std::string>>& tenant_homes = {}) {
+    auto configuration = std::make_shared<configuration::Configuration>();
+    configuration::Route& route = configuration->routes.emplace_back();
+    route.hostname = "shop";
+    route.path_prefix = "/";
+    route.home_regions = std::move(route_homes);
+    for (const auto& homes : tenant_homes) configuration->tenants.emplace_back().home_regions = homes;
+    return configuration::RouteTable(configuration);
+}
+
 // Whom a gateway that takes no clients itself names.
-Addresses named(const std::map<std::string, wire::Member>& members, const ClientPlace& place,
-                const configuration::HomeRegions& homes = {}) {
-    return resolve(members, wire::Member{}, place, homes).addresses;
+Addresses named(const std::map<std::string, wire::Member>& members, const std::string& region,
+                const std::string& zone, const configuration::RouteTable& table = table_with({})) {
+    return resolve(members, wire::Member{}, {"shop", region, zone}, &table).addresses;
 }
 
 wire::Instance instance(const std::string& id, const std::string& zone, std::uint32_t cold_left_ms = 0) {
@@ -59,56 +71,77 @@
 
 TEST_CASE("a client is sent to gateways of its zone, else of its region, else to all") {
     auto members = some_gateways();
-    CHECK(named(members, {"east", "zone-a"}) == Addresses{"a1:80"});
-    CHECK(named(members, {"east", "zone-x"}) == Addresses{"a1:80", "b1:80"});
-    CHECK(named(members, {"north", "zone-x"}) == Addresses{"a1:80", "b1:80", "c1:80"});
+    CHECK(named(members, "east", "zone-a") == Addresses{"a1:80"});
+    CHECK(named(members, "east", "zone-x") == Addresses{"a1:80", "b1:80"});
+    CHECK(named(members, "north", "zone-x") == Addresses{"a1:80", "b1:80", "c1:80"});
     members["a1"].ready = false;
-    CHECK(named(members, {"east", "zone-a"}) == Addresses{"b1:80"});
+    CHECK(named(members, "east", "zone-a") == Addresses{"b1:80"});
     members["b1"].front.clear();
     members["c1"].role = wire::Role::control_plane;
-    CHECK(named(members, {"east", "zone-a"}).empty());
+    CHECK(named(members, "east", "zone-a").empty());
 }
 
 TEST_CASE("a client whose routes have homes is sent to its own region and to homes, and nowhere else") {
     auto members = some_gateways();
     add(members, "d1", "zone-d", "south");
-    const configuration::HomeRegions homes = std::vector<std::string>{"south", "west"};
-    CHECK(named(members, {"east", "zone-a"}, homes) == Addresses{"a1:80"});
+    const auto far = table_with({"south", "west"});
+    CHECK(named(members, "east", "zone-a", far) == Addresses{"a1:80"});
+    members["a1"].ready = false;
+    members["b1"].ready = false;
+    CHECK(named(members, "east", "zone-a") == Addresses{"c1:80", "d1:80"});
+    CHECK(named(members, "east", "zone-a", far) == Addresses{"c1:80", "d1:80"});
+    CHECK(named(members, "east", "zone-a", table_with({"east", "south"})) == Addresses{"d1:80"});
+    CHECK(named(members, "east", "zone-a", table_with({"east"})).empty());
+    CHECK(named(members, "west", "zone-x", table_with({"east"})) == Addresses{"c1:80"});
+}
+
+TEST_CASE("of other regions those are named that are a home to the most tenants") {
+    auto members = some_gateways();
+    add(members, "d1", "zone-d", "south");
     members["a1"].ready = false;
     members["b1"].ready = false;
-    CHECK(named(members, {"east", "zone-a"}) == Addresses{"c1:80", "d1:80"});
-    CHECK(named(members, {"east", "zone-a"}, homes) == Addresses{"c1:80", "d1:80"});
-    CHECK(named(members, {"east", "zone-a"}, std::vector<std::string>{"east", "south"}) ==
-          Addresses{"d1:80"});
-    CHECK(named(members, {"east", "zone-a"}, std::vector<std::string>{"east"}).empty());
-    CHECK(named(members, {"east", "zone-a"}, std::vector<std::string>{}).empty());
-    CHECK(named(members, {"west", "zone-x"}, std::vector<std::string>{"east"}) == Addresses{"c1:80"});
+    const auto both = Addresses{"c1:80", "d1:80"};
+    CHECK(named(members, "east", "zone-a", table_with({}, {{"south"}})) == Addresses{"d1:80"});
+    CHECK(named(members, "east", "zone-a", table_with({}, {{"south"}, {"west"}})) == both);
+    CHECK(named(members, "east", "zone-a", table_with({}, {{"south"}, {"west"}, {"west", "east"}})) ==
+          Addresses{"c1:80"});
+    CHECK(named(members, "east", "zone-a", table_with({"south"}, {{"west"}})) == Addresses{"d1:80"});
+    CHECK(named(members, "east", "zone-a", table_with({}, {{"east"}, {}})) == both);
+}
+
+TEST_CASE("a gateway that knows no configuration sends nobody out of its region") {
+    auto members = some_gateways();
+    const wire::Member nobody;
+    CHECK(resolve(members, nobody, {"shop", "east", "zone-a"}, nullptr).addresses == Addresses{"a1:80"});
+    CHECK(resolve(members, nobody, {"shop", "north", "zone-x"}, nullptr).addresses.empty());
 }
 
 TEST_CASE("how far a client is sent is told") {
     auto members = some_gateways();
     const wire::Member nobody;
-    CHECK(resolve(members, nobody, {"east", "zone-a"}, {}).reach == Reach::zone);
-    CHECK(resolve(members, nobody, {"east", "zone-x"}, {}).reach == Reach::region);
-    CHECK(resolve(members, nobody, {"north", "zone-x"}, {}).reach == Reach::elsewhere);
-    CHECK(resolve({}, nobody, {"east", "zone-a"}, {}).reach == Reach::elsewhere);
+    const auto table = table_with({});
+    CHECK(resolve(members, nobody, {"shop", "east", "zone-a"}, &table).reach == Reach::zone);
+    CHECK(resolve(members, nobody, {"shop", "east", "zone-x"}, &table).reach == Reach::region);
+    CHECK(resolve(members, nobody, {"shop", "north", "zone-x"}, &table).reach == Reach::elsewhere);
+    CHECK(resolve({}, nobody, {"shop", "east", "zone-a"}, &table).reach == Reach::elsewhere);
 }
 
 TEST_CASE("the answering gateway goes by itself and not by what the members say of it") {
     auto members = some_gateways();
+    const auto table = table_with({});
     wire::Member self = members["a1"];
     members.erase("a1");
     members.erase("b1");
-    CHECK(resolve(members, self, {"east", "zone-a"}, {}).addresses == Addresses{"a1:80"});
+    CHECK(resolve(members, self, {"shop", "east", "zone-a"}, &table).addresses == Addresses{"a1:80"});
     members["a1"] = self;
     self.ready = false;
-    CHECK(resolve(members, self, {"east", "zone-a"}, {}).addresses == Addresses{"c1:80"});
+    CHECK(resolve(members, self, {"shop", "east", "zone-a"}, &table).addresses == Addresses{"c1:80"});
 }
 
 TEST_CASE("a client is told no more addresses than it can use") {
     std::map<std::string, wire::Member> members;
     for (int n = 0; n < 100; ++n) add(members, "g" + std::to_string(n), "zone-a", "east");
-    CHECK(named(members, {"east", "zone-a"}).size() == most_addresses);
+    CHECK(named(members, "east", "zone-a").size() == most_addresses);
 }
 
 TEST_CASE("endpoints have their distance and region") {
