A retry budget: further attempts of all gateways together stay within the rule

Change: gateway/retry_budget, a bucket a service that requests fill, that starts empty, holds a share of the slack and outlives pools; a request without budget is refused, with a time to come back; explain-bounds prints the sum.

--- a/src/explain/bounds.cpp
+++ b/src/explain/bounds.cpp
@@ -87,6 +87,22 @@
     return text;
 }
 
+// docs/system.md derives it: what a bucket holds at a window's begin, and what requests bring within it.
+std::string retries_table(const settings::Bounds& bounds, const gateway::RetryBound& bound, int gateways) {
+    const gateway::RetryShare share = gateway::retry_share(bound, static_cast<std::size_t>(gateways));
+    std::string text =
+        "Further attempts to one service, over " + std::to_string(gateways) + " gateways, in any ";
+    text += line("%.1f s:", Seconds(bounds.retry_window).count());
+    const auto row = [](const std::string& name, double ratio, double beyond) {
+        constexpr std::size_t width = 40;
+        return padded("  " + name, width) + line("%5.2f x requests + %8.1f", ratio, beyond);
+    };
+    text += row("the rule", bound.ratio, bound.slack);
+    text += row("worst", share.per_request, share.capacity * gateways);
+    text += row("one gateway", share.per_request, share.capacity);
+    return text;
+}
+
 double milliseconds_of(runtime::Time time) {
     return static_cast<double>(time) / runtime::tenths_per_millisecond;
 }
@@ -117,8 +133,10 @@
                            const configuration::Configuration& configuration, int gateways) {
     const settings::Bounds& bounds = settings.invariants.bounds;
     const gateway::ColdBound cold_bound{bounds.cold_overshoot, bounds.cold_slack};
-    return tenants_table(configuration.tenants, gateway::quota_bound(settings), std::max(1, gateways)) +
-           "\n" + services_table(configuration.services, cold_bound) + "\n" + freshness_table(settings);
+    const int sharing = std::max(1, gateways);
+    return tenants_table(configuration.tenants, gateway::quota_bound(settings), sharing) + "\n" +
+           services_table(configuration.services, cold_bound) + "\n" +
+           retries_table(bounds, gateway::retry_bound(settings), sharing) + "\n" + freshness_table(settings);
 }
 
 }  // namespace dewweir::explain
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -38,6 +38,7 @@
     options.node = settings.self.node;
     options.locality = {settings.self.zone, settings.self.region, settings.network.zones};
     options.cold_bound = {bounds.cold_overshoot, bounds.cold_slack};
+    options.retry_bound = retry_bound(settings);
     options.list_lag = runtime::tenths(settings.substrate.cloud_api.max_lag) + list_margin;
     return options;
 }
--- a/src/gateway/proxy.cpp
+++ b/src/gateway/proxy.cpp
@@ -19,6 +19,8 @@
 constexpr std::string_view retry_without_configuration = "Retry-After: 0.5\r\n";
 // By then what fills the link has passed, and its age is known anew.
 constexpr std::string_view retry_with_old_list = "Retry-After: 1\r\n";
+// Some requests have come by then, and with them the budget for another attempt.
+constexpr runtime::Time retry_without_budget = 300 * runtime::tenths_per_millisecond;
 
 quota::TenantId number_of(std::string_view tenant) { return XXH3_64bits(tenant.data(), tenant.size()); }
 
@@ -37,6 +39,11 @@
     return text;
 }
 
+// Hosts that turn an attempt away have had it too.
+bool may_have_arrived(AttemptOutcome outcome) {
+    return outcome != AttemptOutcome::connect_failed && outcome != AttemptOutcome::not_sent;
+}
+
 PolicyOutcome verdict_of(const AttemptResult& result) {
     switch (result.outcome) {
         case AttemptOutcome::answered:
@@ -58,6 +65,7 @@
       locality_(options.locality),
       quotas_(quotas),
       cold_(options.node, options.cold_bound),
+      retry_budget_(options.retry_bound),
       front_(loop, *this),
       upstreams_(loop, *this),
       endpoints_(options.locality) {
@@ -90,6 +98,7 @@
     request.client = client;
     request.table = table_;
     request.routed = std::get<Routed>(result);
+    retry_budget_.requested(request.routed.pool.service);
     request.attempt_id = attempt_id;
     request.method = http_method_str(static_cast<http_method>(reader.method()));
     request.target = reader.target();
@@ -202,9 +211,12 @@
     Request* const request = requests_.find(id);
     if (!request) return;
     request->endpoint = endpoint;
+    const std::string& service = request->routed.pool.service;
+    if (request->arrived && !retry_budget_.allows(service)) return end_without_retry(id, *request);
     if (!request->client || request->streaming_up || !admit(endpoint)) {
         return attempt_dropped(id, *request, PolicyOutcome::not_sent);
     }
+    if (request->arrived) retry_budget_.spend(service);
     const std::string head =
         request_head(*request, endpoint, std::min(within, request->expires - loop_.now()));
     AttemptRequest sent;
@@ -250,6 +262,7 @@
     Request* const request = requests_.find(id);
     if (!request || !request->attempt) return;
     upstreams_.abandon(std::exchange(request->attempt, 0));
+    request->arrived = true;
     attempt_dropped(id, *request, PolicyOutcome::called_off);
 }
 
@@ -264,6 +277,11 @@
     });
 }
 
+void Proxy::end_without_retry(RequestId id, Request& request) {
+    attempt_dropped(id, request, PolicyOutcome::not_sent);
+    refuse(id, retry_without_budget);
+}
+
 // ---- what hosts answer ----
 
 // A host's own 408, 429 or 503 may come after it has run the request; from here it would be a promise that it
@@ -281,6 +299,7 @@
     request->last_outcome = result.outcome;
     if (!result.streamed) result.answer.status = status_for(*request, result.answer.status);
     const PolicyOutcome verdict = verdict_of(result);
+    request->arrived |= may_have_arrived(result.outcome);
     ServicePool* const pool = request->pool;
     if (result.streamed && request->client) {
         if (result.outcome == AttemptOutcome::answered) {
--- a/src/gateway/proxy.h
+++ b/src/gateway/proxy.h
@@ -11,6 +11,7 @@
 #include "gateway/endpoints.h"
 #include "gateway/front.h"
 #include "gateway/quota_client.h"
+#include "gateway/retry_budget.h"
 #include "gateway/routing.h"
 #include "gateway/service_pool.h"
 #include "gateway/upstreams.h"
@@ -23,6 +24,7 @@
         std::string node;
         Locality locality;
         ColdBound cold_bound;
+        RetryBound retry_bound;
         runtime::Time list_lag = 0;  // of the platform's list, until it has come here
     };
 
@@ -71,6 +73,7 @@
         AttemptId attempt = 0;           // while one is out
         EndpointId endpoint = 0;         // of the latest attempt
         bool sent = false;               // to any host
+        bool arrived = false;            // an attempt may have reached a host: the next one is a further one
         int untold = 0;                  // attempts whose end the pool is still to hear of
         std::optional<HostAnswer> held;  // a host's answer that is passed on if nothing better comes
         AttemptOutcome last_outcome = AttemptOutcome::not_sent;
@@ -103,6 +106,8 @@
     void forward_body(Request& request, net::HttpReader& reader);
     int status_for(const Request& request, int status) const;
     void attempt_dropped(RequestId id, Request& request, PolicyOutcome verdict);
+    // No further attempt is left for its service: it has not run, or may run again by a new try.
+    void end_without_retry(RequestId id, Request& request);
     void answer(RequestId id, Request& request, const AnswerHead& head, std::string_view body);
     void answer_error(ClientId client, int status, std::string_view fields);
     void forget_if_over(RequestId id);
@@ -114,6 +119,7 @@
     void refresh_endpoints();
     void drop_retired();
     void withdraw_attempts(const EndpointChanges& changes);
+    std::size_t gateways_known() const;
     int gateways_nearby() const;
     double cold_rate_of(const std::string& service) const;
     bool is_cold(const Endpoint& endpoint) const { return endpoint.cold_until > loop_.now(); }
@@ -127,6 +133,7 @@
     Locality locality_;
     QuotaClient& quotas_;
     ColdBudget cold_;
+    RetryBudget retry_budget_;
     std::map<EndpointId, std::unique_ptr<runtime::Timer>> cold_reviews_;
     Front front_;
     Upstreams upstreams_;
--- a/src/gateway/proxy_pools.cpp
+++ b/src/gateway/proxy_pools.cpp
@@ -47,6 +47,7 @@
     if (changes.members) {
         members_ = view.members();
         cold_.members_changed(members_);
+        retry_budget_.gateways_changed(gateways_known());
         refresh_pools();
     }
     EndpointChanges endpoints;
@@ -79,6 +80,12 @@
     for (const auto& [id, endpoint] : endpoints_.all()) upstreams_.withdraw(id);
 }
 
+std::size_t Proxy::gateways_known() const {
+    return static_cast<std::size_t>(std::count_if(members_.begin(), members_.end(), [](const auto& member) {
+        return member.second.role == wire::Role::gateway;
+    }));
+}
+
 int Proxy::gateways_nearby() const {
     const auto nearby = std::count_if(members_.begin(), members_.end(), [&](const auto& member) {
         return member.second.role == wire::Role::gateway && member.second.zone == locality_.zone;
--- a/tests/explain/bounds.cpp
+++ b/tests/explain/bounds.cpp
@@ -14,6 +14,9 @@
     settings.invariants.bounds.quota_slack = 20;
     settings.invariants.bounds.cold_overshoot = 1.5;
     settings.invariants.bounds.cold_slack = 5;
+    settings.invariants.bounds.retry_ratio = 0.2;
+    settings.invariants.bounds.retry_window = std::chrono::seconds(10);
+    settings.invariants.bounds.retry_slack = 62;
     settings.invariants.bounds.config_apply = std::chrono::milliseconds(2500);
     settings.invariants.fault_budget.machines = 1;
     return settings;
@@ -41,6 +44,7 @@
     // A search for a control plane: 2 x 200 + 3 x 150 + 200 = 1050 ms of the 2500.
     // alfa: (60 x 5 + 60) x 1.1 + 20 = 416; of it 0.93 = 386.9; window (386.9 - 300) / 60 = 1.448 s with 60
     // x 1.448; a gateway of ten has a tenth of both, so that one cut off adds 8.7 + 6 x 5.
+    // Further attempts: 0.9 of 0.2 and of 62, a tenth of which is one gateway's.
     CHECK(explain::explain_bounds(rules_of_a_site(), configuration, 10) ==
           "Quotas over 10 gateways, requests in any 5.0 s:\n"
           "tenant       window s  in window  the rule     worst   one cut    bucket  bucket/s\n"
@@ -53,6 +57,11 @@
           "fast        24.50     11.00      12.25       24.50\n"
           "unknown  not told: as if 0\n"
           "\n"
+          "Further attempts to one service, over 10 gateways, in any 10.0 s:\n"
+          "  the rule                               0.20 x requests +     62.0\n"
+          "  worst                                  0.18 x requests +     55.8\n"
+          "  one gateway                            0.18 x requests +      5.6\n"
+          "\n"
           "From an acknowledged change to a gateway, ms:\n"
           "  the rule (config_apply)                                 2500\n"
           "  worst case with 2 control planes silent                 2500\n"
--- a/tests/gateway_sockets/world.h
+++ b/tests/gateway_sockets/world.h
@@ -16,10 +16,10 @@
 
 class World {
   public:
-    explicit World(const configuration::ClientLimits& limits = {})
+    explicit World(const configuration::ClientLimits& limits = {}, const RetryBound& retries = {})
         : loop_(most_connections),
           quotas_(loop_, "gateway", {}),
-          proxy_(loop_, quotas_, options()),
+          proxy_(loop_, quotas_, options(retries)),
           host_(loop_.io(), {asio::ip::make_address_v4("127.0.0.1"), 0}) {
         accept();
         REQUIRE_FALSE(proxy_.front().listen(front_address()));
@@ -103,8 +103,9 @@
   private:
     static constexpr std::size_t most_connections = 1000;
 
-    static Proxy::Options options() {
+    static Proxy::Options options(const RetryBound& retries) {
         Proxy::Options options;
+        options.retry_bound = retries;
         options.node = "gateway";
         options.locality = {"zone", "region", {{"zone", "region"}}};
         return options;
