Clients can't fill the gateway's log and memory with regions that there are not; one way to log a refusal

Need: found on reading the change again: the directory kept every region that a client named. Change: only regions of the settings are told of.

--- a/src/control_plane/operator_api.cpp
+++ b/src/control_plane/operator_api.cpp
@@ -12,13 +12,12 @@
 // When a caller may come back while no leader is known, in seconds.
 constexpr std::string_view retry_without_leader = "0.3";
 
-// What the log says of a configuration that is not taken; `version` 0: not known.
-void log_refusal(std::uint32_t base, std::uint32_t version, std::string_view reason, std::string_view place) {
+// Its version is not known where it can't be read.
+void log_refusal(configuration::Version base, const configuration::Rejection& rejection) {
     logging::log(logging::Level::info, logging::Event::configuration_refused,
-                 {{"base", static_cast<std::int64_t>(base)},
-                  {"version", static_cast<std::int64_t>(version)},
-                  {"reason", reason},
-                  {"place", place}});
+                 {{"base", static_cast<std::int64_t>(base.number)},
+                  {"reason", configuration::to_string(rejection.reason)},
+                  {"place", std::string_view(rejection.path)}});
 }
 
 api::Response rejected(const configuration::Rejection& rejection) {
@@ -109,8 +108,7 @@
     const auto base = configuration::parse_if_match(request.if_match);
     const configuration::ParseResult parsed = read_proposal(request.body);
     if (const auto* const rejection = std::get_if<configuration::Rejection>(&parsed)) {
-        log_refusal(base.value_or(configuration::Version{}).number, 0,
-                    configuration::to_string(rejection->reason), rejection->path);
+        log_refusal(base.value_or(configuration::Version{}), *rejection);
         return respond(rejected(*rejection));
     }
     if (!base) {
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -57,6 +57,12 @@
     return buffer.GetString();
 }
 
+std::set<std::string> regions_of(const settings::Settings& settings) {
+    std::set<std::string> regions;
+    for (const auto& [zone, region] : settings.network.zones) regions.insert(region);
+    return regions;
+}
+
 class Process {
   public:
     Process(const settings::Settings& settings, const std::string& path)
@@ -73,6 +79,7 @@
           directory_(loop_, most_call_bytes),
           shutdown_(runtime::tenths(settings.invariants.bounds.grace)),
           shutdown_check_(loop_),
+          regions_(regions_of(settings)),
           watch_(loop_, path, [this](const settings::Settings& changed) { settings_changed(changed); }) {
         declare_calls();
     }
@@ -113,6 +120,7 @@
     // Tells when clients of a region begin to be sent out of it, and when that ends.
     void log_reach(const std::string& region, const Resolution& resolution) {
         if (control_.view().members().empty()) return;  // just started: nothing is known yet
+        if (!regions_.contains(region)) return;         // a client may name any
         const bool left = resolution.reach > Reach::region;
         const bool changed = left ? regions_left_.insert(region).second : regions_left_.erase(region) > 0;
         if (!changed) return;
@@ -223,7 +231,8 @@
     api::Server directory_;
     Shutdown shutdown_;
     runtime::Timer shutdown_check_;
-    std::set<std::string> regions_left_;  // whose clients were last sent to other regions
+    const std::set<std::string> regions_;  // that there are
+    std::set<std::string> regions_left_;   // of these: whose clients were last sent to other regions
     process::SettingsWatch watch_;
 };
 
