--- a/src/control/instance_poller.cpp
+++ b/src/control/instance_poller.cpp
@@ -29,6 +29,7 @@
     if (client_.busy()) return again_later();
     gathered_.clear();
     begun_at_ = loop_.now();
+    pages_ = 0;
     ask({});
 }
 
@@ -42,9 +43,10 @@
     if (result.error != api::CallError::none || result.status != 200) return failed();
     std::optional<InstancePage> page = parse_instance_page(result.body);
     if (!page) return failed();
+    ++pages_;
     gathered_.merge(page->instances);
     if (page->next_token && !page->next_token->empty()) return ask(*page->next_token);
-    read_(gathered_, begun_at_);
+    read_(gathered_, begun_at_, pages_);
     again_later();
 }
 
--- a/src/control/instance_poller.h
+++ b/src/control/instance_poller.h
@@ -11,8 +11,8 @@
 
 class InstancePoller {
   public:
-    // `begun_at`: the list shows at least what the platform showed then.
-    using Read = std::function<void(const Instances&, runtime::Time begun_at)>;
+    // `begun_at`: the list shows at least what the platform showed then. `pages`: how many calls it took.
+    using Read = std::function<void(const Instances&, runtime::Time begun_at, unsigned pages)>;
 
     InstancePoller(runtime::EventLoop& loop, const asio::ip::tcp::endpoint& platform, Read read);
 
@@ -35,6 +35,7 @@
     bool running_ = false;
     Instances gathered_;
     runtime::Time begun_at_ = 0;
+    unsigned pages_ = 0;  // of the reading under way
 };
 
 }  // namespace dewweir::control
--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -60,7 +60,8 @@
     if (view_.evacuations().index != before) broadcast(evacuations);
 }
 
-void FleetServer::instances_read(const control::Instances& instances, runtime::Time begun_at) {
+void FleetServer::instances_read(const control::Instances& instances, runtime::Time begun_at,
+                                 unsigned pages) {
     if (!log_.leads()) return;
     list_as_of_ = begun_at;
     // A leader's first list is whole: others may hold what this process never knew.
@@ -75,7 +76,10 @@
     logging::log(Level::info, Event::instance_list_published,
                  {{"revision", static_cast<std::int64_t>(update.revision.number)},
                   {"changed", static_cast<std::int64_t>(update.changed.size())},
-                  {"gone", static_cast<std::int64_t>(update.gone.size())}});
+                  {"gone", static_cast<std::int64_t>(update.gone.size())},
+                  {"pages", static_cast<std::int64_t>(pages)},
+                  {"reading_ms",
+                   static_cast<std::int64_t>((loop_.now() - begun_at) / runtime::tenths_per_millisecond)}});
 }
 
 wire::Revision FleetServer::next_revision() { return {log_.term(), ++published_}; }
--- a/src/control_plane/fleet_server.h
+++ b/src/control_plane/fleet_server.h
@@ -30,8 +30,9 @@
     void publish_state();
     // This process leads now, or no longer, or another leader is known.
     void leadership_changed();
-    // The platform's list as just read; at the leader alone. It is no older than `begun_at`.
-    void instances_read(const control::Instances& instances, runtime::Time begun_at);
+    // The platform's list as just read, in so many pages; at the leader alone. It is no older than
+    // `begun_at`.
+    void instances_read(const control::Instances& instances, runtime::Time begun_at, unsigned pages);
 
     // For how long changes may have been acknowledged, or news told by the leader, that this process lacks;
     // nothing where it was never in step.
--- a/src/control_plane/process.cpp
+++ b/src/control_plane/process.cpp
@@ -64,8 +64,8 @@
           server_(loop_, most_call_bytes),
           api_(server_, log_, fleet_),
           poller_(loop_, transport::tcp_endpoint(settings.substrate.cloud_api.address),
-                  [this](const control::Instances& instances, runtime::Time begun_at) {
-                      fleet_.instances_read(instances, begun_at);
+                  [this](const control::Instances& instances, runtime::Time begun_at, unsigned pages) {
+                      fleet_.instances_read(instances, begun_at, pages);
                   }),
           end_(loop_),
           watch_(loop_, path,
--- a/src/gateway/control_session.h
+++ b/src/gateway/control_session.h
@@ -32,6 +32,7 @@
 
     const distribution::View& view() const { return view_; }
     const wire::Member& self() const { return self_; }
+    const ListLease& lease() const { return lease_; }
 
   private:
     std::vector<std::string> candidates() const;
--- a/src/gateway/list_lease.h
+++ b/src/gateway/list_lease.h
@@ -5,7 +5,7 @@
 // compared. Pure.
 #pragma once
 
-#include <cstdint>
+#include <optional>
 
 #include "runtime/event_loop.h"
 
@@ -26,11 +26,14 @@
     bool holds() const { return holds_; }
     // Of the last stamp, there and back.
     runtime::Time round_trip() const { return round_trip_; }
+    // How old the list is at most, by the stamps that are back; nothing until the first one is.
+    std::optional<runtime::Time> list_age(runtime::Time now) const;
 
   private:
     runtime::Time drain_;
     runtime::Time round_trip_ = 0;
     runtime::Time echoed_at_ = 0;
+    std::optional<runtime::Time> as_of_;  // all news that the platform told before is in the list
     bool holds_ = true;
 };
 
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -63,6 +63,11 @@
     return regions;
 }
 
+// For a log line; -1 for a time that is not known.
+std::int64_t milliseconds(std::optional<runtime::Time> time) {
+    return time ? static_cast<std::int64_t>(*time / runtime::tenths_per_millisecond) : -1;
+}
+
 class Process {
   public:
     Process(const settings::Settings& settings, const std::string& path)
@@ -161,8 +166,8 @@
     void lease_changed(const ListLease& lease) {
         logging::log(lease.holds() ? Level::info : Level::warning,
                      lease.holds() ? Event::list_lease_renewed : Event::list_lease_lost,
-                     {{"round_trip_ms",
-                       static_cast<std::int64_t>(lease.round_trip() / runtime::tenths_per_millisecond)}});
+                     {{"round_trip_ms", milliseconds(lease.round_trip())},
+                      {"list_age_ms", milliseconds(lease.list_age(loop_.now()))}});
         proxy_.set_list_young(lease.holds());
     }
 
@@ -170,7 +175,8 @@
         const auto revision = control_.view().instances_revision().number;
         logging::log(Level::info, Event::instance_list_applied,
                      {{"revision", static_cast<std::int64_t>(revision)},
-                      {"connecting", static_cast<std::int64_t>(proxy_.connecting())}});
+                      {"connecting", static_cast<std::int64_t>(proxy_.connecting())},
+                      {"held_age_ms", milliseconds(control_.lease().list_age(loop_.now()))}});
     }
 
     void take_configuration(const wire::ConfigurationUpdate& update) {
