--- a/tests/system/platform.py
+++ b/tests/system/platform.py
@@ -21,6 +21,7 @@
     max_lag_s: float = 0.4
     rate_per_s: float = 40.0
     page_size: int = 4
+    round_trip_s: float = 0.0  # of a call, half of it before the list is looked at
 
 
 @dataclass
@@ -47,6 +48,7 @@
     hosts: list = field(default_factory=list)
     counts: PlatformCounts = field(default_factory=PlatformCounts)
     ready: dict = field(default_factory=dict)
+    first_page: asyncio.Event = field(default_factory=asyncio.Event)  # set whenever a first page is answered
     _snapshots: list = field(default_factory=list)
     _tokens: float = 0.0
     _refilled: float = 0.0
@@ -116,7 +118,10 @@
         try:
             while True:
                 request = await wire.read_request(reader)
-                writer.write(wire.encode_answer(self.answer(request)))
+                await asyncio.sleep(self.plan.round_trip_s / 2)
+                answer = self.answer(request)
+                await asyncio.sleep(self.plan.round_trip_s / 2)
+                writer.write(wire.encode_answer(answer))
                 await writer.drain()
                 if request.headers.has_token("Connection", "close"):
                     break
@@ -138,6 +143,8 @@
         start = _page_start(query.get("page_token", [None])[0])
         if start is None:
             return wire.Answer(400, wire.Headers())
+        if start == 0:
+            self.first_page.set()
         zone = query.get("zone", [None])[0]
         entries = [self._entry(*seen) for seen in self._list_seen()]
         entries = [entry for entry in entries if zone in (None, entry["zone"])]
--- a/tests/system/world.py
+++ b/tests/system/world.py
@@ -78,6 +78,7 @@
 
     bounds: dict = field(default_factory=dict)
     link_mbps: float = 1000.0
+    platform: dict = field(default_factory=dict)  # figures of the platform's plan
     gateway_zones: list = field(default_factory=lambda: list(GATEWAY_ZONES))
 
 
@@ -94,7 +95,7 @@
         for ip, (service, zone) in zip(host_ips, _host_places()):
             host_plan = HostPlan(service, zone, wire.Address(ip, ports.front))
             self.hosts.append(Host(host_plan, self.ledger))
-        self.platform = Platform(PlatformPlan(wire.Address(PLATFORM_IP, ports.front)), self.hosts)
+        self.platform = Platform(PlatformPlan(wire.Address(PLATFORM_IP, ports.front), **plan.platform), self.hosts)
         fleet_plan = FleetPlan(program, machines, ZONES, self.platform.plan.address, ports, plan.bounds)
         fleet_plan.link_mbps = plan.link_mbps
         self.fleet = Fleet(fleet_plan, self.ledger)
