A long list of hosts is read zone by zone, all at once; its age is told as it is

Callers saw requests at hosts that had left for longer than drain. Cause: the platform's list was read page after page, each a round trip, so a reading took as long as there are pages (0.7 to 0.87 s for six, 2.6 s at the design's size), news waited for up to two readings, and the age told to gateways ended at 1.5 s, so that no lease saw it. Now zones are read in parallel on connections of their own, calls stay within half of the platform's rate, a reading that fails is told to the leader's age, and only there or while the core is in trouble the age is capped. Of a host on two pages the later one counts (it was the earlier). Tokens and zones are escaped in queries.

--- a/src/control/instance_poller.h
+++ b/src/control/instance_poller.h
@@ -1,41 +1,68 @@
-// Reads the platform's whole list at an interval, page after page. Owns the connection to the platform. It
-// must never run in more than one process at a time for long: calls are priced and limited for all together.
+// Reads the platform's whole list at an interval. A list of one page is read by one call; a longer one zone
+// by zone, all at once, so that a reading takes little longer than its largest zone's pages. Owns the
+// connections to the platform. It must never run in more than one process at a time for long: calls are
+// priced and limited for all together.
 #pragma once
 
 #include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
 
-#include "api/client.h"
-#include "control/instance_list.h"
+#include "control/page_walk.h"
 
 namespace dewweir::control {
 
+// A reading of the whole list.
+struct InstanceReading {
+    Instances instances{};
+    runtime::Time begun_at = 0;  // the list shows at least what the platform showed then
+    unsigned pages = 0;          // how many calls it took
+};
+
+struct PollerOptions {
+    std::set<std::string> zones;  // that hosts may be in
+    runtime::Time interval = 0;   // between the beginnings of two readings
+    double calls_per_s = 0;       // that the platform takes from all processes; half of them are used at most
+};
+
 class InstancePoller {
   public:
-    // `begun_at`: the list shows at least what the platform showed then. `pages`: how many calls it took.
-    using Read = std::function<void(const Instances&, runtime::Time begun_at, unsigned pages)>;
+    using Read = std::function<void(const InstanceReading&)>;
+    using Failed = std::function<void()>;
 
-    InstancePoller(runtime::EventLoop& loop, const asio::ip::tcp::endpoint& platform, Read read);
+    InstancePoller(runtime::EventLoop& loop, const asio::ip::tcp::endpoint& platform, PollerOptions options,
+                   Read read, Failed failed);
 
-    void start(runtime::Time interval);
+    void start();
     void stop();
-    bool running() const { return running_; }
+    void set_zones(const std::set<std::string>& zones) { options_.zones = zones; }
 
   private:
+    std::vector<std::optional<std::string>> parts() const;
+    PageWalk* idle_walk();
     void begin();
-    void ask(const std::string& page_token);
-    void answered(const api::CallResult& result);
-    void failed();
+    void walked(PageWalkResult&& result);
+    void whole();
     void again_later();
+    runtime::Time interval() const;
 
     runtime::EventLoop& loop_;
+    asio::ip::tcp::endpoint platform_;
+    PollerOptions options_;
     Read read_;
-    api::Client client_;
+    Failed failed_;
+    std::vector<std::unique_ptr<PageWalk>> walks_;
     runtime::Timer timer_;
-    runtime::Time interval_ = 0;
     bool running_ = false;
-    Instances gathered_;
-    runtime::Time begun_at_ = 0;
-    unsigned pages_ = 0;  // of the reading under way
+    std::uint64_t number_ = 0;     // of the reading under way, or of the last one
+    std::size_t outstanding_ = 0;  // walks of it
+    bool complete_ = true;         // all of its walks that have ended
+    InstanceReading reading_;
+    std::set<std::string> zones_seen_;
+    std::size_t listed_ = 0;     // hosts in the last reading; 0: it failed
+    std::size_t page_size_ = 0;  // the largest page that another one followed; 0: not known
 };
 
 }  // namespace dewweir::control
--- /dev/null
+++ b/src/control/page_walk.cpp
@@ -0,0 +1,73 @@
+#include "control/page_walk.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace dewweir::control {
+namespace {
+
+constexpr std::size_t most_page_bytes = 4u << 20;
+constexpr runtime::Time call_limit = runtime::tenths_per_second;
+
+// RFC 3986: what is not unreserved is escaped.
+std::string percent_encoded(const std::string& text) {
+    constexpr std::string_view unreserved_marks = "-._~";
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char letter : text) {
+        const auto byte = static_cast<unsigned char>(letter);
+        if (std::isalnum(byte) || unreserved_marks.find(letter) != std::string_view::npos) {
+            encoded.push_back(letter);
+        } else {
+            encoded.append({'%', digits[byte >> 4], digits[byte & 15]});
+        }
+    }
+    return encoded;
+}
+
+}  // namespace
+
+std::string page_target(const std::optional<std::string>& zone, const std::string& page_token) {
+    std::string query;
+    if (zone) query.append("&zone=").append(percent_encoded(*zone));
+    if (!page_token.empty()) query.append("&page_token=").append(percent_encoded(page_token));
+    if (query.empty()) return "/instances";
+    return "/instances?" + query.substr(1);
+}
+
+PageWalk::PageWalk(runtime::EventLoop& loop, const asio::ip::tcp::endpoint& platform)
+    : client_(loop, platform, most_page_bytes) {}
+
+void PageWalk::start(const std::optional<std::string>& zone, Done done) {
+    zone_ = zone;
+    result_ = {};
+    done_ = std::move(done);
+    ask({});
+}
+
+void PageWalk::ask(const std::string& page_token) {
+    client_.get(page_target(zone_, page_token), call_limit,
+                [this](const api::CallResult& result) { answered(result); });
+}
+
+void PageWalk::answered(const api::CallResult& result) {
+    if (result.error != api::CallError::none || result.status != 200) return end(false);
+    std::optional<InstancePage> page = parse_instance_page(result.body);
+    if (!page) return end(false);
+    ++result_.pages;
+    const std::size_t entries = page->instances.size();
+    // Where the list has changed since, the later page tells of it.
+    for (auto& [id, instance] : page->instances) result_.instances[id] = std::move(instance);
+    if (!page->next_token || page->next_token->empty()) return end(true);
+    result_.page_size = std::max(result_.page_size, entries);
+    ask(*page->next_token);
+}
+
+void PageWalk::end(bool complete) {
+    result_.complete = complete;
+    const Done done = std::exchange(done_, nullptr);
+    done(std::move(result_));
+}
+
+}  // namespace dewweir::control
--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -14,9 +14,9 @@
 
 namespace {
 
-// A reading every 0.7 s, the reading itself, and a follower's wait for the leader's next heartbeat. Beyond
-// that the platform or the core is in trouble, and the age says no more of how long news takes.
-constexpr runtime::Time longest_list_age = 1500 * runtime::tenths_per_millisecond;
+// Where the platform doesn't tell its list, or the core is in trouble, nobody can know newer news: the age of
+// what is known then says nothing of how long news takes.
+constexpr runtime::Time longest_age_in_trouble = 1500 * runtime::tenths_per_millisecond;
 
 }  // namespace
 
@@ -60,14 +60,14 @@
     if (view_.evacuations().index != before) broadcast(evacuations);
 }
 
-void FleetServer::instances_read(const control::Instances& instances, runtime::Time begun_at,
-                                 unsigned pages) {
+void FleetServer::instances_read(const control::InstanceReading& reading) {
     if (!log_.leads()) return;
-    list_as_of_ = begun_at;
+    list_as_of_ = reading.begun_at;
+    list_read_ = true;
     // A leader's first list is whole: others may hold what this process never knew.
     const bool whole = view_.instances_revision().term != log_.term();
-    wire::InstancesUpdate update =
-        distribution::instances_difference(whole ? control::Instances() : view_.instances(), instances);
+    wire::InstancesUpdate update = distribution::instances_difference(
+        whole ? control::Instances() : view_.instances(), reading.instances);
     update.whole = whole;
     if (!whole && update.changed.empty() && update.gone.empty()) return;
     update.revision = next_revision();
@@ -77,9 +77,9 @@
                  {{"revision", static_cast<std::int64_t>(update.revision.number)},
                   {"changed", static_cast<std::int64_t>(update.changed.size())},
                   {"gone", static_cast<std::int64_t>(update.gone.size())},
-                  {"pages", static_cast<std::int64_t>(pages)},
-                  {"reading_ms",
-                   static_cast<std::int64_t>((loop_.now() - begun_at) / runtime::tenths_per_millisecond)}});
+                  {"pages", static_cast<std::int64_t>(reading.pages)},
+                  {"reading_ms", static_cast<std::int64_t>((loop_.now() - reading.begun_at) /
+                                                           runtime::tenths_per_millisecond)}});
 }
 
 wire::Revision FleetServer::next_revision() { return {log_.term(), ++published_}; }
@@ -171,6 +171,7 @@
 void FleetServer::leadership_changed() {
     if (log_.leads() && !led_) {
         published_ = 0;
+        list_read_ = false;
         std::vector<wire::Member> known;
         for (const auto& [node, member] : view_.members()) known.push_back(member);
         members_ = control::MemberTable();
@@ -236,7 +237,11 @@
     sessions_.send(session, answer);
 }
 
-runtime::Time FleetServer::list_age() const { return std::min(loop_.now() - list_as_of_, longest_list_age); }
+runtime::Time FleetServer::list_age() const {
+    const runtime::Time age = loop_.now() - list_as_of_;
+    const bool newer_can_be_known = log_.leads() ? list_read_ : in_step();
+    return newer_can_be_known ? age : std::min(age, longest_age_in_trouble);
+}
 
 void FleetServer::from_leader(const wire::Message& message) {
     if (const auto* const heartbeat = std::get_if<wire::Heartbeat>(&message)) {
--- a/src/control_plane/fleet_server.h
+++ b/src/control_plane/fleet_server.h
@@ -7,7 +7,7 @@
 #include <map>
 #include <set>
 
-#include "control/instance_list.h"
+#include "control/instance_poller.h"
 #include "control/member_table.h"
 #include "control_plane/replicated_log.h"
 #include "distribution/view.h"
@@ -30,9 +30,10 @@
     void publish_state();
     // This process leads now, or no longer, or another leader is known.
     void leadership_changed();
-    // The platform's list as just read, in so many pages; at the leader alone. It is no older than
-    // `begun_at`.
-    void instances_read(const control::Instances& instances, runtime::Time begun_at, unsigned pages);
+    // The platform's list as just read; at the leader alone.
+    void instances_read(const control::InstanceReading& reading);
+    // The platform did not tell its list.
+    void instances_unread() { list_read_ = false; }
 
     // For how long changes may have been acknowledged, or news told by the leader, that this process lacks;
     // nothing where it was never in step.
@@ -86,6 +87,7 @@
     control::MemberTable members_;
     std::uint64_t published_ = 0;   // updates in this term
     runtime::Time list_as_of_ = 0;  // all news of instances that the platform told before is in the view
+    bool list_read_ = false;        // by this leader, at its last attempt
     transport::SessionId to_leader_ = 0;
     runtime::Time leader_told_at_ = 0;
     std::string leader_address_;  // that `to_leader_` goes to
--- a/src/control_plane/process.cpp
+++ b/src/control_plane/process.cpp
@@ -1,6 +1,7 @@
 #include "control_plane/process.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "control/instance_poller.h"
@@ -49,6 +50,16 @@
     return options;
 }
 
+std::set<std::string> zones_of(const settings::Settings& settings) {
+    std::set<std::string> zones;
+    for (const auto& [zone, region] : settings.network.zones) zones.insert(zone);
+    return zones;
+}
+
+control::PollerOptions poller_options(const settings::Settings& settings) {
+    return {zones_of(settings), poll_interval, settings.substrate.cloud_api.rate_per_s};
+}
+
 class Process : LogUser {
   public:
     Process(const settings::Settings& settings, const std::string& path)
@@ -63,13 +74,12 @@
           fleet_(loop_, sessions_, self_, log_, freshness_limit(settings)),
           server_(loop_, most_call_bytes),
           api_(server_, log_, fleet_),
-          poller_(loop_, transport::tcp_endpoint(settings.substrate.cloud_api.address),
-                  [this](const control::Instances& instances, runtime::Time begun_at, unsigned pages) {
-                      fleet_.instances_read(instances, begun_at, pages);
-                  }),
+          poller_(
+              loop_, transport::tcp_endpoint(settings.substrate.cloud_api.address), poller_options(settings),
+              [this](const control::InstanceReading& reading) { fleet_.instances_read(reading); },
+              [this] { fleet_.instances_unread(); }),
           end_(loop_),
-          watch_(loop_, path,
-                 [this](const settings::Settings& changed) { log_.set_seeds(internal_seeds(changed)); }) {}
+          watch_(loop_, path, [this](const settings::Settings& changed) { settings_changed(changed); }) {}
 
     int run() {
         if (!listen()) return exit_cannot_listen;
@@ -126,6 +136,11 @@
         loop_.stop();
     }
 
+    void settings_changed(const settings::Settings& changed) {
+        log_.set_seeds(internal_seeds(changed));
+        poller_.set_zones(zones_of(changed));
+    }
+
     void state_changed() override {
         fleet_.publish_state();
         const std::uint32_t version = log_.state().configuration().version;
@@ -137,7 +152,7 @@
     void leadership_changed() override {
         fleet_.leadership_changed();
         if (log_.leads()) {
-            poller_.start(poll_interval);
+            poller_.start();
         } else {
             poller_.stop();
         }
--- /dev/null
+++ b/tests/control/instance_poller.cpp
@@ -0,0 +1,111 @@
+// Readings of the platform's list from a stand-in on a real socket; what it answers, and when, is said here.
+#include "control/instance_poller.h"
+
+#include <catch2/catch.hpp>
+
+#include "api/server.h"
+
+using namespace dewweir;
+using namespace dewweir::control;
+
+namespace {
+
+constexpr std::chrono::seconds patience{5};
+constexpr std::uint16_t first_port = 35000;
+constexpr std::uint16_t last_port = 35800;
+constexpr runtime::Time interval = 10 * runtime::tenths_per_millisecond;
+
+std::string page(const std::string& id, const std::string& state, const std::string& zone,
+                 const std::string& next) {
+    return R"({"instances":{")" + zone + R"(":[{"id":")" + id + R"(","backend":"b","address":"a","state":")" +
+           state + R"("}]},"next_token":")" + next + R"("})";
+}
+
+struct Platform {
+    Platform() : loop(64), server(loop, 1 << 16) {
+        server.declare("GET", "/instances", [this](const api::Request& request, const api::Respond& respond) {
+            asked.emplace_back(request.query);
+            answers.push_back(respond);
+        });
+        while (port < last_port && server.listen({address, port})) ++port;
+        REQUIRE(port < last_port);
+        poller.emplace(
+            loop, asio::ip::tcp::endpoint(address, port), PollerOptions{{"z 1", "z2"}, interval, 0},
+            [this](const InstanceReading& reading) { readings.push_back(reading); }, [this] { ++failures; });
+        poller->start();
+    }
+    ~Platform() { loop.io().stop(); }
+
+    void until(const std::function<bool()>& reached) {
+        const auto end = std::chrono::steady_clock::now() + patience;
+        while (!reached() && std::chrono::steady_clock::now() < end) {
+            loop.deadlines().run_passed();
+            loop.io().run_one_until(std::min(loop.deadlines().next(), end));
+        }
+        REQUIRE(reached());
+    }
+    // The call with this number is out, and is answered.
+    void answer(std::size_t call, const std::string& body, api::Status status = api::Status::ok) {
+        until([&] { return asked.size() > call; });
+        answers[call]({status, body});
+    }
+
+    const asio::ip::address_v4 address = asio::ip::make_address_v4("127.0.0.1");
+    runtime::EventLoop loop;
+    api::Server server;
+    std::uint16_t port = first_port;
+    std::vector<std::string> asked;  // queries
+    std::vector<api::Respond> answers;
+    std::vector<InstanceReading> readings;
+    int failures = 0;
+    std::optional<InstancePoller> poller;
+};
+
+}  // namespace
+
+TEST_CASE("a list of one page is read by one call") {
+    Platform platform;
+    platform.answer(0, page("i", "ready", "z2", ""));
+    platform.until([&] { return platform.asked.size() == 2; });
+    REQUIRE(platform.readings.size() == 1);
+    CHECK(platform.readings[0].pages == 1);
+    CHECK(platform.asked == std::vector<std::string>{"", ""});
+}
+
+TEST_CASE("a longer list is asked for zone by zone, all at once, and is whole with the last answer") {
+    Platform platform;
+    platform.answer(0, page("i", "ready", "z 1", "t/1"));
+    platform.answer(1, page("j", "ready", "z3", ""));
+    CHECK(platform.asked[1] == "page_token=t%2F1");
+    // Also the zone that was only seen in the list.
+    platform.until([&] { return platform.asked.size() == 5; });
+    CHECK(std::vector<std::string>(platform.asked.begin() + 2, platform.asked.end()) ==
+          std::vector<std::string>{"zone=z%201", "zone=z2", "zone=z3"});
+    platform.answer(2, page("i", "ready", "z 1", ""));
+    platform.answer(3, R"({"instances":{}})");
+    CHECK(platform.readings.size() == 1);
+    platform.answer(4, page("j", "draining", "z3", ""));
+    platform.until([&] { return platform.readings.size() == 2; });
+    CHECK(platform.readings[1].pages == 3);
+    CHECK(platform.readings[1].instances.at("j").state == wire::InstanceState::draining);
+}
+
+TEST_CASE("of a host that stands on two pages the later one counts") {
+    Platform platform;
+    platform.answer(0, page("i", "ready", "z2", "t"));
+    platform.answer(1, page("i", "draining", "z2", ""));
+    platform.until([&] { return platform.readings.size() == 1; });
+    CHECK(platform.readings[0].instances.at("i").state == wire::InstanceState::draining);
+}
+
+TEST_CASE("a reading that lacks a zone is none, and the next one is of the whole list") {
+    Platform platform;
+    platform.answer(0, page("i", "ready", "z2", "t"));
+    platform.answer(1, page("j", "ready", "z2", ""));
+    platform.answer(2, R"({"instances":{}})");
+    platform.answer(3, "", api::Status::too_many_requests);
+    platform.until([&] { return platform.asked.size() == 5; });
+    CHECK(platform.failures == 1);
+    CHECK(platform.readings.size() == 1);
+    CHECK(platform.asked[4].empty());
+}
