The lease on the list of hosts ends by itself, and is asked again before a request is written

Callers saw requests at hosts that had left for longer than drain. Cause: the lease was decided on when a stamp came back and held until the next one did, whenever that was, and again after drain of silence; a gateway that stood still, or whose session was late, went on by the list it had. A control plane that is no leader also took the list's age as of the moment it was told, without the way, and answered stamps of gateways that had not been given the view yet. Now the lease has an end, a moment of the gateway's own clock; it is asked when a request is read, when it is sent and when its connection stands. In silence the last list is gone by only after contact, or after the longest search for a control plane where other gateways answer at once, counted in heartbeat intervals in which the process ran. Control planes stamp the leader as gateways stamp them, and answer no stamp before the view.

--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -199,6 +199,7 @@
     if (session != to_leader_) return;
     sessions_.send(session, wire::Hello{wire::protocol_version, self_});
     peers_[session] = Peer{.heard_at = loop_.now()};
+    stamp_leader();
     report_members();
 }
 
@@ -217,7 +218,7 @@
     }
     if (std::holds_alternative<wire::Probe>(message)) return send_heartbeat(session);
     if (const auto* const asked = std::get_if<wire::Heartbeat>(&message))
-        return answer_stamp(session, *asked);
+        return answer_stamp(session, peer, *asked);
     if (const auto* const hello = std::get_if<wire::Hello>(&message)) return greeted(session, peer, *hello);
     if (const auto* const changed = std::get_if<wire::MemberChanged>(&message)) {
         return member_changed(peer, changed->self);
@@ -229,9 +230,9 @@
     }
 }
 
-// Behind all news that has been sent there.
-void FleetServer::answer_stamp(transport::SessionId session, const wire::Heartbeat& asked) {
-    if (asked.stamp == 0) return;
+// Behind all news that has been sent there; it would prove nothing to one that still waits for the view.
+void FleetServer::answer_stamp(transport::SessionId session, const Peer& peer, const wire::Heartbeat& asked) {
+    if (asked.stamp == 0 || !peer.greeted || peer.awaits_view) return;
     wire::Heartbeat answer = heartbeat();
     answer.echo = asked.stamp;
     sessions_.send(session, answer);
@@ -243,10 +244,22 @@
     return newer_can_be_known ? age : std::min(age, longest_age_in_trouble);
 }
 
+// Counted from the stamp: what the leader tells without one may have been on its way for any time.
+void FleetServer::told_list_age(const wire::Heartbeat& heartbeat) {
+    if (heartbeat.echo == 0) return;
+    const runtime::Time age = heartbeat.list_age_ms * runtime::tenths_per_millisecond;
+    list_as_of_ = std::max(list_as_of_, static_cast<runtime::Time>(heartbeat.echo) - age);
+}
+
+void FleetServer::stamp_leader() {
+    if (!peers_.contains(to_leader_)) return;  // none, or it is still being opened
+    wire::Heartbeat asked = heartbeat();
+    asked.stamp = static_cast<std::uint64_t>(loop_.now());
+    sessions_.send(to_leader_, asked);
+}
+
 void FleetServer::from_leader(const wire::Message& message) {
-    if (const auto* const heartbeat = std::get_if<wire::Heartbeat>(&message)) {
-        list_as_of_ = loop_.now() - heartbeat->list_age_ms * runtime::tenths_per_millisecond;
-    }
+    if (const auto* const heartbeat = std::get_if<wire::Heartbeat>(&message)) told_list_age(*heartbeat);
     const std::uint64_t before = view_.evacuations().index;
     const distribution::Changes changes = view_.apply(message);
     // Evacuations are passed on also where only their place in the log is later.
@@ -298,7 +311,10 @@
     drop_silent();
     send_views();
     const std::string frame = wire::frame(heartbeat());
-    for (const auto& [session, peer] : peers_) sessions_.send_frame(session, frame);
+    for (const auto& [session, peer] : peers_) {
+        if (session != to_leader_) sessions_.send_frame(session, frame);
+    }
+    stamp_leader();
 }
 
 wire::Heartbeat FleetServer::heartbeat() const {
--- a/src/control_plane/fleet_server.h
+++ b/src/control_plane/fleet_server.h
@@ -63,7 +63,9 @@
     void greeted(transport::SessionId session, Peer& peer, const wire::Hello& hello);
     void member_changed(Peer& peer, const wire::Member& member);
     void from_leader(const wire::Message& message);
-    void answer_stamp(transport::SessionId session, const wire::Heartbeat& asked);
+    void answer_stamp(transport::SessionId session, const Peer& peer, const wire::Heartbeat& asked);
+    void stamp_leader();
+    void told_list_age(const wire::Heartbeat& heartbeat);
     void members_changed();
     void publish_members();
     void publish_members_now();
--- a/src/gateway/control_session.cpp
+++ b/src/gateway/control_session.cpp
@@ -18,10 +18,20 @@
     return distribution::search_intervals(settings.invariants.bounds.config_apply, silent);
 }
 
+namespace {
+
+ListLease::Limits lease_limits(const settings::Settings& settings) {
+    const settings::Bounds& bounds = settings.invariants.bounds;
+    return {runtime::tenths(bounds.drain), search_intervals(settings).worst_case,
+            runtime::tenths(bounds.contact)};
+}
+
+}  // namespace
+
 // Gateways begin with different control planes, so that none has them all.
 ControlSession::ControlSession(runtime::EventLoop& loop, transport::Sessions& sessions,
                                const settings::Settings& settings, const wire::Member& self, Changed changed,
-                               LeaseChanged lease_changed)
+                               LeaseChanged lease_changed, LinkPrompt link_prompt)
     : loop_(loop),
       sessions_(sessions),
       internal_port_(settings.network.ephemeral_ports.first),
@@ -30,7 +40,8 @@
       changed_(std::move(changed)),
       search_(search_intervals(settings), std::hash<std::string>{}(self.node)),
       lease_changed_(std::move(lease_changed)),
-      lease_(runtime::tenths(settings.invariants.bounds.drain)),
+      link_prompt_(std::move(link_prompt)),
+      lease_(lease_limits(settings)),
       heartbeat_(loop),
       review_(loop) {}
 
@@ -84,6 +95,7 @@
 
 void ControlSession::adopt(transport::SessionId session) {
     sessions_.send(session, wire::Hello{wire::protocol_version, self_});
+    send_stamp();
     logging::log(Level::info, Event::session_opened, {});
 }
 
@@ -121,13 +133,21 @@
 }
 
 void ControlSession::tell_lease() {
-    if (std::exchange(lease_told_, lease_.holds()) != lease_.holds()) lease_changed_(lease_);
+    const bool held = lease_.holds(loop_.now());
+    if (held == lease_held_ && lease_.valid_until() == lease_until_) return;
+    lease_held_ = held;
+    lease_until_ = lease_.valid_until();
+    lease_changed_(lease_);
 }
 
 void ControlSession::beat() {
     heartbeat_.start(distribution::heartbeat_interval, [this] { beat(); });
-    lease_.review(loop_.now());
+    lease_.interval_passed(link_prompt_());
     tell_lease();
+    send_stamp();
+}
+
+void ControlSession::send_stamp() {
     if (!search_.current()) return;
     wire::Heartbeat heartbeat;
     heartbeat.configuration = view_.configuration().version;
--- a/src/gateway/control_session.h
+++ b/src/gateway/control_session.h
@@ -19,10 +19,12 @@
     using Changed = std::function<void(const distribution::Changes&)>;
 
     using LeaseChanged = std::function<void(const ListLease&)>;
+    // Whether another process has answered this one at once lately.
+    using LinkPrompt = std::function<bool()>;
 
     ControlSession(runtime::EventLoop& loop, transport::Sessions& sessions,
                    const settings::Settings& settings, const wire::Member& self, Changed changed,
-                   LeaseChanged lease_changed);
+                   LeaseChanged lease_changed, LinkPrompt link_prompt);
 
     void start();
     // Tells whether this gateway takes new clients.
@@ -44,6 +46,7 @@
     void session_received(transport::SessionId session, wire::Message&& message) override;
     void session_closed(transport::SessionId session) override;
     void beat();
+    void send_stamp();
     void echoed(const wire::Heartbeat& heartbeat);
     void tell_lease();
 
@@ -56,8 +59,11 @@
     distribution::View view_;
     ControlPlaneSearch search_;
     LeaseChanged lease_changed_;
+    LinkPrompt link_prompt_;
     ListLease lease_;
-    bool lease_told_ = true;
+    // As last told.
+    bool lease_held_ = false;
+    runtime::Time lease_until_ = 0;
     runtime::Timer heartbeat_;
     runtime::Timer review_;
 };
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -8,6 +8,7 @@
 
 #include "api/server.h"
 #include "configuration/parser.h"
+#include "distribution/intervals.h"
 #include "gateway/control_session.h"
 #include "gateway/directory.h"
 #include "gateway/identity.h"
@@ -77,7 +78,8 @@
           control_(
               loop_, sessions_, settings, process::describe_process(settings, wire::Role::gateway),
               [this](const distribution::Changes& changes) { view_changed(changes); },
-              [this](const ListLease& lease) { lease_changed(lease); }),
+              [this](const ListLease& lease) { lease_changed(lease); },
+              [this] { return quotas_.answered_within(distribution::heartbeat_interval); }),
           quotas_(loop_, settings.self.node, quota_bound(settings)),
           proxy_(loop_, quotas_, proxy_options(settings)),
           readiness_(loop_, most_call_bytes),
@@ -86,6 +88,7 @@
           shutdown_check_(loop_),
           regions_(regions_of(settings)),
           watch_(loop_, path, [this](const settings::Settings& changed) { settings_changed(changed); }) {
+        proxy_.set_list_valid_until(control_.lease().valid_until());
         declare_calls();
     }
 
@@ -164,11 +167,13 @@
     }
 
     void lease_changed(const ListLease& lease) {
-        logging::log(lease.holds() ? Level::info : Level::warning,
-                     lease.holds() ? Event::list_lease_renewed : Event::list_lease_lost,
+        proxy_.set_list_valid_until(lease.valid_until());
+        const bool lost = !lease.holds(loop_.now());
+        if (std::exchange(list_lease_lost_, lost) == lost) return;
+        logging::log(lost ? Level::warning : Level::info,
+                     lost ? Event::list_lease_lost : Event::list_lease_renewed,
                      {{"round_trip_ms", milliseconds(lease.round_trip())},
                       {"list_age_ms", milliseconds(lease.list_age(loop_.now()))}});
-        proxy_.set_list_young(lease.holds());
     }
 
     void log_instances() {
@@ -239,6 +244,7 @@
     runtime::Timer shutdown_check_;
     const std::set<std::string> regions_;  // that there are
     std::set<std::string> regions_left_;   // of these: whose clients were last sent to other regions
+    bool list_lease_lost_ = false;
     process::SettingsWatch watch_;
 };
 
--- a/src/gateway/proxy.cpp
+++ b/src/gateway/proxy.cpp
@@ -79,7 +79,7 @@
     const std::string_view host = reader.field("Host");
     if (attempt_id.empty() || host.empty()) return answer_error(client, 400, {});
     if (!takes_requests_) return answer_error(client, 503, {});
-    if (!list_young_) return answer_error(client, 503, retry_with_old_list);
+    if (!list_valid()) return answer_error(client, 503, retry_with_old_list);
     const RequestAddress address{host, reader.target(), reader.field("Authorization"), attempt_id};
     const RoutingResult result = route_request(table_.get(), address);
     if (const auto* const error = std::get_if<RoutingError>(&result)) {
--- a/src/gateway/proxy.h
+++ b/src/gateway/proxy.h
@@ -3,6 +3,7 @@
 // and reports; which host, whether again and whether to refuse is decided by the pools.
 #pragma once
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -49,8 +50,8 @@
     // A later configuration is in force from now on; requests that were routed keep their routes.
     void configure(std::shared_ptr<const configuration::Configuration> configuration);
     void view_changed(const distribution::View& view, const distribution::Changes& changes);
-    // Whether hosts may be sent requests by the list of them; while it is too old, requests are refused.
-    void set_list_young(bool young);
+    // The last moment at which hosts may be sent requests by the list of them; after it requests are refused.
+    void set_list_valid_until(runtime::Time moment);
 
   private:
     struct Request {
@@ -94,6 +95,7 @@
     void attempt_over(RequestId request, EndpointId endpoint, AttemptResult&& result) override;
     void attempt_streams(RequestId request, HostAnswer&& answer) override;
     void attempt_continues(RequestId request, std::string&& body) override;
+    bool attempt_allowed(EndpointId endpoint) override;
     void attempt_writable(RequestId request) override;
     // PoolUser
     void send(RequestId request, EndpointId endpoint, runtime::Time within) override;
@@ -124,6 +126,7 @@
     double cold_rate_of(const std::string& service) const;
     bool is_cold(const Endpoint& endpoint) const { return endpoint.cold_until > loop_.now(); }
     // Whether a request may go there now; a cold endpoint's budget is spent by it.
+    bool list_valid() const { return loop_.now() <= list_valid_until_; }
     bool admit(EndpointId endpoint);
     std::set<EndpointId> withheld_endpoints();
     void watch_cold(EndpointId endpoint);
@@ -146,7 +149,7 @@
     std::map<ClientId, RequestId> by_client_;
     std::optional<runtime::Time> answers_at_;  // once the process is to end
     bool takes_requests_ = true;
-    bool list_young_ = true;
+    runtime::Time list_valid_until_ = std::numeric_limits<runtime::Time>::max();
 };
 
 }  // namespace dewweir::gateway
--- a/src/gateway/proxy_pools.cpp
+++ b/src/gateway/proxy_pools.cpp
@@ -74,9 +74,9 @@
                  {{"count", static_cast<std::int64_t>(withdrawn)}});
 }
 
-void Proxy::set_list_young(bool young) {
-    list_young_ = young;
-    if (young) return;
+void Proxy::set_list_valid_until(runtime::Time moment) {
+    list_valid_until_ = moment;
+    if (list_valid()) return;
     for (const auto& [id, endpoint] : endpoints_.all()) upstreams_.withdraw(id);
 }
 
@@ -178,9 +178,14 @@
     return withheld;
 }
 
+bool Proxy::attempt_allowed(EndpointId id) {
+    const Endpoint* const endpoint = endpoints_.find(id);
+    return endpoint && endpoint->usable && list_valid();
+}
+
 bool Proxy::admit(EndpointId id) {
     const Endpoint* const endpoint = endpoints_.find(id);
-    if (!endpoint || !endpoint->usable || !list_young_) return false;
+    if (!endpoint || !attempt_allowed(id)) return false;
     if (!is_cold(*endpoint)) return true;
     const bool admitted = cold_.spend(*endpoint, cold_rate_of(endpoint->instance.service), loop_.now());
     loop_.post([this, id] { review_cold(id); });
--- a/src/gateway/quota_client.cpp
+++ b/src/gateway/quota_client.cpp
@@ -113,6 +113,7 @@
     Call& call = found.mapped();
     loop_.deadlines().drop(call.deadline);
     if (call.holder != self_) {
+        answered_at_ = loop_.now();
         Holder& holder = holders_[call.holder];
         if (holder.breaker.state() == quota::Breaker::State::probing) {
             logging::log(logging::Level::info, logging::Event::breaker_closed,
--- a/src/gateway/quota_client.h
+++ b/src/gateway/quota_client.h
@@ -31,6 +31,11 @@
     // `decided` is called once, at once or later.
     void request(quota::TenantId tenant, const quota::Quota& quota, Decided decided);
 
+    // Whether another gateway has answered in time within the last so long.
+    bool answered_within(runtime::Time span) const {
+        return answered_at_ && loop_.now() - *answered_at_ <= span;
+    }
+
     // A request that had passed has not run and never will.
     void give_back(quota::TenantId tenant) { admission_.give_back(loop_.steady_now(), tenant); }
 
@@ -65,6 +70,7 @@
     Placement placement_;
     std::map<std::string, Holder> holders_;                            // by node
     std::map<std::pair<quota::TenantId, std::uint64_t>, Call> calls_;  // by tenant and sequence
+    std::optional<runtime::Time> answered_at_;                         // by another gateway
     runtime::Time forgot_at_ = 0;
 };
 
--- a/src/gateway/upstreams.cpp
+++ b/src/gateway/upstreams.cpp
@@ -199,6 +199,7 @@
         connection->socket = 0;
         return over(id, AttemptOutcome::connect_failed);
     }
+    if (!user_.attempt_allowed(connection->endpoint)) return over(id, AttemptOutcome::not_sent);
     connection->up = true;
     loop_.connections().send(connection->socket, {connection->waiting});
     connection->waiting = {};
--- a/src/gateway/upstreams.h
+++ b/src/gateway/upstreams.h
@@ -49,6 +49,9 @@
     // `attempt_over`.
     virtual void attempt_streams(RequestId request, HostAnswer&& answer) = 0;
     virtual void attempt_continues(RequestId request, std::string&& body) = 0;
+    // Whether a request may be sent there, as known now; asked when its connection stands, which takes a
+    // while.
+    virtual bool attempt_allowed(EndpointId endpoint) = 0;
     // What was sent of the request has been handed to the system.
     virtual void attempt_writable(RequestId request) = 0;
 };
--- a/tests/gateway_sockets/leaving_hosts.cpp
+++ b/tests/gateway_sockets/leaving_hosts.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr dewweir::runtime::Time no_end = std::numeric_limits<dewweir::runtime::Time>::max();
+
 // The client's request has been given to the host, and its connection is not up yet.
 void until_connecting(World& world) {
     world.step_until([&] { return world.proxy().connecting() == 1; });
@@ -55,14 +57,14 @@
     Peer& waiting = world.connect();
     waiting.send(post("a1", "hello"));
     until_connecting(world);
-    world.proxy().set_list_young(false);
+    world.proxy().set_list_valid_until(0);
     nothing_reaches_the_host(world);
     world.client_has(waiting, "HTTP/1.1 503 ");
     Peer& client = world.connect();
     client.send(post("a2", "hello"));
     world.client_has(client, "HTTP/1.1 503 ");
     CHECK(client.has("Retry-After: "));
-    world.proxy().set_list_young(true);
+    world.proxy().set_list_valid_until(no_end);
     client.send(post("a3", "hello"));
     world.until([&] { return world.host_connections() > 1; });
     const std::size_t last = world.host_connections() - 1;
@@ -70,6 +72,16 @@
     world.client_has(client, "done");
 }
 
+TEST_CASE("A request whose connection stands after the end of the list's lease isn't written") {
+    World world;
+    Peer& client = world.connect();
+    client.send(post("a1", "hello"));
+    until_connecting(world);
+    world.end_list_lease();
+    nothing_reaches_the_host(world);
+    world.client_has(client, "HTTP/1.1 503 ");
+}
+
 TEST_CASE("What a leaving host has of a request is finished there") {
     World world;
     Peer& client = world.connect();
--- a/tests/gateway_sockets/world.h
+++ b/tests/gateway_sockets/world.h
@@ -50,6 +50,13 @@
         }
     }
 
+    // The lease on the list of hosts ends, and nothing but the clock tells of it.
+    void end_list_lease() {
+        const runtime::Time end = loop_.now();
+        proxy_.set_list_valid_until(end);
+        while (loop_.now() <= end) loop_.deadlines().turn();
+    }
+
     // Goes on until no socket of this process has anything to do.
     void settle() {
         constexpr int quiet_turns = 200;
