A silent control plane is doubted sooner where other gateways answer; a list's age may be unknown

Evidence now counts from the moment at which the stamp was overdue; after two intervals another control plane is looked for, and after that search the last list is gone by. A control plane that never held a list says so, it told an age of 47 days.

--- a/src/capacity_world/hollow_gateway.cpp
+++ b/src/capacity_world/hollow_gateway.cpp
@@ -27,7 +27,7 @@
       control_(
           loop, sessions, settings, process::describe_process(settings, wire::Role::gateway),
           [this](const distribution::Changes& changes) { view_changed(changes); },
-          [](const gateway::ListLease&) {}, [] { return false; }),
+          [](const gateway::ListLease&) {}, [](runtime::Time) { return false; }),
       quotas_(loop, settings.self.node, gateway::quota_bound(settings)),
       endpoints_({settings.self.zone, settings.self.region, settings.network.zones}),
       observer_(std::move(observer)) {}
--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -238,17 +238,19 @@
     sessions_.send(session, answer);
 }
 
-runtime::Time FleetServer::list_age() const {
-    const runtime::Time age = loop_.now() - list_as_of_;
+std::optional<runtime::Time> FleetServer::list_age() const {
+    if (!list_as_of_) return std::nullopt;
+    const runtime::Time age = loop_.now() - *list_as_of_;
     const bool newer_can_be_known = log_.leads() ? list_read_ : in_step();
     return newer_can_be_known ? age : std::min(age, longest_age_in_trouble);
 }
 
 // Counted from the stamp: what the leader tells without one may have been on its way for any time.
 void FleetServer::told_list_age(const wire::Heartbeat& heartbeat) {
-    if (heartbeat.echo == 0) return;
+    if (heartbeat.echo == 0 || heartbeat.list_age_ms == wire::unknown_list_age_ms) return;
     const runtime::Time age = heartbeat.list_age_ms * runtime::tenths_per_millisecond;
-    list_as_of_ = std::max(list_as_of_, static_cast<runtime::Time>(heartbeat.echo) - age);
+    const runtime::Time as_of = static_cast<runtime::Time>(heartbeat.echo) - age;
+    list_as_of_ = std::max(list_as_of_.value_or(as_of), as_of);
 }
 
 void FleetServer::stamp_leader() {
@@ -325,7 +327,9 @@
         heartbeat.staleness_ms =
             static_cast<std::uint64_t>(std::max<runtime::Time>(0, *age) / runtime::tenths_per_millisecond);
     heartbeat.leader_control = leader_control().value_or("");
-    heartbeat.list_age_ms = static_cast<std::uint32_t>(list_age() / runtime::tenths_per_millisecond);
+    if (const std::optional<runtime::Time> of_list = list_age()) {
+        heartbeat.list_age_ms = static_cast<std::uint32_t>(*of_list / runtime::tenths_per_millisecond);
+    }
     return heartbeat;
 }
 
--- a/src/control_plane/fleet_server.h
+++ b/src/control_plane/fleet_server.h
@@ -57,7 +57,7 @@
 
     void send_heartbeat(transport::SessionId session);
     wire::Heartbeat heartbeat() const;
-    runtime::Time list_age() const;
+    std::optional<runtime::Time> list_age() const;
     bool in_step() const;
     void send_views();
     void greeted(transport::SessionId session, Peer& peer, const wire::Hello& hello);
@@ -87,9 +87,10 @@
     std::map<transport::SessionId, Peer> peers_;
     std::function<void(const wire::ConsensusMessage&)> consensus_;
     control::MemberTable members_;
-    std::uint64_t published_ = 0;   // updates in this term
-    runtime::Time list_as_of_ = 0;  // all news of instances that the platform told before is in the view
-    bool list_read_ = false;        // by this leader, at its last attempt
+    std::uint64_t published_ = 0;  // updates in this term
+    // All news of instances that the platform told before is in the view; nothing where none was ever read.
+    std::optional<runtime::Time> list_as_of_;
+    bool list_read_ = false;  // by this leader, at its last attempt
     transport::SessionId to_leader_ = 0;
     runtime::Time leader_told_at_ = 0;
     std::string leader_address_;  // that `to_leader_` goes to
--- a/src/gateway/control_plane_search.cpp
+++ b/src/gateway/control_plane_search.cpp
@@ -19,6 +19,11 @@
     return session.fresh_at && now - *session.fresh_at < intervals_.freshness_limit;
 }
 
+bool ControlPlaneSearch::settled(runtime::Time now) const {
+    const auto current = sessions_.find(current_);
+    return current != sessions_.end() && !in_doubt_ && fresh(current->second, now);
+}
+
 bool ControlPlaneSearch::is_in_use(const std::string& address) const {
     return std::any_of(sessions_.begin(), sessions_.end(),
                        [&](const auto& item) { return item.second.address == address; });
@@ -51,14 +56,14 @@
 ControlPlaneSearch::Step ControlPlaneSearch::review(runtime::Time now,
                                                     const std::vector<std::string>& addresses) {
     Step step;
-    const auto current = sessions_.find(current_);
-    const bool settled = current != sessions_.end() && fresh(current->second, now);
+    const bool settled = this->settled(now);
     if (!settled) step.adopt = freshest_attempt(now);
     if (settled || step.adopt) {
         const SearchSession kept = settled ? current_ : step.adopt;
         for (const auto& [id, session] : sessions_) {
             if (id != kept) step.close.push_back(id);
         }
+        if (step.adopt) in_doubt_ = false;
         current_ = kept;
     } else {
         give_up_late(now, step);
@@ -73,10 +78,8 @@
 }
 
 runtime::Time ControlPlaneSearch::next_review(runtime::Time now) const {
-    const auto current = sessions_.find(current_);
-    const bool settled = current != sessions_.end() && fresh(current->second, now);
-    if (!settled) return now + intervals_.attempt_gap;
-    return *current->second.fresh_at + intervals_.freshness_limit;
+    if (!settled(now)) return now + intervals_.attempt_gap;
+    return *sessions_.at(current_).fresh_at + intervals_.freshness_limit;
 }
 
 void ControlPlaneSearch::opened(SearchSession session, const std::string& address, runtime::Time now) {
--- a/src/gateway/control_plane_search.h
+++ b/src/gateway/control_plane_search.h
@@ -35,6 +35,10 @@
     // The session's control plane has told for how long it may lack changes; nothing: it was never in step.
     void told(SearchSession session, std::optional<runtime::Time> staleness, runtime::Time now);
 
+    // While in doubt the current one counts as out of step, whatever it tells: what it sends may come late.
+    void set_doubt(bool doubt) { in_doubt_ = doubt; }
+    bool in_doubt() const { return in_doubt_; }
+
     SearchSession current() const { return current_; }
     std::size_t attempts() const { return sessions_.size() - (current_ ? 1 : 0); }
 
@@ -47,6 +51,7 @@
     };
 
     bool fresh(const Session& session, runtime::Time now) const;
+    bool settled(runtime::Time now) const;
     bool is_in_use(const std::string& address) const;
     std::optional<std::string> next_address(const std::vector<std::string>& addresses);
     SearchSession freshest_attempt(runtime::Time now) const;
@@ -56,6 +61,7 @@
     std::size_t next_;
     std::map<SearchSession, Session> sessions_;
     SearchSession current_ = 0;
+    bool in_doubt_ = false;
     std::optional<runtime::Time> last_attempt_at_;
 };
 
--- a/src/gateway/control_session.cpp
+++ b/src/gateway/control_session.cpp
@@ -22,7 +22,8 @@
 
 ListLease::Limits lease_limits(const settings::Settings& settings) {
     const settings::Bounds& bounds = settings.invariants.bounds;
-    return {runtime::tenths(bounds.drain), search_intervals(settings).worst_case,
+    const distribution::SearchIntervals search = search_intervals(settings);
+    return {runtime::tenths(bounds.drain), search.worst_case - search.freshness_limit,
             runtime::tenths(bounds.contact)};
 }
 
@@ -95,6 +96,7 @@
 
 void ControlSession::adopt(transport::SessionId session) {
     sessions_.send(session, wire::Hello{wire::protocol_version, self_});
+    lease_.asked_another();
     send_stamp();
     logging::log(Level::info, Event::session_opened, {});
 }
@@ -126,9 +128,10 @@
 }
 
 void ControlSession::echoed(const wire::Heartbeat& heartbeat) {
-    if (heartbeat.echo == 0) return;
+    if (heartbeat.echo == 0 || heartbeat.list_age_ms == wire::unknown_list_age_ms) return;
     const runtime::Time list_age = heartbeat.list_age_ms * runtime::tenths_per_millisecond;
     lease_.echoed(static_cast<runtime::Time>(heartbeat.echo), list_age, loop_.now());
+    search_.set_doubt(false);
     tell_lease();
 }
 
@@ -142,8 +145,12 @@
 
 void ControlSession::beat() {
     heartbeat_.start(distribution::heartbeat_interval, [this] { beat(); });
-    lease_.interval_passed(link_prompt_());
+    lease_.interval_passed(link_prompt_(lease_.overdue_from()));
     tell_lease();
+    if (lease_.in_doubt() != search_.in_doubt()) {
+        search_.set_doubt(lease_.in_doubt());
+        review();
+    }
     send_stamp();
 }
 
--- a/src/gateway/control_session.h
+++ b/src/gateway/control_session.h
@@ -19,8 +19,8 @@
     using Changed = std::function<void(const distribution::Changes&)>;
 
     using LeaseChanged = std::function<void(const ListLease&)>;
-    // Whether another process has answered this one at once lately.
-    using LinkPrompt = std::function<bool()>;
+    // Whether another gateway has answered this one at once since this moment.
+    using LinkPrompt = std::function<bool(runtime::Time)>;
 
     ControlSession(runtime::EventLoop& loop, transport::Sessions& sessions,
                    const settings::Settings& settings, const wire::Member& self, Changed changed,
--- a/src/gateway/process.cpp
+++ b/src/gateway/process.cpp
@@ -8,7 +8,6 @@
 
 #include "api/server.h"
 #include "configuration/parser.h"
-#include "distribution/intervals.h"
 #include "gateway/control_session.h"
 #include "gateway/directory.h"
 #include "gateway/identity.h"
@@ -79,7 +78,7 @@
               loop_, sessions_, settings, process::describe_process(settings, wire::Role::gateway),
               [this](const distribution::Changes& changes) { view_changed(changes); },
               [this](const ListLease& lease) { lease_changed(lease); },
-              [this] { return quotas_.answered_within(distribution::heartbeat_interval); }),
+              [this](runtime::Time moment) { return quotas_.answered_since(moment); }),
           quotas_(loop_, settings.self.node, quota_bound(settings)),
           proxy_(loop_, quotas_, proxy_options(settings)),
           readiness_(loop_, most_call_bytes),
--- a/src/gateway/quota_client.h
+++ b/src/gateway/quota_client.h
@@ -31,10 +31,8 @@
     // `decided` is called once, at once or later.
     void request(quota::TenantId tenant, const quota::Quota& quota, Decided decided);
 
-    // Whether another gateway has answered in time within the last so long.
-    bool answered_within(runtime::Time span) const {
-        return answered_at_ && loop_.now() - *answered_at_ <= span;
-    }
+    // Whether another gateway has answered in time since this moment.
+    bool answered_since(runtime::Time moment) const { return answered_at_ && *answered_at_ >= moment; }
 
     // A request that had passed has not run and never will.
     void give_back(quota::TenantId tenant) { admission_.give_back(loop_.steady_now(), tenant); }
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -64,15 +64,18 @@
 // The staleness of a control plane that has no proof of ever having been in step with a majority.
 constexpr std::uint64_t never_in_step = UINT64_MAX;
 
+// The list's age at a process that has never held one.
+constexpr std::uint32_t unknown_list_age_ms = UINT32_MAX;
+
 // Tells the receiver that the sender lives and what it has; sent by both ends at every heartbeat interval.
 struct Heartbeat {
     std::uint32_t configuration = 0;  // the version in force at the sender, 0 for none
     std::uint64_t staleness_ms =
-        never_in_step;              // for how long changes may have been acknowledged that it lacks
-    std::string leader_control;     // where the leader's operator calls go, if known
-    std::uint64_t stamp = 0;        // of a gateway's own clock; 0: none
-    std::uint64_t echo = 0;         // the stamp that this answers; 0: none
-    std::uint32_t list_age_ms = 0;  // of the list of instances at the sender, when it sent this
+        never_in_step;           // for how long changes may have been acknowledged that it lacks
+    std::string leader_control;  // where the leader's operator calls go, if known
+    std::uint64_t stamp = 0;     // of a gateway's own clock; 0: none
+    std::uint64_t echo = 0;      // the stamp that this answers; 0: none
+    std::uint32_t list_age_ms = unknown_list_age_ms;  // of the list of instances, when this was sent
     MSGPACK_DEFINE(configuration, staleness_ms, leader_control, stamp, echo, list_age_ms);
 };
 
--- a/tests/gateway/control_plane_search.cpp
+++ b/tests/gateway/control_plane_search.cpp
@@ -46,6 +46,8 @@
         if (!search_.current()) return std::nullopt;
         return sessions_.at(search_.current()).control_plane;
     }
+    void doubt() { search_.set_doubt(true); }
+    bool in_doubt() const { return search_.in_doubt(); }
     std::size_t opened() const { return last_session_; }
     std::size_t attempts() const { return search_.attempts(); }
 
@@ -140,6 +142,21 @@
     CHECK(fleet.opened() <= 2);
 }
 
+TEST_CASE("one that is in doubt is left for another that answers, and kept where none does") {
+    for (const Kind others : {Kind::in_step, Kind::silent}) {
+        Fleet fleet(intervals(), std::vector<Kind>(3, Kind::in_step));
+        fleet.run_for(2'000 * ms);
+        const std::size_t first = *fleet.current();
+        for (std::size_t n = 0; n < 3; ++n) {
+            if (n != first) fleet.set(n, others);
+        }
+        fleet.doubt();
+        fleet.run_for(1'200 * ms);
+        CHECK((fleet.current() == first) == (others == Kind::silent));
+        CHECK(fleet.in_doubt() == (others == Kind::silent));
+    }
+}
+
 TEST_CASE("while none is in step a gateway stays with the one it has, and takes the first that is again") {
     Fleet fleet(intervals(), std::vector<Kind>(3, Kind::in_step));
     fleet.run_for(2'000 * ms);
--- a/tests/gateway/list_lease.cpp
+++ b/tests/gateway/list_lease.cpp
@@ -10,7 +10,8 @@
 
 constexpr runtime::Time ms = runtime::tenths_per_millisecond;
 constexpr runtime::Time interval = 400 * ms;
-constexpr ListLease::Limits limits{3000 * ms, 2800 * ms, 6000 * ms};
+constexpr ListLease::Limits limits{3000 * ms, 1200 * ms, 6000 * ms};
+constexpr runtime::Time doubt = 2 * interval;
 constexpr runtime::Time stamped = 12345 * ms;
 
 ListLease lease_after(runtime::Time round_trip, runtime::Time list_age) {
@@ -73,12 +74,31 @@
 }
 
 TEST_CASE("without control planes the last list is gone by, sooner where the link is known to be prompt") {
-    CHECK_FALSE(holds_in_silence(limits.search - interval, true));
-    CHECK(holds_in_silence(limits.search, true));
+    CHECK_FALSE(holds_in_silence(doubt + limits.search - interval, true));
+    CHECK(holds_in_silence(doubt + limits.search, true));
     CHECK_FALSE(holds_in_silence(limits.contact - interval, false));
     CHECK(holds_in_silence(limits.contact, false));
 }
 
+TEST_CASE("a control plane that sends no stamps back is in doubt, unless it may be the link") {
+    for (const bool link_prompt : {false, true}) {
+        ListLease lease = lease_after(120 * ms, 800 * ms);
+        CHECK(lease.overdue_from() == stamped + 240 * ms + interval);
+        lease.interval_passed(link_prompt);
+        CHECK_FALSE(lease.in_doubt());
+        lease.interval_passed(link_prompt);
+        CHECK(lease.in_doubt() == link_prompt);
+        lease.asked_another();
+        CHECK_FALSE(lease.in_doubt());
+        lease.interval_passed(link_prompt);
+        CHECK_FALSE(lease.in_doubt());
+        lease.interval_passed(link_prompt);
+        CHECK(lease.in_doubt() == link_prompt);
+        lease.echoed(stamped + interval, 0, stamped + 2 * interval);
+        CHECK_FALSE(lease.in_doubt());
+    }
+}
+
 TEST_CASE("the first stamp that is back ends that") {
     ListLease lease = lease_after(120 * ms, 800 * ms);
     for (int n = 0; n < 20; ++n) lease.interval_passed(true);
