A control plane counts what the leader told from its own stamps

Same cause as the list's age: a control plane took whatever came from the leader as told at that moment, so a session to the leader that lagged by seconds did not make it out of step. Now only an answered stamp proves it, from the moment at which it was made.

--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -208,10 +208,7 @@
 void FleetServer::session_received(transport::SessionId session, wire::Message&& message) {
     Peer& peer = peers_[session];
     peer.heard_at = loop_.now();
-    if (session == to_leader_) {
-        leader_told_at_ = loop_.now();
-        return from_leader(message);
-    }
+    if (session == to_leader_) return from_leader(message);
     if (const auto* const consensus = std::get_if<wire::ConsensusMessage>(&message)) {
         if (consensus_) consensus_(*consensus);
         return;
@@ -246,8 +243,10 @@
 }
 
 // Counted from the stamp: what the leader tells without one may have been on its way for any time.
-void FleetServer::told_list_age(const wire::Heartbeat& heartbeat) {
-    if (heartbeat.echo == 0 || heartbeat.list_age_ms == wire::unknown_list_age_ms) return;
+void FleetServer::stamp_answered(const wire::Heartbeat& heartbeat) {
+    if (heartbeat.echo == 0) return;
+    leader_told_at_ = std::max(leader_told_at_, static_cast<runtime::Time>(heartbeat.echo));
+    if (heartbeat.list_age_ms == wire::unknown_list_age_ms) return;
     const runtime::Time age = heartbeat.list_age_ms * runtime::tenths_per_millisecond;
     const runtime::Time as_of = static_cast<runtime::Time>(heartbeat.echo) - age;
     list_as_of_ = std::max(list_as_of_.value_or(as_of), as_of);
@@ -261,7 +260,7 @@
 }
 
 void FleetServer::from_leader(const wire::Message& message) {
-    if (const auto* const heartbeat = std::get_if<wire::Heartbeat>(&message)) told_list_age(*heartbeat);
+    if (const auto* const heartbeat = std::get_if<wire::Heartbeat>(&message)) stamp_answered(*heartbeat);
     const std::uint64_t before = view_.evacuations().index;
     const distribution::Changes changes = view_.apply(message);
     // Evacuations are passed on also where only their place in the log is later.
--- a/src/control_plane/fleet_server.h
+++ b/src/control_plane/fleet_server.h
@@ -65,7 +65,7 @@
     void from_leader(const wire::Message& message);
     void answer_stamp(transport::SessionId session, const Peer& peer, const wire::Heartbeat& asked);
     void stamp_leader();
-    void told_list_age(const wire::Heartbeat& heartbeat);
+    void stamp_answered(const wire::Heartbeat& heartbeat);
     void members_changed();
     void publish_members();
     void publish_members_now();
@@ -92,8 +92,8 @@
     std::optional<runtime::Time> list_as_of_;
     bool list_read_ = false;  // by this leader, at its last attempt
     transport::SessionId to_leader_ = 0;
-    runtime::Time leader_told_at_ = 0;
-    std::string leader_address_;  // that `to_leader_` goes to
+    runtime::Time leader_told_at_ = 0;  // all that the leader told before is here
+    std::string leader_address_;        // that `to_leader_` goes to
     bool led_ = false;
     runtime::Timer heartbeat_;
     runtime::Timer expiry_;
