The first list after a start or an election is read zone by zone, and stamps wait for it

A control plane left a stamp unanswered while it had no list or the gateway no view, so gateways waited for their next one, up to two intervals. Now it is kept and answered behind the list.

--- a/src/control/instance_poller.cpp
+++ b/src/control/instance_poller.cpp
@@ -22,9 +22,11 @@
       failed_(std::move(failed)),
       timer_(loop) {}
 
-void InstancePoller::start() {
+void InstancePoller::start(const Instances& known) {
     if (running_) return;
     running_ = true;
+    listed_.reset();
+    see_zones(known);
     begin();
 }
 
@@ -37,9 +39,10 @@
 
 // What is asked for at once: the whole list, or each zone of it.
 std::vector<std::optional<std::string>> InstancePoller::parts() const {
-    if (page_size_ == 0 || listed_ <= page_size_) return {std::nullopt};
     std::set<std::string> zones = options_.zones;
     zones.insert(zones_seen_.begin(), zones_seen_.end());
+    const bool many_pages = page_size_ > 0 && listed_ > page_size_;
+    if (zones.empty() || (listed_ && !many_pages)) return {std::nullopt};
     return {zones.begin(), zones.end()};
 }
 
@@ -78,10 +81,14 @@
     again_later();
 }
 
+void InstancePoller::see_zones(const Instances& instances) {
+    zones_seen_.clear();
+    for (const auto& [id, instance] : instances) zones_seen_.insert(instance.zone);
+}
+
 void InstancePoller::whole() {
     listed_ = reading_.instances.size();
-    zones_seen_.clear();
-    for (const auto& [id, instance] : reading_.instances) zones_seen_.insert(instance.zone);
+    see_zones(reading_.instances);
     read_(reading_);
     again_later();
 }
--- a/src/control/instance_poller.h
+++ b/src/control/instance_poller.h
@@ -1,7 +1,7 @@
-// Reads the platform's whole list at an interval. A list of one page is read by one call; a longer one zone
-// by zone, all at once, so that a reading takes little longer than its largest zone's pages. Owns the
-// connections to the platform. It must never run in more than one process at a time for long: calls are
-// priced and limited for all together.
+// Reads the platform's whole list at an interval. A list of one page is read by one call; a longer one, and
+// the first one, zone by zone, all at once, so that a reading takes little longer than its largest zone's
+// pages. Owns the connections to the platform. It must never run in more than one process at a time for long:
+// calls are priced and limited for all together.
 #pragma once
 
 #include <functional>
@@ -35,7 +35,8 @@
     InstancePoller(runtime::EventLoop& loop, const asio::ip::tcp::endpoint& platform, PollerOptions options,
                    Read read, Failed failed);
 
-    void start();
+    // `known`: what this process has heard of the list; hosts may be in its zones too.
+    void start(const Instances& known);
     void stop();
     void set_zones(const std::set<std::string>& zones) { options_.zones = zones; }
 
@@ -44,6 +45,7 @@
     PageWalk* idle_walk();
     void begin();
     void walked(PageWalkResult&& result);
+    void see_zones(const Instances& instances);
     void whole();
     void again_later();
     runtime::Time interval() const;
@@ -61,7 +63,8 @@
     bool complete_ = true;         // all of its walks that have ended
     InstanceReading reading_;
     std::set<std::string> zones_seen_;
-    std::size_t listed_ = 0;     // hosts in the last reading; 0: it failed
+    // Hosts in the last reading; 0: it failed; nothing: there was none since the start.
+    std::optional<std::size_t> listed_;
     std::size_t page_size_ = 0;  // the largest page that another one followed; 0: not known
 };
 
--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -62,8 +62,14 @@
 
 void FleetServer::instances_read(const control::InstanceReading& reading) {
     if (!log_.leads()) return;
+    const bool first = !list_as_of_;
     list_as_of_ = reading.begun_at;
     list_read_ = true;
+    publish_instances(reading);
+    if (first) answer_stamps();
+}
+
+void FleetServer::publish_instances(const control::InstanceReading& reading) {
     // A leader's first list is whole: others may hold what this process never knew.
     const bool whole = view_.instances_revision().term != log_.term();
     wire::InstancesUpdate update = distribution::instances_difference(
@@ -112,6 +118,7 @@
         if (!peer.awaits_view) continue;
         peer.awaits_view = false;
         for (const wire::Message& message : view_.whole()) sessions_.send(session, message);
+        answer_stamp(session, peer);
     }
 }
 
@@ -214,8 +221,10 @@
         return;
     }
     if (std::holds_alternative<wire::Probe>(message)) return send_heartbeat(session);
-    if (const auto* const asked = std::get_if<wire::Heartbeat>(&message))
-        return answer_stamp(session, peer, *asked);
+    if (const auto* const asked = std::get_if<wire::Heartbeat>(&message)) {
+        peer.stamp = asked->stamp;
+        return answer_stamp(session, peer);
+    }
     if (const auto* const hello = std::get_if<wire::Hello>(&message)) return greeted(session, peer, *hello);
     if (const auto* const changed = std::get_if<wire::MemberChanged>(&message)) {
         return member_changed(peer, changed->self);
@@ -227,14 +236,19 @@
     }
 }
 
-// Behind all news that has been sent there; it would prove nothing to one that still waits for the view.
-void FleetServer::answer_stamp(transport::SessionId session, const Peer& peer, const wire::Heartbeat& asked) {
-    if (asked.stamp == 0 || !peer.greeted || peer.awaits_view) return;
+// Behind all news that has been sent there. It would prove nothing to one that still waits for the view, nor
+// while no list is known: until then it is kept.
+void FleetServer::answer_stamp(transport::SessionId session, Peer& peer) {
+    if (peer.stamp == 0 || !peer.greeted || peer.awaits_view || !list_as_of_) return;
     wire::Heartbeat answer = heartbeat();
-    answer.echo = asked.stamp;
+    answer.echo = std::exchange(peer.stamp, 0);
     sessions_.send(session, answer);
 }
 
+void FleetServer::answer_stamps() {
+    for (auto& [session, peer] : peers_) answer_stamp(session, peer);
+}
+
 std::optional<runtime::Time> FleetServer::list_age() const {
     if (!list_as_of_) return std::nullopt;
     const runtime::Time age = loop_.now() - *list_as_of_;
@@ -247,9 +261,11 @@
     if (heartbeat.echo == 0) return;
     leader_told_at_ = std::max(leader_told_at_, static_cast<runtime::Time>(heartbeat.echo));
     if (heartbeat.list_age_ms == wire::unknown_list_age_ms) return;
+    const bool first = !list_as_of_;
     const runtime::Time age = heartbeat.list_age_ms * runtime::tenths_per_millisecond;
     const runtime::Time as_of = static_cast<runtime::Time>(heartbeat.echo) - age;
     list_as_of_ = std::max(list_as_of_.value_or(as_of), as_of);
+    if (first) answer_stamps();
 }
 
 void FleetServer::stamp_leader() {
--- a/src/control_plane/fleet_server.h
+++ b/src/control_plane/fleet_server.h
@@ -49,12 +49,14 @@
         bool awaits_view = false;  // greeted while this process was not in step
         wire::Member member{};
         runtime::Time heard_at = 0;
+        std::uint64_t stamp = 0;  // to be sent back; 0: none
     };
 
     void session_opened(transport::SessionId session) override;
     void session_received(transport::SessionId session, wire::Message&& message) override;
     void session_closed(transport::SessionId session) override;
 
+    void publish_instances(const control::InstanceReading& reading);
     void send_heartbeat(transport::SessionId session);
     wire::Heartbeat heartbeat() const;
     std::optional<runtime::Time> list_age() const;
@@ -63,7 +65,8 @@
     void greeted(transport::SessionId session, Peer& peer, const wire::Hello& hello);
     void member_changed(Peer& peer, const wire::Member& member);
     void from_leader(const wire::Message& message);
-    void answer_stamp(transport::SessionId session, const Peer& peer, const wire::Heartbeat& asked);
+    void answer_stamp(transport::SessionId session, Peer& peer);
+    void answer_stamps();
     void stamp_leader();
     void stamp_answered(const wire::Heartbeat& heartbeat);
     void members_changed();
--- a/src/control_plane/process.cpp
+++ b/src/control_plane/process.cpp
@@ -152,7 +152,7 @@
     void leadership_changed() override {
         fleet_.leadership_changed();
         if (log_.leads()) {
-            poller_.start();
+            poller_.start(fleet_.view().instances());
         } else {
             poller_.stop();
         }
