--- a/src/control/instance_poller.cpp
+++ b/src/control/instance_poller.cpp
@@ -7,7 +7,8 @@
 namespace dewweir::control {
 namespace {
 
-constexpr double used_part_of_rate = 0.5;
+// The rest is for a second leader that doesn't know yet that it is none.
+constexpr double used_part_of_rate = 0.7;
 // Between the end of a reading and the next one, as a part of the interval.
 constexpr int least_pause_part = 4;
 
--- a/src/control/instance_poller.h
+++ b/src/control/instance_poller.h
@@ -24,7 +24,7 @@
 struct PollerOptions {
     std::set<std::string> zones;  // that hosts may be in
     runtime::Time interval = 0;   // between the beginnings of two readings
-    double calls_per_s = 0;       // that the platform takes from all processes; half of them are used at most
+    double calls_per_s = 0;       // that the platform takes from all processes; a part of them is used
 };
 
 class InstancePoller {
--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -236,12 +236,13 @@
     }
 }
 
-// Behind all news that has been sent there. It would prove nothing to one that still waits for the view, nor
-// while no list is known: until then it is kept.
+// Behind all news that has been sent there: to one that still waits for the view it would prove nothing.
+// While no list is known the stamp is kept, and answered again once there is one.
 void FleetServer::answer_stamp(transport::SessionId session, Peer& peer) {
-    if (peer.stamp == 0 || !peer.greeted || peer.awaits_view || !list_as_of_) return;
+    if (peer.stamp == 0 || !peer.greeted || peer.awaits_view) return;
     wire::Heartbeat answer = heartbeat();
-    answer.echo = std::exchange(peer.stamp, 0);
+    answer.echo = peer.stamp;
+    if (list_as_of_) peer.stamp = 0;
     sessions_.send(session, answer);
 }
 
