--- a/src/gateway/proxy.h
+++ b/src/gateway/proxy.h
@@ -125,8 +125,8 @@
     int gateways_nearby() const;
     double cold_rate_of(const std::string& service) const;
     bool is_cold(const Endpoint& endpoint) const { return endpoint.cold_until > loop_.now(); }
-    // Whether a request may go there now; a cold endpoint's budget is spent by it.
     bool list_valid() const { return loop_.now() <= list_valid_until_; }
+    // Whether a request may go there now; a cold endpoint's budget is spent by it.
     bool admit(EndpointId endpoint);
     std::set<EndpointId> withheld_endpoints();
     void watch_cold(EndpointId endpoint);
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -73,7 +73,7 @@
     std::uint64_t staleness_ms =
         never_in_step;           // for how long changes may have been acknowledged that it lacks
     std::string leader_control;  // where the leader's operator calls go, if known
-    std::uint64_t stamp = 0;     // of a gateway's own clock; 0: none
+    std::uint64_t stamp = 0;     // of the sender's own clock; 0: none
     std::uint64_t echo = 0;      // the stamp that this answers; 0: none
     std::uint32_t list_age_ms = unknown_list_age_ms;  // of the list of instances, when this was sent
     MSGPACK_DEFINE(configuration, staleness_ms, leader_control, stamp, echo, list_age_ms);
