Failing test: the copy of a refusal passes for the answer to the next attempt (REFUSED)

Full hosts send each refusal twice, in a write of its own behind the first or where the next answer is due.

--- a/cmake/system.cmake
+++ b/cmake/system.cmake
@@ -75,7 +75,8 @@
   endif()
   set_tests_properties(whole_path PROPERTIES TIMEOUT 75 RUN_SERIAL ON)
   if(TARGET dewweir_system)
-    foreach(name leaving_gateway leaving_hosts_far_platform leaving_hosts_stalled_gateway region_without_gateways
+    foreach(name leaving_gateway leaving_hosts_far_platform leaving_hosts_stalled_gateway
+        refusal_of_an_earlier_attempt region_without_gateways
         route_without_time)
       add_test(NAME ${name} COMMAND ${Python3_EXECUTABLE} ${SYSTEM_TESTS}/${name} $<TARGET_FILE:dewweir_system>)
       set_tests_properties(${name} PROPERTIES TIMEOUT 75 RUN_SERIAL ON)
--- a/tests/system/hosts.py
+++ b/tests/system/hosts.py
@@ -7,6 +7,7 @@
 import asyncio
 import enum
 import itertools
+import random
 import time
 import zlib
 from dataclasses import dataclass
@@ -30,6 +31,13 @@
     HANG = "never answers"
 
 
+class RefusalCopy(enum.Enum):
+    """When a host sends a second copy of a refusal, on the same connection."""
+
+    BEHIND = "in a write of its own, right behind the refusal"
+    LATE = "where the next answer is due"
+
+
 BREAKING = {Trouble.LOST_ANSWER, Trouble.RESET, Trouble.GARBLED, Trouble.EARLY_END, Trouble.HANG}
 
 
@@ -85,6 +93,8 @@
         self.plan = plan
         self.ledger = ledger
         self.troubles = TroublePlan(0.0, [])
+        self.refusal_copies = []  # each refusal meets one of these, drawn by lot; empty: no copies
+        self.copies_sent = 0
         self.draining = False
         self.running = 0
         self.waiting = 0
@@ -283,8 +293,19 @@
         connection.writer.write(connection.late + data)
         connection.late = b""
         await connection.writer.drain()
+        if self.refusal_copies and answer.headers.get("X-Not-Executed"):
+            await self._copy_refusal(connection, data)
         return not self.draining and not request.headers.has_token("Connection", "close")
 
+    async def _copy_refusal(self, connection, data):
+        self.copies_sent += 1
+        if random.choice(self.refusal_copies) is RefusalCopy.LATE:
+            connection.late = data
+            return
+        await asyncio.sleep(0)
+        connection.writer.write(data)
+        await connection.writer.drain()
+
     async def _misbehave(self, connection, request, answer, trouble):
         writer = connection.writer
         answer = self._complete(request, answer)
