No connection carries two attempts of one request; a refusal without an id counts on a new connection alone

Clients got 503, the promise that a request has not run, for requests that ran. All attempts of a request bear its id, and the next attempt went out on the connection of the one before, so a copy of a host's refusal, late or in a write of its own, passed for the next answer. A request now names the connections that it has used, and none of them is taken again; at a host's limit such a connection gives way to a new one. A refusal without an id is accepted only where no earlier request can have caused it.

--- a/src/gateway/upstreams.cpp
+++ b/src/gateway/upstreams.cpp
@@ -90,10 +90,11 @@
     return waiting.size();
 }
 
-AttemptId Upstreams::take_idle(Host& host) {
-    while (!host.idle.empty()) {
-        const AttemptId id = host.idle.back();
-        host.idle.pop_back();
+AttemptId Upstreams::take_idle(Host& host, std::span<const AttemptId> excluded) {
+    for (std::size_t n = host.idle.size(); n-- > 0;) {
+        const AttemptId id = host.idle[n];
+        if (std::find(excluded.begin(), excluded.end(), id) != excluded.end()) continue;
+        host.idle.erase(host.idle.begin() + static_cast<std::ptrdiff_t>(n));
         Connection& connection = *connections_.find(id);
         loop_.deadlines().cancel(connection.deadline);
         // A connection that has received bytes or its end since its last response is not reused.
@@ -103,6 +104,13 @@
     return 0;
 }
 
+// An idle connection or a new one. At the host's limit an excluded idle connection gives way to a new one.
+AttemptId Upstreams::take_connection(EndpointId endpoint, Host& host, std::span<const AttemptId> excluded) {
+    if (const AttemptId idle = take_idle(host, excluded)) return idle;
+    if (host.connections >= host.max_connections && !host.idle.empty()) close(host.idle.front());
+    return open_connection(endpoint, host);
+}
+
 AttemptId Upstreams::open_connection(EndpointId endpoint, Host& host) {
     if (host.connections >= host.max_connections) return 0;
     if (!loop_.connections().has_room(reserved_connection_fraction)) return 0;
@@ -122,10 +130,8 @@
                            runtime::Time within) {
     const auto found = hosts_.find(endpoint);
     AttemptId id = 0;
-    if (found != hosts_.end() && !found->second.removed) {
-        id = take_idle(found->second);
-        if (!id) id = open_connection(endpoint, found->second);
-    }
+    if (found != hosts_.end() && !found->second.removed)
+        id = take_connection(endpoint, found->second, sent.used_connections);
     if (!id) {
         finish_attempt_later(request, endpoint, AttemptOutcome::not_sent);
         return 0;
@@ -138,6 +144,7 @@
     connection.request_complete = sent.complete;
     connection.expects_no_body = sent.expects_no_body;
     connection.skipped_responses = 0;
+    ++connection.requests_carried;
     if (sent.expects_no_body) connection.reader.expect_no_body();
     connection.deadline =
         loop_.deadlines().after(within, [this, id] { finish_attempt(id, AttemptOutcome::timed_out); });
@@ -240,11 +247,12 @@
 }
 
 // Whether the response belongs to this attempt: a host may send a surplus response to an earlier request
-// first. A response without an attempt id is accepted only as a refusal, which reveals no other request's
-// result.
+// first. Its id identifies the attempt, since no connection carries two attempts of one request. A response
+// without an id is accepted only as a refusal, and only if no earlier request can have caused it.
 bool Upstreams::matches_attempt(const Connection& connection) const {
     const std::string_view id = connection.reader.field("X-Attempt-Id");
     if (!id.empty()) return id == connection.attempt_id;
+    if (connection.requests_carried > 1) return false;
     return connection.reader.has_field("X-Not-Executed") || connection.reader.status() == status_misdirected;
 }
 
--- a/src/gateway/upstreams.h
+++ b/src/gateway/upstreams.h
@@ -4,6 +4,7 @@
 
 #include <asio/ip/tcp.hpp>
 #include <map>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -70,6 +71,9 @@
     bool chunked = false;          // chunked transfer coding: the length is not known
     bool complete = true;          // `body` is the complete body
     bool expects_no_body = false;  // the response has no body: the method is HEAD
+    // Connections that earlier attempts of the same request were made on. They are not used again: all
+    // attempts of a request have one id, so a late copy of an earlier response would match.
+    std::span<const AttemptId> used_connections{};
 };
 
 class Upstreams : net::ConnectionHandler {
@@ -111,6 +115,7 @@
         bool chunked_request = false;
         bool request_complete = true;  // the complete request has been written to it
         bool expects_no_body = false;
+        std::uint32_t requests_carried = 0;
         int skipped_responses = 0;  // to earlier requests, read while waiting for this one's response
         RequestId request = 0;      // 0: the connection is idle
         std::string attempt_id{};
@@ -133,7 +138,8 @@
     void drained(net::Handle socket, std::uint32_t mark) override;
 
     std::vector<AttemptId> connecting_to(EndpointId endpoint);
-    AttemptId take_idle(Host& host);
+    AttemptId take_idle(Host& host, std::span<const AttemptId> excluded);
+    AttemptId take_connection(EndpointId endpoint, Host& host, std::span<const AttemptId> excluded);
     AttemptId open_connection(EndpointId endpoint, Host& host);
     void write(Connection& connection, std::string_view bytes);
     void handle_response(AttemptId id);
