Observability: the gateway logs every response that it skips as another attempt's

Without it nothing in the log tells a copy of an earlier answer from a host that does not answer. response_skipped names the endpoint and the status.

--- a/src/gateway/upstreams.cpp
+++ b/src/gateway/upstreams.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "logging/log.h"
+
 namespace dewweir::gateway {
 namespace {
 
@@ -260,6 +262,11 @@
     Connection& connection = *connections_.find(id);
     const bool interim = connection.reader.status() < 200;
     if (interim || !matches_attempt(connection)) {
+        if (!interim) {
+            logging::log(logging::Level::info, logging::Event::response_skipped,
+                         {{"endpoint", static_cast<std::int64_t>(connection.endpoint)},
+                          {"status", static_cast<std::int64_t>(connection.reader.status())}});
+        }
         if (connection.streaming_response || ++connection.skipped_responses > max_skipped_responses)
             return finish_attempt(id, AttemptOutcome::broken);
         connection.reader.next();
--- a/src/logging/log.cpp
+++ b/src/logging/log.cpp
@@ -33,6 +33,7 @@
     "instance_list_failed",
     "instance_list_applied",
     "attempts_withdrawn",
+    "response_skipped",
     "list_lease_lost",
     "list_lease_renewed",
     "region_without_gateways",
--- a/src/logging/log.h
+++ b/src/logging/log.h
@@ -33,6 +33,7 @@
     instance_list_failed,
     instance_list_applied,
     attempts_withdrawn,
+    response_skipped,
     list_lease_lost,
     list_lease_renewed,
     region_without_gateways,
