A control plane's proof of being in sync counts from the gateway's stamp, not from its arrival

Probes carry a stamp that the heartbeat echoes; a message without an echo proves no more than what held when its session was opened, which is also how older control planes are taken. A session that has just been adopted is kept while its view is transferred, for longer after each one that was left before that; a candidate is adopted only if its proof is younger by half of the longest staleness, so that a slow link alone causes no change.

--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -224,7 +224,7 @@
         if (on_consensus_message_) on_consensus_message_(*consensus);
         return;
     }
-    if (std::holds_alternative<wire::Probe>(message)) return send_heartbeat(session);
+    if (const auto* const probe = std::get_if<wire::Probe>(&message)) return answer_probe(session, *probe);
     if (const auto* const request = std::get_if<wire::Heartbeat>(&message)) {
         peer.stamp = request->stamp;
         return echo_stamp(session, peer);
@@ -354,6 +354,12 @@
     return heartbeat;
 }
 
+void FleetServer::answer_probe(transport::SessionId session, const wire::Probe& probe) {
+    wire::Heartbeat answer = heartbeat();
+    answer.echo = probe.stamp;
+    sessions_.send(session, answer);
+}
+
 void FleetServer::send_heartbeat(transport::SessionId session) { sessions_.send(session, heartbeat()); }
 
 void FleetServer::close_unresponsive_sessions() {
--- a/src/control_plane/fleet_server.h
+++ b/src/control_plane/fleet_server.h
@@ -63,6 +63,7 @@
 
     void publish_instances(const control::InstanceReading& reading);
     void send_heartbeat(transport::SessionId session);
+    void answer_probe(transport::SessionId session, const wire::Probe& probe);
     wire::Heartbeat heartbeat() const;
     std::optional<runtime::Time> list_age() const;
     bool in_sync() const;
--- a/src/gateway/control_plane_search.cpp
+++ b/src/gateway/control_plane_search.cpp
@@ -9,19 +9,43 @@
 constexpr std::size_t max_candidates = 4;
 // How long a candidate that answers but is not in sync is kept: it may be the first one to be in sync again.
 constexpr runtime::Time unsynced_candidate_limit = 3 * runtime::tenths_per_second;
+// Longest time that an adopted session may take to transfer its view, after any number of failures.
+constexpr runtime::Time max_loading_time = 12 * runtime::tenths_per_second;
 
 }  // namespace
 
 ControlPlaneSearch::ControlPlaneSearch(const distribution::SearchIntervals& intervals, std::size_t start)
-    : intervals_(intervals), next_index_(start) {}
+    : intervals_(intervals), next_index_(start), loading_limit_(intervals.max_staleness) {}
 
 bool ControlPlaneSearch::in_sync(const Session& session, runtime::Time now) const {
     return session.in_sync_at && now - *session.in_sync_at < intervals_.max_staleness;
 }
 
+bool ControlPlaneSearch::loading(const Session& session, runtime::Time now) const {
+    return session.adopted_at && !session.proved_since_adopted && now - *session.adopted_at < loading_limit_;
+}
+
 bool ControlPlaneSearch::current_in_sync(runtime::Time now) const {
     const auto current = sessions_.find(current_);
-    return current != sessions_.end() && !suspected_ && in_sync(current->second, now);
+    if (current == sessions_.end() || suspected_) return false;
+    return in_sync(current->second, now) || loading(current->second, now);
+}
+
+// While all of this gateway's messages take long, a candidate's proof is hardly younger than the current one,
+// and a change would only transfer the view again.
+bool ControlPlaneSearch::much_fresher(const Session& candidate) const {
+    const auto current = sessions_.find(current_);
+    if (current == sessions_.end() || suspected_ || !current->second.in_sync_at) return true;
+    return *candidate.in_sync_at - *current->second.in_sync_at >= intervals_.max_staleness / 2;
+}
+
+void ControlPlaneSearch::adopt(SearchSession session, runtime::Time now) {
+    const auto left = sessions_.find(current_);
+    if (left != sessions_.end() && !left->second.proved_since_adopted)
+        loading_limit_ = std::min(2 * loading_limit_, max_loading_time);
+    sessions_.at(session).adopted_at = now;
+    current_ = session;
+    suspected_ = false;
 }
 
 bool ControlPlaneSearch::has_session_to(const std::string& address) const {
@@ -40,7 +64,7 @@
 SearchSession ControlPlaneSearch::freshest_candidate(runtime::Time now) const {
     SearchSession best = 0;
     for (const auto& [id, session] : sessions_) {
-        if (id == current_ || !in_sync(session, now)) continue;
+        if (id == current_ || !in_sync(session, now) || !much_fresher(session)) continue;
         if (!best || *session.in_sync_at > *sessions_.at(best).in_sync_at) best = id;
     }
     return best;
@@ -63,8 +87,7 @@
         for (const auto& [id, session] : sessions_) {
             if (id != kept) actions.close.push_back(id);
         }
-        if (actions.adopt) suspected_ = false;
-        current_ = kept;
+        if (actions.adopt) adopt(actions.adopt, now);
     } else {
         close_timed_out(now, actions);
     }
@@ -79,7 +102,10 @@
 
 runtime::Time ControlPlaneSearch::next_review(runtime::Time now) const {
     if (!current_in_sync(now)) return now + intervals_.attempt_interval;
-    return *sessions_.at(current_).in_sync_at + intervals_.max_staleness;
+    const Session& current = sessions_.at(current_);
+    const runtime::Time in_sync_until = *current.in_sync_at + intervals_.max_staleness;
+    if (!loading(current, now)) return in_sync_until;
+    return std::max(in_sync_until, *current.adopted_at + loading_limit_);
 }
 
 void ControlPlaneSearch::add_session(SearchSession session, const std::string& address, runtime::Time now) {
@@ -94,13 +120,26 @@
 }
 
 void ControlPlaneSearch::report_staleness(SearchSession session, std::optional<runtime::Time> staleness,
-                                          runtime::Time now) {
+                                          std::optional<runtime::Time> asked_at) {
     const auto found = sessions_.find(session);
     if (found == sessions_.end()) return;
-    found->second.answered = true;
+    Session& answering = found->second;
+    answering.answered = true;
+    if (answering.adopted_at && asked_at) {
+        answering.proved_since_adopted = true;
+        loading_limit_ = intervals_.max_staleness;
+    }
     if (!staleness) return;
-    const runtime::Time in_sync_at = now - *staleness;
-    found->second.in_sync_at = std::max(found->second.in_sync_at.value_or(in_sync_at), in_sync_at);
+    const runtime::Time in_sync_at = asked_at.value_or(answering.opened_at) - *staleness;
+    answering.in_sync_at = std::max(answering.in_sync_at.value_or(in_sync_at), in_sync_at);
+}
+
+bool ControlPlaneSearch::should_probe_again(SearchSession session, runtime::Time now) {
+    const auto found = sessions_.find(session);
+    if (found == sessions_.end() || session == current_) return false;
+    if (now - found->second.probed_at < distribution::heartbeat_interval) return false;
+    found->second.probed_at = now;
+    return true;
 }
 
 }  // namespace dewweir::gateway
--- a/src/gateway/control_plane_search.h
+++ b/src/gateway/control_plane_search.h
@@ -3,6 +3,9 @@
 // too old, the gateway opens sessions to further candidates, one after the other and without waiting for
 // answers, and adopts the first one whose proof is recent enough. Performs no I/O: sessions are identified by
 // number and the caller passes the time.
+//
+// A proof counts from the time at which it was asked for, a stamp of this gateway that the control plane
+// echoes, and not from its arrival: the messages of a session may wait for long behind others.
 #pragma once
 
 #include <map>
@@ -37,9 +40,13 @@
     void add_session(SearchSession session, const std::string& address, runtime::Time now);
     // The session has been closed by the other side or has failed.
     void remove_session(SearchSession session);
-    // The control plane of this session states how old its view may be at most: changes acknowledged during
-    // that time may be missing. Nothing: it has never been in sync.
-    void report_staleness(SearchSession session, std::optional<runtime::Time> staleness, runtime::Time now);
+    // The control plane of this session has stated how old its view may be at most: changes acknowledged
+    // during that time may be missing. `staleness`: nothing if it has never been in sync. `asked_at`: the
+    // stamp that it echoed; without one the message may be as old as the session.
+    void report_staleness(SearchSession session, std::optional<runtime::Time> staleness,
+                          std::optional<runtime::Time> asked_at);
+    // The candidate has sent a message that proves nothing. Whether to probe it again now.
+    bool should_probe_again(SearchSession session, runtime::Time now);
 
     // While the current control plane is suspected it counts as out of sync whatever staleness it states,
     // since its messages may arrive late. Adopting another one ends the suspicion.
@@ -55,11 +62,18 @@
         std::string address;
         runtime::Time opened_at = 0;
         bool answered = false;
+        runtime::Time probed_at = 0;
+        std::optional<runtime::Time> adopted_at{};
+        bool proved_since_adopted = false;  // it has echoed a stamp behind the complete view
         // The control plane has every change that was acknowledged up to this time; nothing: not known.
         std::optional<runtime::Time> in_sync_at{};
     };
 
     bool in_sync(const Session& session, runtime::Time now) const;
+    // The session has just been adopted and its view is still being transferred.
+    bool loading(const Session& session, runtime::Time now) const;
+    bool much_fresher(const Session& candidate) const;
+    void adopt(SearchSession session, runtime::Time now);
     bool current_in_sync(runtime::Time now) const;
     bool has_session_to(const std::string& address) const;
     std::optional<std::string> next_address(const std::vector<std::string>& addresses);
@@ -71,6 +85,9 @@
     std::map<SearchSession, Session> sessions_;
     SearchSession current_ = 0;
     bool suspected_ = false;
+    // How long an adopted session may take to transfer its view. Doubled whenever one was left before that,
+    // since the next one has to transfer all of it again.
+    runtime::Time loading_limit_;
     std::optional<runtime::Time> last_candidate_at_;  // when the last candidate session was requested
 };
 
--- a/src/gateway/control_session.cpp
+++ b/src/gateway/control_session.cpp
@@ -102,16 +102,29 @@
     logging::log(Level::info, Event::session_opened, {});
 }
 
-void ControlSession::session_opened(transport::SessionId session) { sessions_.send(session, wire::Probe{}); }
+void ControlSession::session_opened(transport::SessionId session) { send_probe(session); }
+
+void ControlSession::send_probe(transport::SessionId session) {
+    wire::Probe probe;
+    probe.stamp = static_cast<std::uint64_t>(loop_.now());
+    sessions_.send(session, probe);
+}
+
+void ControlSession::heartbeat_received(transport::SessionId session, const wire::Heartbeat& heartbeat) {
+    std::optional<runtime::Time> staleness;
+    if (heartbeat.staleness_ms != wire::never_in_step) {
+        staleness = static_cast<runtime::Time>(heartbeat.staleness_ms) * runtime::tenths_per_millisecond;
+    }
+    std::optional<runtime::Time> asked_at;
+    if (heartbeat.echo != 0) asked_at = static_cast<runtime::Time>(heartbeat.echo);
+    search_.report_staleness(session, staleness, asked_at);
+    if (!asked_at && search_.should_probe_again(session, loop_.now())) send_probe(session);
+    if (session == search_.current()) heartbeat_echoed(heartbeat);
+}
 
 void ControlSession::session_received(transport::SessionId session, wire::Message&& message) {
     if (const auto* const heartbeat = std::get_if<wire::Heartbeat>(&message)) {
-        std::optional<runtime::Time> staleness;
-        if (heartbeat->staleness_ms != wire::never_in_step) {
-            staleness = static_cast<runtime::Time>(heartbeat->staleness_ms) * runtime::tenths_per_millisecond;
-        }
-        search_.report_staleness(session, staleness, loop_.now());
-        if (session == search_.current()) heartbeat_echoed(*heartbeat);
+        heartbeat_received(session, *heartbeat);
         return review();
     }
     if (session != search_.current()) return;
--- a/src/gateway/control_session.h
+++ b/src/gateway/control_session.h
@@ -49,6 +49,8 @@
     void session_opened(transport::SessionId session) override;
     void session_received(transport::SessionId session, wire::Message&& message) override;
     void session_closed(transport::SessionId session) override;
+    void send_probe(transport::SessionId session);
+    void heartbeat_received(transport::SessionId session, const wire::Heartbeat& heartbeat);
     void heartbeat_tick();
     void send_heartbeat();
     void heartbeat_echoed(const wire::Heartbeat& heartbeat);
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -171,7 +171,8 @@
 // member only after its Hello.
 struct Probe {
     std::uint32_t protocol = protocol_version;
-    MSGPACK_DEFINE(protocol);
+    std::uint64_t stamp = 0;  // of the gateway's own clock, echoed by the heartbeat; 0: none
+    MSGPACK_DEFINE(protocol, stamp);
 };
 
 using Message = std::variant<Hello, Heartbeat, ConfigurationUpdate, EvacuationsUpdate, InstancesUpdate,
--- a/tests/gateway/control_plane_search.cpp
+++ b/tests/gateway/control_plane_search.cpp
@@ -14,6 +14,7 @@
 constexpr Time ms = runtime::tenths_per_millisecond;
 constexpr Time turn = 10 * ms;
 constexpr Time answer_after = 260 * ms;  // two round trips between distant regions
+constexpr Time round_trip = answer_after / 2;
 constexpr Time normal_staleness = 300 * ms;
 
 enum class Kind : std::uint8_t {
@@ -21,6 +22,7 @@
     stale,         // sends heartbeats that state a growing staleness
     unresponsive,  // accepts connections and sends nothing
     refusing,      // refuses connections
+    backlogged,    // in sync; what it sends to a gateway that has adopted it waits for ever longer
 };
 
 // Control planes and one gateway.
@@ -63,7 +65,14 @@
             session.next_heartbeat = now_ + distribution::heartbeat_interval;
             const Kind kind = kinds_[session.control_plane];
             if (kind == Kind::unresponsive) continue;
-            search_.report_staleness(id, staleness(session.control_plane), now_);
+            if (kind == Kind::backlogged && id == search_.current()) {
+                // Answers that come after twice the time answer stamps from half of it ago.
+                const Time asked_at =
+                    changed_at_[session.control_plane] + (now_ - changed_at_[session.control_plane]) / 2;
+                search_.report_staleness(id, normal_staleness, asked_at);
+                continue;
+            }
+            search_.report_staleness(id, staleness(session.control_plane), now_ - round_trip);
         }
         const ControlPlaneSearch::Actions actions = search_.review(now_, addresses_);
         for (const SearchSession id : actions.close) sessions_.erase(id);
@@ -170,3 +179,44 @@
     CHECK(fleet.current() == other);
     CHECK(fleet.candidates() == 0);
 }
+
+TEST_CASE("a control plane whose proofs arrive later and later is replaced by one that answers at once") {
+    Fleet fleet(intervals(), std::vector<Kind>(3, Kind::in_sync));
+    fleet.run_for(2'000 * ms);
+    const std::size_t first = *fleet.current();
+    fleet.set(first, Kind::backlogged);
+    fleet.run_for(4'000 * ms);
+    CHECK(fleet.current() != first);
+}
+
+TEST_CASE("a session whose view takes long to transfer is given more time after each failure") {
+    const distribution::SearchIntervals limits = intervals();
+    ControlPlaneSearch search(limits, 0);
+    const std::vector<std::string> addresses{"cp0", "cp1"};
+    SearchSession last = 0;
+    std::size_t adopted = 0;
+    Time now = 1'000'000;
+    // Each control plane answers a probe at once, and nothing while it transfers its view.
+    for (const Time end = now + 20'000 * ms; now < end; now += turn) {
+        const ControlPlaneSearch::Actions actions = search.review(now, addresses);
+        adopted += actions.adopt != 0;
+        if (!actions.open) continue;
+        search.add_session(++last, *actions.open, now);
+        search.report_staleness(last, normal_staleness, now);
+    }
+    CHECK(adopted >= 3);
+    CHECK(adopted <= 5);
+}
+
+TEST_CASE("a message without an echo proves no more than what held when its session was opened") {
+    const distribution::SearchIntervals limits = intervals();
+    ControlPlaneSearch search(limits, 0);
+    const Time opened = 1'000'000;
+    search.add_session(1, "cp0", opened);
+    search.report_staleness(1, normal_staleness, std::nullopt);
+    CHECK(search.review(opened + limits.max_staleness, {"cp0"}).adopt == 0);
+    CHECK(search.should_probe_again(1, opened + limits.max_staleness));
+    CHECK_FALSE(search.should_probe_again(1, opened + limits.max_staleness + turn));
+    search.report_staleness(1, normal_staleness, opened + limits.max_staleness);
+    CHECK(search.review(opened + limits.max_staleness + turn, {"cp0"}).adopt == 1);
+}
