Control planes queue at most 256 KiB of updates for a session; a slower peer is sent the whole view once they are through

Every change of the configuration was queued whole for every gateway, however slowly it read: tens of seconds of versions that had been replaced already. A peer with more than that waiting is marked as awaiting its view, as one that joins, and is sent the newest state alone.

--- a/src/control_plane/fleet_server.cpp
+++ b/src/control_plane/fleet_server.cpp
@@ -17,6 +17,9 @@
 // Cap on the reported age of the list while the platform cannot be read or the control planes are out of
 // sync: nobody can know a newer list then, so the age says nothing about how long updates take to arrive.
 constexpr runtime::Time max_list_age_without_source = 1500 * runtime::tenths_per_millisecond;
+// Bytes that may wait in a session. A peer that receives more slowly than changes come is sent the whole view
+// once they are through, and what changes meanwhile is in it.
+constexpr std::size_t max_backlog_bytes = 256u << 10;
 
 }  // namespace
 
@@ -93,11 +96,20 @@
 
 void FleetServer::broadcast(const wire::Message& message) {
     const std::string frame = wire::frame(message);
-    for (const auto& [session, peer] : peers_) {
-        if (peer.said_hello && !peer.awaits_view) sessions_.send_frame(session, frame);
+    for (auto& [session, peer] : peers_) {
+        if (!peer.said_hello || peer.awaits_view) continue;
+        if (is_backlogged(session)) {
+            peer.awaits_view = true;
+        } else {
+            sessions_.send_frame(session, frame);
+        }
     }
 }
 
+bool FleetServer::is_backlogged(transport::SessionId session) {
+    return sessions_.unsent_bytes(session) > max_backlog_bytes;
+}
+
 // ---- staleness of this process's view ----
 
 std::optional<runtime::Time> FleetServer::staleness() const {
@@ -117,7 +129,7 @@
 void FleetServer::send_pending_views() {
     if (!in_sync()) return;
     for (auto& [session, peer] : peers_) {
-        if (!peer.awaits_view) continue;
+        if (!peer.awaits_view || is_backlogged(session)) continue;
         peer.awaits_view = false;
         for (const wire::Message& message : view_.snapshot()) sessions_.send(session, message);
         echo_stamp(session, peer);
--- a/src/control_plane/fleet_server.h
+++ b/src/control_plane/fleet_server.h
@@ -51,8 +51,10 @@
     // The other end of a session.
     struct Peer {
         bool said_hello = false;
-        bool awaits_view = false;  // has not received the view yet, because this process was not in sync
-        wire::Member member{};     // from its Hello; empty before
+        // Receives no updates until it is sent the whole view: this process was not in sync when it joined,
+        // or updates wait in its session already.
+        bool awaits_view = false;
+        wire::Member member{};           // from its Hello; empty before
         runtime::Time last_contact = 0;  // when its last message arrived
         std::uint64_t stamp = 0;         // still to be echoed; 0: none
     };
@@ -68,6 +70,7 @@
     std::optional<runtime::Time> list_age() const;
     bool in_sync() const;
     void send_pending_views();
+    bool is_backlogged(transport::SessionId session);
     void hello_received(transport::SessionId session, Peer& peer, const wire::Hello& hello);
     void member_changed(Peer& peer, const wire::Member& member);
     void leader_message_received(const wire::Message& message);
--- a/src/transport/sessions.cpp
+++ b/src/transport/sessions.cpp
@@ -40,6 +40,11 @@
     if (session && session->connection) loop_.connections().send(session->connection, {frame});
 }
 
+std::size_t Sessions::unsent_bytes(SessionId id) {
+    const Session* const session = sessions_.find(id);
+    return session && session->connection ? loop_.connections().unsent_bytes(session->connection) : 0;
+}
+
 void Sessions::close(SessionId id) {
     const Session* const session = sessions_.find(id);
     if (!session) return;
--- a/src/transport/sessions.h
+++ b/src/transport/sessions.h
@@ -35,6 +35,8 @@
     void send(SessionId session, const wire::Message& message);
     // Bytes of one frame that several sessions get.
     void send_frame(SessionId session, const std::string& frame);
+    // Bytes that wait to be handed to the operating system.
+    std::size_t unsent_bytes(SessionId session);
     // Its user hears no more of it.
     void close(SessionId session);
 
--- a/tests/control_plane/fleet_server.cpp
+++ b/tests/control_plane/fleet_server.cpp
@@ -165,3 +165,29 @@
     harness.leader_sends_heartbeat(harness.peer.last_stamp(), wire::unknown_list_age_ms);
     harness.wait_until([&] { return *harness.fleet->staleness() < max_staleness; });
 }
+
+TEST_CASE(
+    "a gateway that reads more slowly than updates come is sent the whole view in place of all of them") {
+    constexpr std::size_t updates = 300;
+    constexpr std::size_t update_bytes = 100'000;
+    TestHarness harness;
+    harness.read_list();
+    harness.connect_gateway();
+    harness.wait_until([&] { return !harness.peer.echoes().empty(); });
+    wire::Instance instance;
+    instance.zone = std::string(update_bytes, 'z');
+    const auto publish = [&](std::size_t number) {
+        instance.id = std::to_string(number);
+        harness.fleet->instance_list_read({{{instance.id, instance}}, harness.loop.now(), 1});
+    };
+    for (std::size_t number = 1; number <= updates; ++number) publish(number);
+    const auto has_newest = [&] {
+        return std::any_of(
+            harness.peer.received.begin(), harness.peer.received.end(), [&](const wire::Message& message) {
+                const auto* const update = std::get_if<wire::InstancesUpdate>(&message);
+                return update && !update->changed.empty() && update->changed[0].id == std::to_string(updates);
+            });
+    };
+    harness.wait_until(has_newest);
+    CHECK(harness.peer.received.size() < updates / 2);
+}
