The lease on the list is not given up while a control plane in sync is heard from

After `contact` without an echo a gateway takes its control planes as lost and goes by its last list. An interval in which a control plane that is in sync and has a list was heard from no longer counts as silence.

--- a/src/gateway/control_session.cpp
+++ b/src/gateway/control_session.cpp
@@ -37,6 +37,7 @@
     : loop_(loop),
       sessions_(sessions),
       internal_port_(settings.network.ephemeral_ports.first),
+      max_staleness_(search_intervals(settings).max_staleness),
       seeds_(settings.network.seed_nodes),
       self_(self),
       on_view_changed_(std::move(on_view_changed)),
@@ -118,6 +119,8 @@
     std::optional<runtime::Time> asked_at;
     if (heartbeat.echo != 0) asked_at = static_cast<runtime::Time>(heartbeat.echo);
     search_.report_staleness(session, staleness, asked_at);
+    const bool has_list = heartbeat.list_age_ms != wire::unknown_list_age_ms;
+    if (staleness && *staleness < max_staleness_ && has_list) lease_.control_plane_heard();
     if (!asked_at && search_.should_probe_again(session, loop_.now())) send_probe(session);
     if (session == search_.current()) heartbeat_echoed(heartbeat);
 }
--- a/src/gateway/control_session.h
+++ b/src/gateway/control_session.h
@@ -59,6 +59,7 @@
     runtime::EventLoop& loop_;
     transport::Sessions& sessions_;
     std::uint16_t internal_port_;  // of the control planes at the seed addresses
+    runtime::Time max_staleness_;  // of a control plane that counts as in sync
     std::vector<settings::Endpoint> seeds_;
     wire::Member self_;
     ViewChangedHandler on_view_changed_;
--- a/src/gateway/list_lease.cpp
+++ b/src/gateway/list_lease.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "distribution/intervals.h"
 
@@ -18,6 +19,7 @@
 
 void ListLease::echo_received(runtime::Time sent_at, runtime::Time list_age, runtime::Time now) {
     time_without_echo_ = 0;
+    silent_time_ = 0;
     time_without_echo_at_switch_ = 0;
     suspected_ = false;
     last_echo_at_ = now;
@@ -29,9 +31,11 @@
 
 void ListLease::interval_passed(bool link_responsive) {
     time_without_echo_ += distribution::heartbeat_interval;
+    silent_time_ += distribution::heartbeat_interval;
+    if (std::exchange(control_plane_heard_, false)) silent_time_ = 0;
     suspected_ = link_responsive && time_without_echo_ - time_without_echo_at_switch_ >= suspicion_delay;
-    const bool lost = link_responsive && time_without_echo_ >= suspicion_delay + limits_.search;
-    if (lost || time_without_echo_ >= limits_.contact) valid_until_ = no_expiry;
+    const bool lost = link_responsive && silent_time_ >= suspicion_delay + limits_.search;
+    if (lost || silent_time_ >= limits_.contact) valid_until_ = no_expiry;
 }
 
 void ListLease::control_plane_switched() {
--- a/src/gateway/list_lease.h
+++ b/src/gateway/list_lease.h
@@ -30,11 +30,14 @@
     // The control plane has echoed the timestamp `sent_at`, after all updates that it had when it received
     // the timestamp. Its list was `list_age` old then. Renews the lease.
     void echo_received(runtime::Time sent_at, runtime::Time list_age, runtime::Time now);
+    // A control plane that is in sync and has a list has sent something. As long as that happens the list is
+    // late, not lost.
+    void control_plane_heard() { control_plane_heard_ = true; }
     // A heartbeat interval has passed while this process was running. `link_responsive`: another gateway has
-    // answered this one in time since `echo_overdue_since`. After enough intervals without an echo the
-    // control planes are considered lost, and the lease has no end until one of them echoes again, so that
-    // requests are served by the last list. With a responsive link fewer intervals suffice, since then the
-    // delay cannot be caused by this machine's link.
+    // answered this one in time since `echo_overdue_since`. After enough silent intervals, without an echo or
+    // a word of a control plane in sync, the control planes are considered lost, and the lease has no end
+    // until one of them echoes again, so that requests are served by the last list. With a responsive link
+    // fewer intervals suffice, since then the delay cannot be caused by this machine's link.
     void interval_passed(bool link_responsive);
     // Time from which the next echo was overdue.
     runtime::Time echo_overdue_since() const;
@@ -60,7 +63,11 @@
     bool suspected_ = false;
     // Heartbeat intervals in which this process ran since the last echo.
     runtime::Time time_without_echo_ = 0;
-    // Its value when the control plane was last switched; 0 if that was not since the last echo.
+    // Heartbeat intervals in which this process ran since a control plane in sync was last heard from.
+    runtime::Time silent_time_ = 0;
+    bool control_plane_heard_ = false;  // since the last interval passed
+    // The value of `time_without_echo_` when the control plane was last switched; 0 if that was not since the
+    // last echo.
     runtime::Time time_without_echo_at_switch_ = 0;
     // The list contains every change that the platform had published before this time.
     std::optional<runtime::Time> list_as_of_;
--- a/tests/gateway/list_lease.cpp
+++ b/tests/gateway/list_lease.cpp
@@ -118,3 +118,18 @@
     CHECK(lease.holds(sent_at + 2800 * ms));
     CHECK(lease.list_age(sent_at + 2800 * ms) == 1200 * ms);
 }
+
+TEST_CASE("a list that is late while a control plane in sync is heard from is not taken for the last one") {
+    const bool link_responsive = GENERATE(true, false);
+    ListLease lease = lease_after(120 * ms, 800 * ms);
+    runtime::Time now = sent_at;
+    for (int n = 0; n < 50; ++n) {
+        now += interval;
+        lease.control_plane_heard();
+        lease.interval_passed(link_responsive);
+    }
+    CHECK_FALSE(lease.holds(now));
+    const auto intervals = static_cast<int>(limits.contact / interval);
+    for (int n = 0; n < intervals; ++n) lease.interval_passed(link_responsive);
+    CHECK(lease.holds(now));
+}
