Attempts to reach a control plane get more time when the round trip is longer than usual

An attempt that has used its whole time without an answer doubles it, up to 6 s; the first echo sets it back. A control plane that states to be in sync is adopted also if its answer was long under way, where the current one's proof is older.

--- a/src/gateway/control_plane_search.cpp
+++ b/src/gateway/control_plane_search.cpp
@@ -11,11 +11,15 @@
 constexpr runtime::Time unsynced_candidate_limit = 3 * runtime::tenths_per_second;
 // Longest time that an adopted session may take to transfer its view, after any number of failures.
 constexpr runtime::Time max_loading_time = 12 * runtime::tenths_per_second;
+constexpr runtime::Time max_attempt_timeout = 6 * runtime::tenths_per_second;
 
 }  // namespace
 
 ControlPlaneSearch::ControlPlaneSearch(const distribution::SearchIntervals& intervals, std::size_t start)
-    : intervals_(intervals), next_index_(start), loading_limit_(intervals.max_staleness) {}
+    : intervals_(intervals),
+      next_index_(start),
+      loading_limit_(intervals.max_staleness),
+      attempt_timeout_(intervals.attempt_timeout) {}
 
 bool ControlPlaneSearch::in_sync(const Session& session, runtime::Time now) const {
     return session.in_sync_at && now - *session.in_sync_at < intervals_.max_staleness;
@@ -39,6 +43,13 @@
     return *candidate.in_sync_at - *current->second.in_sync_at >= intervals_.max_staleness / 2;
 }
 
+// A control plane that states to be in sync, but whose proof has been under way for long, is still better
+// than one whose proof is much older, and than none.
+bool ControlPlaneSearch::adoptable(const Session& candidate, runtime::Time now) const {
+    if (!candidate.in_sync_at) return false;
+    return (candidate.states_in_sync || in_sync(candidate, now)) && much_fresher(candidate);
+}
+
 void ControlPlaneSearch::adopt(SearchSession session, runtime::Time now) {
     const auto left = sessions_.find(current_);
     if (left != sessions_.end() && !left->second.proved_since_adopted)
@@ -64,7 +75,7 @@
 SearchSession ControlPlaneSearch::freshest_candidate(runtime::Time now) const {
     SearchSession best = 0;
     for (const auto& [id, session] : sessions_) {
-        if (id == current_ || !in_sync(session, now) || !much_fresher(session)) continue;
+        if (id == current_ || !adoptable(session, now)) continue;
         if (!best || *session.in_sync_at > *sessions_.at(best).in_sync_at) best = id;
     }
     return best;
@@ -72,9 +83,18 @@
 
 void ControlPlaneSearch::close_timed_out(runtime::Time now, Actions& actions) {
     for (const auto& [id, session] : sessions_) {
-        const runtime::Time limit = session.answered ? unsynced_candidate_limit : intervals_.attempt_timeout;
+        const runtime::Time limit = session.answered ? unsynced_candidate_limit : attempt_timeout_;
         if (id != current_ && now - session.opened_at >= limit) actions.close.push_back(id);
     }
+    for (const SearchSession id : actions.close) attempt_failed(sessions_.at(id), now);
+}
+
+// Only an attempt that has used its whole time shows that the time is too short; a refused one does not.
+void ControlPlaneSearch::attempt_failed(const Session& session, runtime::Time now) {
+    if (session.answered || now - session.opened_at < attempt_timeout_) return;
+    if (now - attempt_timeout_raised_at_ < attempt_timeout_) return;  // one of several opened side by side
+    attempt_timeout_raised_at_ = now;
+    attempt_timeout_ = std::min(attempt_timeout_ * 2, max_attempt_timeout);
 }
 
 ControlPlaneSearch::Actions ControlPlaneSearch::review(runtime::Time now,
@@ -112,8 +132,11 @@
     sessions_[session] = {address, now};
 }
 
-void ControlPlaneSearch::remove_session(SearchSession session) {
-    sessions_.erase(session);
+void ControlPlaneSearch::remove_session(SearchSession session, runtime::Time now) {
+    const auto found = sessions_.find(session);
+    if (found == sessions_.end()) return;
+    if (session != current_) attempt_failed(found->second, now);
+    sessions_.erase(found);
     if (session != current_) return;
     current_ = 0;
     last_candidate_at_.reset();
@@ -125,7 +148,9 @@
     if (found == sessions_.end()) return;
     Session& answering = found->second;
     answering.answered = true;
+    answering.states_in_sync = staleness && *staleness < intervals_.max_staleness;
     if (answering.adopted_at && asked_at) {
+        attempt_timeout_ = intervals_.attempt_timeout;
         answering.proved_since_adopted = true;
         loading_limit_ = intervals_.max_staleness;
     }
--- a/src/gateway/control_plane_search.h
+++ b/src/gateway/control_plane_search.h
@@ -39,7 +39,7 @@
     // A session to `address` is being opened.
     void add_session(SearchSession session, const std::string& address, runtime::Time now);
     // The session has been closed by the other side or has failed.
-    void remove_session(SearchSession session);
+    void remove_session(SearchSession session, runtime::Time now);
     // The control plane of this session has stated how old its view may be at most: changes acknowledged
     // during that time may be missing. `staleness`: nothing if it has never been in sync. `asked_at`: the
     // stamp that it echoed; without one the message may be as old as the session.
@@ -53,6 +53,10 @@
     void set_suspected(bool suspected) { suspected_ = suspected; }
     bool suspected() const { return suspected_; }
 
+    // How long a new session may take to be established and to answer. Longer after attempts that had no
+    // answer: the round trip may exceed the usual limit while the link is full.
+    runtime::Time attempt_timeout() const { return attempt_timeout_; }
+
     SearchSession current() const { return current_; }
     // Number of sessions besides the current one.
     std::size_t candidates() const { return sessions_.size() - (current_ ? 1 : 0); }
@@ -62,6 +66,7 @@
         std::string address;
         runtime::Time opened_at = 0;
         bool answered = false;
+        bool states_in_sync = false;  // by the last statement, which may have been under way for long
         runtime::Time probed_at = 0;
         std::optional<runtime::Time> adopted_at{};
         bool proved_since_adopted = false;  // it has echoed a stamp behind the complete view
@@ -73,12 +78,14 @@
     // The session has just been adopted and its view is still being transferred.
     bool loading(const Session& session, runtime::Time now) const;
     bool much_fresher(const Session& candidate) const;
+    bool adoptable(const Session& candidate, runtime::Time now) const;
     void adopt(SearchSession session, runtime::Time now);
     bool current_in_sync(runtime::Time now) const;
     bool has_session_to(const std::string& address) const;
     std::optional<std::string> next_address(const std::vector<std::string>& addresses);
     SearchSession freshest_candidate(runtime::Time now) const;
     void close_timed_out(runtime::Time now, Actions& actions);
+    void attempt_failed(const Session& session, runtime::Time now);
 
     distribution::SearchIntervals intervals_;
     std::size_t next_index_;  // into the addresses, modulo their number
@@ -88,6 +95,8 @@
     // How long an adopted session may take to transfer its view. Doubled whenever one was left before that,
     // since the next one has to transfer all of it again.
     runtime::Time loading_limit_;
+    runtime::Time attempt_timeout_;
+    runtime::Time attempt_timeout_raised_at_ = 0;
     std::optional<runtime::Time> last_candidate_at_;  // when the last candidate session was requested
 };
 
--- a/src/gateway/control_session.cpp
+++ b/src/gateway/control_session.cpp
@@ -92,7 +92,7 @@
 void ControlSession::open_session(const std::string& address) {
     const auto endpoint = transport::parse_tcp_endpoint(address);
     if (!endpoint) return;
-    const transport::SessionId session = sessions_.open(*endpoint, *this, distribution::connect_timeout);
+    const transport::SessionId session = sessions_.open(*endpoint, *this, search_.attempt_timeout());
     if (session) search_.add_session(session, address, loop_.now());
 }
 
@@ -137,7 +137,7 @@
 
 void ControlSession::session_closed(transport::SessionId session) {
     const bool was_current = session == search_.current();
-    search_.remove_session(session);
+    search_.remove_session(session, loop_.now());
     if (!was_current) return;
     logging::log(Level::warning, Event::session_lost, {});
     // Deferred: the session table is being iterated while this is called.
