--- a/src/gateway/upstreams.h
+++ b/src/gateway/upstreams.h
@@ -121,7 +121,8 @@
         std::string attempt_id{};
         std::string pending_output{};  // written before the connection was established
         runtime::Time started_at = 0;  // of the attempt
-        runtime::Time idle_timeout = 0;
+        // How long it is kept when idle; until the host states a Keep-Alive time-out, the default.
+        runtime::Time idle_timeout = 4 * runtime::tenths_per_second;
         net::Deadlines::Key deadline{};
     };
     struct Host {
