No connection carries an attempt id twice, whoever sends it

Callers could see: the response of another client that had sent the same X-Attempt-Id on the same connection to a host, by a late copy. Since a request named the connections of its own attempts; another request with the same id (ids come from clients) was not kept apart.

Cause: an id that is unique for an honest client's requests was taken to be unique on a connection. Now the connection itself remembers the ids that it has carried (8 bytes each, 512 at most, then it is not used again) and is not taken for one of them, so the match is unique by construction; the list of connections that each request kept is gone.

--- /dev/null
+++ b/src/gateway/carried_requests.h
@@ -0,0 +1,31 @@
+// The requests that one connection to a host has carried. Owns what makes a response's X-Attempt-Id unique on
+// a connection: no two requests with the same id are sent on it, so that a late copy of a response to an
+// earlier one never matches the request in flight. Performs no I/O.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace dewweir::gateway {
+
+class CarriedRequests {
+  public:
+    // A connection that has carried this many requests takes no more: 8 bytes are kept for each.
+    static constexpr std::size_t limit = 512;
+
+    void add(std::string_view attempt_id);
+    bool contains(std::string_view attempt_id) const;
+    std::size_t size() const { return requests_.size(); }
+    bool is_full() const { return requests_.size() >= limit; }
+
+  private:
+    // Hashes of attempt ids. That of two ids could only be equal by chance; the request then gets another
+    // connection.
+    using Hash = std::uint64_t;
+    static Hash hash(std::string_view attempt_id);
+
+    std::vector<Hash> requests_;
+};
+
+}  // namespace dewweir::gateway
--- a/src/gateway/proxy.cpp
+++ b/src/gateway/proxy.cpp
@@ -229,9 +229,7 @@
     sent.chunked = request->chunked;
     sent.complete = request->complete;
     sent.expects_no_body = request->method == "HEAD";
-    sent.used_connections = request->connections;
     request->attempt = upstreams_.start(id, endpoint, sent, within);
-    if (request->attempt) request->connections.push_back(request->attempt);
     request->sent_upstream = true;
     if (!request->complete && request->attempt) {
         request->streaming_request = true;
--- a/src/gateway/proxy.h
+++ b/src/gateway/proxy.h
@@ -73,12 +73,11 @@
         bool complete = false;  // the complete body has been received
         // Parts of the body were sent to a host and are not kept, so no further attempt is possible.
         bool streaming_request = false;
-        bool streaming_response = false;       // parts of the response were passed on to the client
-        runtime::Time expires_at = 0;          // when the client gives up
-        AttemptId attempt = 0;                 // the attempt in flight; 0: none
-        std::vector<AttemptId> connections{};  // of all attempts so far
-        EndpointId endpoint = 0;               // of the latest attempt
-        bool sent_upstream = false;            // an attempt has been started
+        bool streaming_response = false;  // parts of the response were passed on to the client
+        runtime::Time expires_at = 0;     // when the client gives up
+        AttemptId attempt = 0;            // the attempt in flight; 0: none
+        EndpointId endpoint = 0;          // of the latest attempt
+        bool sent_upstream = false;       // an attempt has been started
         // An attempt may have reached a host: the next one counts as a further attempt.
         bool may_have_reached_host = false;
         int pending_reports = 0;  // ended attempts that the pool has not been told of yet
--- a/src/gateway/upstream_responses.cpp
+++ b/src/gateway/upstream_responses.cpp
@@ -55,12 +55,12 @@
 }
 
 // Whether the response belongs to this attempt: a host may send a surplus response to an earlier request
-// first. Its id identifies the attempt, since no connection carries two attempts of one request. A response
-// without an id is accepted only as a refusal, and only if no earlier request can have caused it.
+// first. Its id identifies the attempt, since no connection carries an id twice. A response without an id is
+// accepted only as a refusal, and only if no earlier request can have caused it.
 bool Upstreams::matches_attempt(const Connection& connection) const {
     const std::string_view id = connection.reader.field("X-Attempt-Id");
     if (!id.empty()) return id == connection.attempt_id;
-    if (connection.requests_carried > 1) return false;
+    if (connection.carried.size() > 1) return false;
     return connection.reader.has_field("X-Not-Executed") || connection.reader.status() == status_misdirected;
 }
 
--- a/src/gateway/upstreams.cpp
+++ b/src/gateway/upstreams.cpp
@@ -73,12 +73,12 @@
     return waiting.size();
 }
 
-AttemptId Upstreams::take_idle(Host& host, std::span<const AttemptId> excluded) {
+AttemptId Upstreams::take_idle(Host& host, std::string_view attempt_id) {
     for (std::size_t n = host.idle.size(); n-- > 0;) {
         const AttemptId id = host.idle[n];
-        if (std::find(excluded.begin(), excluded.end(), id) != excluded.end()) continue;
-        host.idle.erase(host.idle.begin() + static_cast<std::ptrdiff_t>(n));
         Connection& connection = *connections_.find(id);
+        if (connection.carried.contains(attempt_id)) continue;
+        host.idle.erase(host.idle.begin() + static_cast<std::ptrdiff_t>(n));
         loop_.deadlines().cancel(connection.deadline);
         // A connection that has received bytes or its end since its last response is not reused.
         if (loop_.connections().is_quiet(connection.socket)) return id;
@@ -87,9 +87,10 @@
     return 0;
 }
 
-// An idle connection or a new one. At the host's limit an excluded idle connection gives way to a new one.
-AttemptId Upstreams::take_connection(EndpointId endpoint, Host& host, std::span<const AttemptId> excluded) {
-    if (const AttemptId idle = take_idle(host, excluded)) return idle;
+// An idle connection that has not carried this attempt id, or a new one. At the host's limit an idle
+// connection gives way to the new one.
+AttemptId Upstreams::take_connection(EndpointId endpoint, Host& host, std::string_view attempt_id) {
+    if (const AttemptId idle = take_idle(host, attempt_id)) return idle;
     if (host.connections >= host.max_connections && !host.idle.empty()) close(host.idle.front());
     return open_connection(endpoint, host);
 }
@@ -114,7 +115,7 @@
     const auto found = hosts_.find(endpoint);
     AttemptId id = 0;
     if (found != hosts_.end() && !found->second.removed)
-        id = take_connection(endpoint, found->second, sent.used_connections);
+        id = take_connection(endpoint, found->second, sent.attempt_id);
     if (!id) {
         finish_attempt_later(request, endpoint, AttemptOutcome::not_sent);
         return 0;
@@ -127,7 +128,7 @@
     connection.request_complete = sent.complete;
     connection.expects_no_body = sent.expects_no_body;
     connection.skipped_responses = 0;
-    ++connection.requests_carried;
+    connection.carried.add(sent.attempt_id);
     if (sent.expects_no_body) connection.reader.expect_no_body();
     connection.deadline =
         loop_.deadlines().after(within, [this, id] { finish_attempt(id, AttemptOutcome::timed_out); });
@@ -233,7 +234,7 @@
     const bool host_answered = outcome == AttemptOutcome::answered || outcome == AttemptOutcome::not_executed;
     if (outcome == AttemptOutcome::answered) result.response = take_response(*connection);
     const bool reusable = host_answered && connection->reader.keep_alive() &&
-                          connection->skipped_responses == 0 &&
+                          connection->skipped_responses == 0 && !connection->carried.is_full() &&
                           loop_.connections().in(connection->socket).empty() &&
                           request_fully_sent(*connection) && !hosts_.at(endpoint).removed;
     if (reusable) {
--- a/src/gateway/upstreams.h
+++ b/src/gateway/upstreams.h
@@ -4,10 +4,10 @@
 
 #include <asio/ip/tcp.hpp>
 #include <map>
-#include <span>
 #include <string>
 #include <vector>
 
+#include "gateway/carried_requests.h"
 #include "gateway/front_end.h"
 #include "net/http.h"
 #include "runtime/event_loop.h"
@@ -71,9 +71,6 @@
     bool chunked = false;          // chunked transfer coding: the length is not known
     bool complete = true;          // `body` is the complete body
     bool expects_no_body = false;  // the response has no body: the method is HEAD
-    // Connections that earlier attempts of the same request were made on. They are not used again: all
-    // attempts of a request have one id, so a late copy of an earlier response would match.
-    std::span<const AttemptId> used_connections{};
 };
 
 class Upstreams : net::ConnectionHandler {
@@ -108,6 +105,7 @@
         explicit Connection(EndpointId of);
         EndpointId endpoint;
         net::HttpReader reader;
+        CarriedRequests carried{};
         net::Handle socket = 0;
         bool established = false;
         bool streaming_response = false;
@@ -115,7 +113,6 @@
         bool chunked_request = false;
         bool request_complete = true;  // the complete request has been written to it
         bool expects_no_body = false;
-        std::uint32_t requests_carried = 0;
         int skipped_responses = 0;  // to earlier requests, read while waiting for this one's response
         RequestId request = 0;      // 0: the connection is idle
         std::string attempt_id{};
@@ -139,8 +136,8 @@
     void drained(net::Handle socket, std::uint32_t mark) override;
 
     std::vector<AttemptId> connecting_to(EndpointId endpoint);
-    AttemptId take_idle(Host& host, std::span<const AttemptId> excluded);
-    AttemptId take_connection(EndpointId endpoint, Host& host, std::span<const AttemptId> excluded);
+    AttemptId take_idle(Host& host, std::string_view attempt_id);
+    AttemptId take_connection(EndpointId endpoint, Host& host, std::string_view attempt_id);
     AttemptId open_connection(EndpointId endpoint, Host& host);
     void write(Connection& connection, std::string_view bytes);
     void handle_response(AttemptId id);
