A response ends where the request that it answers says: late copies around HEAD cost no other request

Cause: a response's end was found by its own head and by the request in flight. A late copy of a response to HEAD states a length and has no body, so it swallowed the next response; before the response to HEAD, the body of a copy was read as the next response.

Now the connection knows which of its requests were HEAD, and a response is framed by the one that its X-Attempt-Id names. Where a connection has carried both kinds, a response that names none of its requests has an end that cannot be found: the attempt ends at once as broken, as nothing after it can be matched. A stated length of 0 is the same either way, and such a response is skipped as before.

The reader's tests state the same expectations by the new rule in place of expect_no_body.

--- a/src/gateway/carried_requests.h
+++ b/src/gateway/carried_requests.h
@@ -14,11 +14,20 @@
     // A connection that has carried this many requests takes no more: 8 bytes are kept for each.
     static constexpr std::size_t limit = 512;
 
-    void add(std::string_view attempt_id);
+    // `head`: the method is HEAD.
+    void add(std::string_view attempt_id, bool head);
     bool contains(std::string_view attempt_id) const;
     std::size_t size() const { return requests_.size(); }
     bool is_full() const { return requests_.size() >= limit; }
 
+    // How to find the end of a response to the request with this id; empty: the response has no id.
+    enum class Framing : std::uint8_t {
+        as_stated,  // by its head
+        no_body,    // it answers a HEAD request, whatever its head states
+        unknown,    // it may answer a HEAD request or another one
+    };
+    Framing response_framing(std::string_view attempt_id) const;
+
   private:
     // Hashes of attempt ids. That of two ids could only be equal by chance; the request then gets another
     // connection.
@@ -26,6 +35,7 @@
     static Hash hash(std::string_view attempt_id);
 
     std::vector<Hash> requests_;
+    std::vector<Hash> head_requests_;
 };
 
 }  // namespace dewweir::gateway
--- a/src/gateway/upstream_responses.cpp
+++ b/src/gateway/upstream_responses.cpp
@@ -12,7 +12,8 @@
 constexpr std::size_t max_buffered_response_bytes = 64u << 10;
 // Responses to earlier or unknown requests that are skipped before the connection is closed.
 constexpr int max_skipped_responses = 4;
-constexpr int status_misdirected = 421;
+constexpr unsigned min_final_status = 200;  // below it: interim responses
+constexpr unsigned status_misdirected = 421;
 
 net::HttpLimits response_limits() {
     net::HttpLimits limits;
@@ -22,9 +23,25 @@
     return limits;
 }
 
+net::HttpReader::ResponseBody response_body(CarriedRequests::Framing framing) {
+    using ResponseBody = net::HttpReader::ResponseBody;
+    switch (framing) {
+        case CarriedRequests::Framing::as_stated: return ResponseBody::as_stated;
+        case CarriedRequests::Framing::no_body: return ResponseBody::none;
+        case CarriedRequests::Framing::unknown: break;
+    }
+    return ResponseBody::unknown;
+}
+
 }  // namespace
 
-Upstreams::Connection::Connection(EndpointId of) : endpoint(of), reader(HTTP_RESPONSE, response_limits()) {}
+Upstreams::Connection::Connection(EndpointId of) : endpoint(of), reader(HTTP_RESPONSE, response_limits()) {
+    reader.set_response_body_rule([this](const net::HttpReader& response) {
+        const bool interim = response.status() < min_final_status;  // it has neither a body nor an id
+        if (interim || response.stated_length() == 0) return net::HttpReader::ResponseBody::as_stated;
+        return response_body(carried.response_framing(response.field("X-Attempt-Id")));
+    });
+}
 
 void Upstreams::received(net::Handle socket, std::uint32_t id) {
     Connection* const connection = connections_.find(id);
@@ -66,7 +83,7 @@
 
 void Upstreams::handle_response(AttemptId id) {
     Connection& connection = *connections_.find(id);
-    const bool interim = connection.reader.status() < 200;
+    const bool interim = connection.reader.status() < min_final_status;
     if (interim || !matches_attempt(connection)) {
         if (!interim) {
             logging::log(logging::Level::info, logging::Event::response_skipped,
@@ -76,7 +93,6 @@
         if (connection.streaming_response || ++connection.skipped_responses > max_skipped_responses)
             return finish_attempt(id, AttemptOutcome::broken);
         connection.reader.next();
-        if (connection.expects_no_body) connection.reader.expect_no_body();
         loop_.connections().redeliver(connection.socket);
         return;
     }
--- a/src/gateway/upstreams.cpp
+++ b/src/gateway/upstreams.cpp
@@ -128,8 +128,7 @@
     connection.request_complete = sent.complete;
     connection.expects_no_body = sent.expects_no_body;
     connection.skipped_responses = 0;
-    connection.carried.add(sent.attempt_id);
-    if (sent.expects_no_body) connection.reader.expect_no_body();
+    connection.carried.add(sent.attempt_id, sent.expects_no_body);
     connection.deadline =
         loop_.deadlines().after(within, [this, id] { finish_attempt(id, AttemptOutcome::timed_out); });
     std::string bytes;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -75,6 +75,9 @@
         const bool sized = (p->flags & F_CONTENTLENGTH) && p->content_length != ULLONG_MAX;
         if (sized) r.body_length_ = p->content_length;
         if (sized && p->content_length > r.limits_.body) return r.fail(413);
+        const ResponseBody body = r.response_body();
+        if (body == ResponseBody::unknown) return r.fail(400);
+        r.no_body_ = body == ResponseBody::none;
         return r.no_body_ ? 1 : 0;
     };
     c.on_body = [](http_parser* p, const char* at, std::size_t n) {
@@ -129,6 +132,11 @@
     return !length.empty() && length.find_first_not_of("0123456789") == std::string_view::npos;
 }
 
+HttpReader::ResponseBody HttpReader::response_body() const {
+    const bool asks_rule = parser_.type == HTTP_RESPONSE && response_body_rule_;
+    return asks_rule ? response_body_rule_(*this) : ResponseBody::as_stated;
+}
+
 HttpReader::State HttpReader::read(Ring& ring) {
     while (!complete_ && !fault_ && !ring.empty() && body_.size() < limits_.window) {
         parse(ring.filled()[0], ring);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -5,6 +5,7 @@
 #include <http_parser.h>
 
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <optional>
 #include <string>
@@ -34,6 +35,10 @@
 class HttpReader {
   public:
     enum class State { more, complete, bad };
+    // Whether a response has the body that its head states. It has none in answer to HEAD, whatever its head
+    // states (RFC 9112, section 6.3). `unknown` makes the message bad: its end cannot be found.
+    enum class ResponseBody : std::uint8_t { as_stated, none, unknown };
+    using ResponseBodyRule = std::function<ResponseBody(const HttpReader&)>;
 
     explicit HttpReader(http_parser_type kind, std::size_t body_limit = default_max_body_bytes);
     HttpReader(http_parser_type kind, const HttpLimits& limits);
@@ -61,8 +66,8 @@
     bool ends_with_connection() const;
     // Body bytes read so far, including those already taken.
     std::uint64_t body_read() const { return body_read_; }
-    // Announces that the next response has no body, as after a HEAD request.
-    void expect_no_body() { no_body_ = true; }
+    // Called when the head of a response has been read. Without a rule every body is as stated.
+    void set_response_body_rule(ResponseBodyRule rule) { response_body_rule_ = std::move(rule); }
     void set_limits(const HttpLimits& limits) { limits_ = limits; }
     // Status code to answer a bad message with; 0 if none was found.
     int fault() const { return fault_; }
@@ -91,6 +96,7 @@
         return 1;
     }
     bool framing_is_unambiguous() const;
+    ResponseBody response_body() const;
     // Whether a field of this name is hop-by-hop (RFC 9110, section 7.6.1).
     bool is_hop_by_hop(std::string_view wanted) const;
     void parse(std::string_view part, Ring& ring);
@@ -101,6 +107,7 @@
 
     http_parser parser_;
     HttpLimits limits_;
+    ResponseBodyRule response_body_rule_;
     std::uint64_t body_length_ = 0, body_read_ = 0;
     std::size_t trailer_size_ = 0;
     RequestFraming framing_;
--- a/tests/gateway_sockets/surplus_responses.cpp
+++ b/tests/gateway_sockets/surplus_responses.cpp
@@ -1,9 +1,100 @@
-// Surplus responses, late copies above all: none is taken for the response to another request.
+// Surplus responses, late copies above all: none is taken for the response to another request, and none costs
+// the request that it arrives before its own response.
 #include "harness.h"
 
 using dewweir::gateway::CarriedRequests;
 using namespace dewweir::gateway::tests;
 
+namespace {
+
+const std::string stated_length = "Content-Length: 700\r\n\r\n";
+
+std::string head(const std::string& attempt_id) {
+    return request_head("HEAD", "/read/x", attempt_id) + "\r\n";
+}
+// Response to HEAD: it states the length of a body that does not follow.
+std::string head_response(const std::string& attempt_id) {
+    return response_head("200 OK", attempt_id) + stated_length;
+}
+const std::string refusal_without_id = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n";
+
+}  // namespace
+
+// Guards against 502 or 504 for a request whose response was read as the body of a late response to HEAD.
+TEST_CASE("A late copy of a response to HEAD does not swallow the response to the next request") {
+    GatewayHarness harness;
+    Peer& client = harness.connect();
+    client.send(head("a1"));
+    Peer& host = harness.await_host("a1");
+    host.send(head_response("a1"));
+    harness.await_client(client, "seal-a1");
+    client.send(post("a2", "hello"));
+    harness.await_host("hello");
+    host.send(head_response("a1"));
+    harness.settle();
+    host.send(response("200 OK", "a2", "made"));
+    harness.await_client(client, "made");
+    CHECK(client.count("HTTP/1.1 200 ") == 2);
+    CHECK(host.count("hello") == 1);
+}
+
+// Guards against 502 for a HEAD request when the body of a late copy was read as the next response.
+TEST_CASE("A late copy with a body is skipped whole before the response to HEAD") {
+    GatewayHarness harness;
+    Peer& client = harness.connect();
+    client.send(get("a1"));
+    Peer& host = harness.await_host("a1");
+    host.send(response("200 OK", "a1", "one"));
+    harness.await_client(client, "one");
+    client.send(head("a2"));
+    harness.await_host("a2");
+    host.send("HTTP/1.1 103 Early Hints\r\n\r\n" + response("200 OK", "a1", "one") + head_response("a2"));
+    harness.await_client(client, "seal-a2");
+    CHECK(client.count("HTTP/1.1 200 ") == 2);
+}
+
+// Guards against a request held until its deadline by a response whose end cannot be found.
+TEST_CASE("After HEAD a response that names no request of its connection ends the attempt at once") {
+    GatewayHarness harness;
+    Peer& client = harness.connect();
+    client.send(head("a1"));
+    Peer& host = harness.await_host("a1");
+    host.send(head_response("a1"));
+    harness.await_client(client, "seal-a1");
+    client.send(post("a2", "hello"));
+    harness.await_host("hello");
+    const std::string start =
+        GENERATE(as<std::string>(), "HTTP/1.1 200 OK\r\n", response_head("200 OK", "b7"),
+                 response_head("200 OK", "a2") + "X-Attempt-Id: a1\r\n", refusal_without_id);
+    host.send(start + stated_length + response("200 OK", "a2", "made"));
+    harness.await_client(client, "HTTP/1.1 502 ");
+    REQUIRE(harness.run_until([&] { return host.ended; }));
+    CHECK(host.count("hello") == 1);
+    CHECK(harness.host_connections() == 1);
+}
+
+TEST_CASE("After HEAD a refusal without an id and without a body is skipped") {
+    GatewayHarness harness;
+    Peer& client = harness.connect();
+    client.send(head("a1"));
+    Peer& host = harness.await_host("a1");
+    host.send(head_response("a1"));
+    harness.await_client(client, "seal-a1");
+    client.send(post("a2", "hello"));
+    harness.await_host("hello");
+    host.send(refusal_without_id + "Content-Length: 0\r\n\r\n" + response("200 OK", "a2", "made"));
+    harness.await_client(client, "made");
+    CHECK(client.count("HTTP/1.1 200 ") == 2);
+}
+
+TEST_CASE("A refusal without an id counts for HEAD on a new connection") {
+    GatewayHarness harness;
+    Peer& client = harness.connect();
+    client.send(head("a1"));
+    harness.await_host("a1").send(refusal_without_id + stated_length);
+    harness.await_client(client, "HTTP/1.1 503 ");
+}
+
 // Guards against the response of one client reaching another that sends the same id, by a late copy.
 TEST_CASE("No connection carries two requests with one attempt id, also of two clients") {
     GatewayHarness harness;
--- a/tests/http/reader.cpp
+++ b/tests/http/reader.cpp
@@ -152,7 +152,8 @@
 TEST_CASE("a response shows whether its body ends with the connection") {
     const auto ends_with_connection = [](const std::string& head, bool no_body) {
         HttpReader reader(HTTP_RESPONSE, HttpLimits{});
-        if (no_body) reader.expect_no_body();
+        if (no_body)
+            reader.set_response_body_rule([](const HttpReader&) { return HttpReader::ResponseBody::none; });
         Ring ring;
         ring.append(head);
         reader.read(ring);
