A surplus response longer than a buffer is skipped like a short one

Callers got 502 for requests that had run: a response that is not the attempt's was read past only while it fitted into the buffer of 64 KiB; a longer one ended the attempt as broken. Its body is dropped as it arrives now, without being kept.

Evidence: on the code before, "A surplus response longer than a buffer is skipped" failed (502) at each length of 64 KiB or more, with a length and in chunks.

--- a/src/gateway/upstream_responses.cpp
+++ b/src/gateway/upstream_responses.cpp
@@ -121,8 +121,8 @@
 
 void Upstreams::stream_response(AttemptId id, Connection& connection) {
     if (!connection.streaming_response) {
-        if (!matches_attempt(connection) || !request_fully_sent(connection))
-            return finish_attempt(id, AttemptOutcome::broken);
+        if (!matches_attempt(connection)) return connection.reader.body().clear();  // skipped at its end
+        if (!request_fully_sent(connection)) return finish_attempt(id, AttemptOutcome::broken);
         if (classify_response(connection) != AttemptOutcome::answered)
             return finish_attempt(id, AttemptOutcome::broken);
         connection.streaming_response = true;
--- a/tests/gateway_sockets/surplus_responses.cpp
+++ b/tests/gateway_sockets/surplus_responses.cpp
@@ -95,6 +95,29 @@
     harness.await_client(client, "HTTP/1.1 503 ");
 }
 
+// Guards against 502 for a request that has run, because a surplus response did not fit into the buffer.
+TEST_CASE("A surplus response longer than a buffer is skipped") {
+    GatewayHarness harness;
+    const std::size_t length = GENERATE(std::size_t{1} << 16, 200'000);
+    const bool chunked = GENERATE(false, true);
+    const std::string body(length, 'x');
+    const std::string surplus =
+        chunked ? response_head("200 OK", "a1") + "Transfer-Encoding: chunked\r\n\r\n" +
+                      (length > 100'000 ? "30d40" : "10000") + "\r\n" + body + "\r\n0\r\n\r\n"
+                : response("200 OK", "a1", body);
+    Peer& client = harness.connect();
+    client.send(get("a1"));
+    Peer& host = harness.await_host("a1");
+    host.send(response("200 OK", "a1", "one"));
+    harness.await_client(client, "one");
+    client.send(post("a2", "hello"));
+    harness.await_host("hello");
+    host.send(surplus + response("200 OK", "a2", "made"));
+    harness.await_client(client, "made");
+    CHECK(client.count("HTTP/1.1 200 ") == 2);
+    CHECK_FALSE(client.has("xx"));
+}
+
 // Guards against the response of one client reaching another that sends the same id, by a late copy.
 TEST_CASE("No connection carries two requests with one attempt id, also of two clients") {
     GatewayHarness harness;
