The sequence of a gateway's count statements never starts again

Callers could see: more requests of a tenant served than its quota allows. A gateway drops a tenant after 30 s without a request, and its sequence with it. A holder that has no clients itself keeps its record, so it took the tenant's later statements for older ones and went on telling the other gateways a count of 0.

The sequence now counts all statements of the process, so a CountAnswer matches one call alone and a statement is newer than all before it.

--- a/src/quota/admission.cpp
+++ b/src/quota/admission.cpp
@@ -38,11 +38,11 @@
     return tenant;
 }
 
-Statement Admission::make_statement(TimePoint now, TenantId id, Tenant& tenant) const {
+Statement Admission::make_statement(TimePoint now, TenantId id, Tenant& tenant) {
     Statement statement;
     statement.tenant = id;
     statement.gateway = self_;
-    statement.sequence = ++tenant.sequence;
+    statement.sequence = ++sequence_;
     statement.window = std::chrono::duration_cast<std::chrono::milliseconds>(tenant.check.window);
     statement.elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - tenant.own.began());
     statement.current = tenant.own.current();
--- a/src/quota/admission.h
+++ b/src/quota/admission.h
@@ -65,8 +65,6 @@
         // Requests of the other gateways, by the last answer.
         double others = 0;
         std::optional<TimePoint> answered_at;
-        // Of the last statement.
-        std::uint64_t sequence = 0;
         // Sequence numbers of the requests that passed before their answer.
         std::deque<std::uint64_t> ahead;
         // In the local bucket.
@@ -76,7 +74,7 @@
     };
 
     Tenant& tenant_of(TimePoint now, TenantId id, const Quota& quota, int gateways);
-    Statement make_statement(TimePoint now, TenantId id, Tenant& tenant) const;
+    Statement make_statement(TimePoint now, TenantId id, Tenant& tenant);
     Decision decide_locally(TimePoint now, Tenant& tenant, bool counted);
     Decision refuse(TimePoint now, Tenant& tenant) const;
     Duration time_until_admitted(TimePoint now, Tenant& tenant) const;
@@ -85,6 +83,9 @@
     GatewayIncarnation self_;
     QuotaBound bound_;
     std::unordered_map<TenantId, Tenant> tenants_;
+    // Of the last statement of any tenant. Never starts again: holders keep the last one of each tenant that
+    // this gateway has dropped.
+    std::uint64_t sequence_ = 0;
 };
 
 }  // namespace dewweir::quota
--- a/tests/quota/admission.cpp
+++ b/tests/quota/admission.cpp
@@ -140,3 +140,29 @@
     admission.drop_idle(start + 30s + 1ms);
     CHECK(admission.tenants() == 0);
 }
+
+// Guards against requests beyond the quota, because a holder ignores the statements of a tenant that a
+// gateway has dropped and that came back.
+TEST_CASE("statements of a tenant that was dropped and returns are newer than those before") {
+    Admission admission(1, rules);
+    CountHolder holder;
+    std::uint64_t last = 0;
+    for (int requests = 0; requests < 5; ++requests) {
+        const Decision asked = admission.request(start, tenant, quota, 4, true);
+        REQUIRE(asked.statement);
+        last = asked.statement->sequence;
+        holder.state(start, *asked.statement);
+        admission.answered(start, tenant, last, {0, 0ms});
+    }
+    const TimePoint later = start + 1min;
+    admission.drop_idle(later);
+    CHECK(admission.tenants() == 0);
+    const Decision back = admission.request(later, tenant, quota, 4, true);
+    REQUIRE(back.statement);
+    CHECK(back.statement->sequence > last);
+    holder.state(later, *back.statement);
+    Admission other(2, rules);
+    const Decision elsewhere = other.request(later, tenant, quota, 4, true);
+    REQUIRE(elsewhere.statement);
+    CHECK(holder.state(later, *elsewhere.statement).others == Approx(1));
+}
