A replica tells a response to its previous process from one to this one (reads, permission to leave)

Callers could see: gateways that act by an old configuration after a control plane's restart (CONFIG, DRAIN), or a control plane that ends with the only copy of an acknowledged change.

A replica keeps its id over restarts, and the tokens of its read requests began at 1 in each life; a late answer to the last life's token passed for the answer to this life's, and the control plane counted as in sync by an index older than what had been acknowledged. A permission to leave named no request at all. Now each start draws a life: read tokens are masked by it, requests to leave and permissions carry it. A permission without one (earlier builds) counts.

--- a/src/consensus/leaving.cpp
+++ b/src/consensus/leaving.cpp
@@ -9,7 +9,7 @@
 void Raft::prepare_to_leave(TimePoint now) {
     advance_clock(now);
     if (role_ != Role::leader) {
-        if (leader_) send(*leader_, LeaveRequest{term_});
+        if (leader_) send(*leader_, LeaveRequest{term_, life_});
         return;
     }
     if (const std::optional<Replica> successor = best_successor()) transfer_leadership(now, successor->id);
@@ -50,15 +50,18 @@
     if (!progress) {
         // The sender may have been removed, and its term may be an earlier one.
         const bool removed = role_ == Role::leader && !is_member(log_.membership(), from.id);
-        if (removed) send(from, LeaveResponse{term_, true});
+        if (removed) send(from, LeaveResponse{term_, true, request.life});
         return;
     }
     progress->record_leave_request(now_);
-    send(from, LeaveResponse{term_, can_release(from.id)});
+    send(from, LeaveResponse{term_, can_release(from.id), request.life});
 }
 
+// A permission that an earlier process of this replica asked for may arrive late: the group may need this
+// replica now.
 void Raft::on(const Replica&, const LeaveResponse& response) {
-    if (response.permitted) may_leave_ = true;
+    const bool for_other_process = response.life != 0 && response.life != life_;
+    if (response.permitted && !for_other_process) may_leave_ = true;
 }
 
 }  // namespace dewweir::consensus
--- a/src/consensus/messages.h
+++ b/src/consensus/messages.h
@@ -105,24 +105,26 @@
 // (thesis 6.4).
 struct ReadIndexRequest {
     Term term = 0;
-    std::uint64_t token = 0;  // chosen by the follower to match the response to its read
+    std::uint64_t token = 0;  // of the follower's read, unique among the reads of all its lives
 };
 
 struct ReadIndexResponse {
     Term term = 0;
-    std::uint64_t token = 0;
+    std::uint64_t token = 0;  // copied from the request
     Index index = 0;
 };
 
 // A replica that is about to shut down asks whether the group can do without it.
 struct LeaveRequest {
     Term term = 0;
+    ProcessLife life = 0;  // of the sender
 };
 
 struct LeaveResponse {
     Term term = 0;
     // A majority without the sender holds all committed entries, and no membership change is pending.
     bool permitted = false;
+    ProcessLife life = 0;  // copied from the request
 };
 
 // The position of a type in this variant identifies it on the wire.
--- a/src/consensus/options.h
+++ b/src/consensus/options.h
@@ -34,6 +34,8 @@
 struct SafetyGuards {
     bool joint_consensus = true;         // replacing a voter needs the majorities of both voter sets
     bool confirm_before_leaving = true;  // a leaving replica waits until the leader permits it to leave
+    // a response to an earlier process of the same replica is told from one to this process
+    bool tell_lives_apart = true;
 };
 
 struct Options {
--- a/src/consensus/raft.cpp
+++ b/src/consensus/raft.cpp
@@ -1,6 +1,7 @@
 #include "consensus/raft.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace dewweir::consensus {
@@ -31,6 +32,7 @@
            std::uint64_t seed, TimePoint now)
     : options_(options),
       self_(state.self),
+      life_(options.guards.tell_lives_apart ? std::mt19937_64(seed)() | 1 : 0),
       now_(now),
       timer_(options, seed),
       log_(first_snapshot(state, initial), state.entries),
--- a/src/consensus/raft.h
+++ b/src/consensus/raft.h
@@ -96,7 +96,7 @@
     // time, identical at all its replicas; it is empty at every later start and for a replica that joins. The
     // state machine starts from state.snapshot, and committed entries after it are handed out again. A
     // snapshot without data stands for the state machine's initial state. `seed` determines the election
-    // timeouts.
+    // timeouts and the life.
     Raft(const Options& options, const PersistentState& state, const Membership& initial, std::uint64_t seed,
          TimePoint now);
 
@@ -116,7 +116,8 @@
     // Ready::reads or Ready::failed_reads, unless the call is rejected.
     std::optional<Refused> read_index(TimePoint now, ReadToken token);
     // Obtains a read index at any replica, from the leader. The token is returned in Ready::reads, or never:
-    // a lost request is not repeated. At the leader the read waits for the next periodic heartbeat round.
+    // a lost request is not repeated. Tokens that the caller has not passed in may be returned too: responses
+    // to an earlier life of this process. At the leader the read waits for the next periodic heartbeat round.
     void read_index_via_leader(TimePoint now, ReadToken token);
     // Leader only: transfers leadership to another voter (thesis 3.10). Abandoned after an election timeout;
     // until then proposals are rejected.
@@ -268,6 +269,7 @@
 
     Options options_;
     Replica self_;
+    ProcessLife life_;
     TimePoint now_;
     ElectionTimer timer_;
     Log log_;
--- a/src/consensus/reads.cpp
+++ b/src/consensus/reads.cpp
@@ -16,7 +16,7 @@
     if (role_ == Role::leader) {
         read_queue_.add({self_.id, token}, ReadUrgency::next_round);
     } else if (leader_) {
-        send(*leader_, ReadIndexRequest{term_, token});
+        send(*leader_, ReadIndexRequest{term_, token ^ life_});
     }
 }
 
@@ -52,9 +52,10 @@
 }
 
 // The index stays valid for the read even if the sender is no longer the leader: everything acknowledged
-// before the request was at or below it.
+// before the request was at or below it. The owner's tokens are unique within one life of the process alone:
+// a late response to an earlier life yields a token that the owner does not know.
 void Raft::on(const Replica&, const ReadIndexResponse& response) {
-    safe_reads_.push_back({response.token, response.index});
+    safe_reads_.push_back({response.token ^ life_, response.index});
 }
 
 }  // namespace dewweir::consensus
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -11,6 +11,9 @@
 
 // Identifies one replica on one disk: a machine whose disk was lost gets a new id. 0 means no replica.
 using ReplicaId = std::uint64_t;
+// Drawn at every start of a replica's process, which keeps its ReplicaId; 0 in messages of earlier builds,
+// which do not state it.
+using ProcessLife = std::uint64_t;
 // A Raft term; 0 before the first election.
 using Term = std::uint64_t;
 // Position of an entry in the log, counted from 1; 0 precedes the first entry.
--- a/src/wire/consensus_messages.h
+++ b/src/wire/consensus_messages.h
@@ -67,8 +67,8 @@
     DEWWEIR_WIRE_STRUCT(dewweir::consensus::TimeoutNow, value.term)
     DEWWEIR_WIRE_STRUCT(dewweir::consensus::ReadIndexRequest, value.term, value.token)
     DEWWEIR_WIRE_STRUCT(dewweir::consensus::ReadIndexResponse, value.term, value.token, value.index)
-    DEWWEIR_WIRE_STRUCT(dewweir::consensus::LeaveRequest, value.term)
-    DEWWEIR_WIRE_STRUCT(dewweir::consensus::LeaveResponse, value.term, value.permitted)
+    DEWWEIR_WIRE_STRUCT(dewweir::consensus::LeaveRequest, value.term, value.life)
+    DEWWEIR_WIRE_STRUCT(dewweir::consensus::LeaveResponse, value.term, value.permitted, value.life)
 
     }  // namespace adaptor
 }
--- a/tests/consensus/group.cpp
+++ b/tests/consensus/group.cpp
@@ -25,6 +25,28 @@
 
 Term term_of(Simulation& simulation, MachineIndex index) { return simulation.machines()[index].raft->term(); }
 
+// Whether a follower that restarts again and again behind slow links, while changes are acknowledged, serves
+// a state older than one that was acknowledged before it asked.
+bool restarts_serve_old_state(InjectedDefect defect, std::uint64_t seed) {
+    constexpr int steps = 400;
+    constexpr milliseconds step_length{25};
+    Simulation simulation(3, seed, defect);
+    await_leader(simulation);
+    simulation.network().longest_delay = milliseconds(300);
+    for (int step = 0; step < steps && simulation.checker().violations().empty(); ++step) {
+        const std::optional<MachineIndex> leader = simulation.leader();
+        const MachineIndex follower = next_after(leader.value_or(0), 3);
+        if (simulation.draw_bool(0.05)) {
+            simulation.stop(follower);
+            simulation.start(follower);
+        }
+        if (leader) simulation.propose(*leader);
+        simulation.serve_confirmed_state(follower);
+        simulation.run_for(step_length);
+    }
+    return !simulation.checker().violations().empty();
+}
+
 void no_violation(Simulation& simulation) { CHECK(simulation.checker().violations().empty()); }
 
 TEST_CASE("a replica that receives no messages does not depose the leader") {
@@ -160,5 +182,16 @@
     no_violation(simulation);
 }
 
+// Guards against a control plane that counts as in sync by an answer to a read of its previous process.
+TEST_CASE("a replica that restarts does not take a late response to its previous life for one of its own") {
+    constexpr std::uint64_t seeds = 20;
+    int detected = 0;
+    for (std::uint64_t seed = 0; seed < seeds; ++seed) {
+        CHECK_FALSE(restarts_serve_old_state(InjectedDefect::none, seed));
+        detected += restarts_serve_old_state(InjectedDefect::mix_up_lives, seed);
+    }
+    CHECK(detected > 0);
+}
+
 }  // namespace
 }  // namespace dewweir::consensus::testing
--- a/tests/consensus/raft_test.cpp
+++ b/tests/consensus/raft_test.cpp
@@ -16,11 +16,11 @@
 constexpr Term start_term = 1;
 constexpr Term term = 5;
 
-// A follower whose writes so far are all synced.
-Raft synced_follower() {
+// A follower whose writes so far are all synced. Another seed stands for another start of the process.
+Raft synced_follower(std::uint64_t seed = 1) {
     PersistentState state;
     state.self = self;
-    Raft raft(Options{}, state, three, 1, TimePoint{});
+    Raft raft(Options{}, state, three, seed, TimePoint{});
     const Ready ready = raft.take();
     REQUIRE(ready.write);
     raft.persisted(TimePoint{}, ready.write->sequence);
@@ -201,6 +201,57 @@
     CHECK(answered.reads.front().index == 2);
 }
 
+// A follower that has heard of its leader, `second`.
+Raft following(std::uint64_t seed) {
+    Raft raft = synced_follower(seed);
+    raft.receive(TimePoint{}, {second, self, HeartbeatRequest{term, 1, start_index, microseconds(0)}});
+    const Ready ready = raft.take();
+    REQUIRE(ready.write);
+    raft.persisted(TimePoint{}, ready.write->sequence);
+    raft.take();
+    return raft;
+}
+
+// Guards against a control plane that counts as in sync by an answer to a read of its previous process.
+TEST_CASE("a late response to a read of an earlier life does not confirm a read of this one") {
+    Raft earlier = following(1);
+    Raft now = following(2);
+    constexpr ReadToken token = 1;
+    earlier.read_index_via_leader(TimePoint{}, token);
+    now.read_index_via_leader(TimePoint{}, token);
+    const std::optional<ReadIndexRequest> earlier_request = sent<ReadIndexRequest>(earlier.take());
+    const std::optional<ReadIndexRequest> request = sent<ReadIndexRequest>(now.take());
+    REQUIRE(earlier_request);
+    REQUIRE(request);
+    now.receive(TimePoint{}, {second, self, ReadIndexResponse{term, earlier_request->token, 3}});
+    for (const SafeRead& read : now.take().reads) CHECK(read.token != token);
+    now.receive(TimePoint{}, {second, self, ReadIndexResponse{term, request->token, 4}});
+    const Ready confirmed = now.take();
+    REQUIRE(confirmed.reads.size() == 1);
+    CHECK(confirmed.reads.front().token == token);
+    CHECK(confirmed.reads.front().index == 4);
+}
+
+// Guards against a replica that ends by a permission of long ago and takes the only copy of an entry with it.
+TEST_CASE("a late permission for an earlier life does not let this one leave") {
+    Raft earlier = following(1);
+    Raft now = following(2);
+    earlier.prepare_to_leave(TimePoint{});
+    now.prepare_to_leave(TimePoint{});
+    const std::optional<LeaveRequest> earlier_request = sent<LeaveRequest>(earlier.take());
+    const std::optional<LeaveRequest> request = sent<LeaveRequest>(now.take());
+    REQUIRE(earlier_request);
+    REQUIRE(request);
+    now.receive(TimePoint{}, {second, self, LeaveResponse{term, true, earlier_request->life}});
+    CHECK_FALSE(now.may_leave());
+    now.receive(TimePoint{}, {second, self, LeaveResponse{term, true, request->life}});
+    CHECK(now.may_leave());
+    // A leader of an earlier build does not state the life.
+    Raft beside_earlier_build = following(3);
+    beside_earlier_build.receive(TimePoint{}, {second, self, LeaveResponse{term, true}});
+    CHECK(beside_earlier_build.may_leave());
+}
+
 TEST_CASE("a membership change that affects two voters at once is refused") {
     const Membership membership{{self, second, third}, {{4, third.address}}};
     const auto result = membership_after(membership, PromoteLearner{4});
--- a/tests/consensus/simulation.cpp
+++ b/tests/consensus/simulation.cpp
@@ -15,6 +15,7 @@
     : random_(seed), defect_(defect) {
     options_.guards.joint_consensus = defect != InjectedDefect::replace_without_joint_consensus;
     options_.guards.confirm_before_leaving = defect != InjectedDefect::leave_without_confirmation;
+    options_.guards.tell_lives_apart = defect != InjectedDefect::mix_up_lives;
     options_.max_append_bytes = 64;
     options_.max_inflight_appends = 4;
     options_.max_snapshot_chunk_bytes = 3;
@@ -112,8 +113,10 @@
         apply(machine, entry);
     }
     for (const SafeRead& safe : ready.reads) {
-        machine.reads[safe.token].index = safe.index;
-        machine.reads[safe.token].safe = true;
+        const auto pending = machine.reads.find(safe.token);
+        if (pending == machine.reads.end()) continue;
+        pending->second.index = safe.index;
+        pending->second.safe = true;
     }
     for (const ReadToken token : ready.failed_reads) machine.reads.erase(token);
     answer_reads(machine);
--- a/tests/consensus/simulation.h
+++ b/tests/consensus/simulation.h
@@ -26,6 +26,7 @@
     serve_unconfirmed_state,          // a replica serves its state because it knows a leader
     replace_without_joint_consensus,  // SafetyGuards::joint_consensus is off
     leave_without_confirmation,
+    mix_up_lives,  // SafetyGuards::tell_lives_apart is off
 };
 
 using MachineIndex = std::size_t;
@@ -84,6 +85,7 @@
     Index applied = 0;
     std::map<Index, PendingChange> changes;
     std::map<ReadToken, PendingRead> reads;
+    ReadToken last_read = 0;  // counted from each start, as the owner does
 };
 
 struct Network {
@@ -177,7 +179,6 @@
     std::uint64_t next_order_ = 0;
     ReplicaId next_id_ = 1;
     Value next_value_ = 1;
-    ReadToken next_token_ = 1;
     std::vector<Change> sent_;  // the newest changes
     std::size_t planned_leaves_ = 0;
 };
--- a/tests/consensus/simulation_clients.cpp
+++ b/tests/consensus/simulation_clients.cpp
@@ -125,7 +125,7 @@
             checker_.read_answered(machine.state.version, machine.state.value, checker_.newest_known());
         return;
     }
-    const ReadToken token = next_token_++;
+    const ReadToken token = ++machine.last_read;
     machine.reads[token].known_at_start = checker_.newest_known();
     call_raft(index, [&](Raft& raft) { raft.read_index_via_leader(now_, token); });
 }
@@ -137,7 +137,7 @@
         checker_.read_answered(machine.state.version, machine.state.value, checker_.newest_known());
         return true;
     }
-    const ReadToken token = next_token_++;
+    const ReadToken token = ++machine.last_read;
     machine.reads[token].known_at_start = checker_.newest_known();
     bool accepted_request = false;
     call_raft(index, [&](Raft& raft) {
--- a/tests/consensus/simulation_faults.cpp
+++ b/tests/consensus/simulation_faults.cpp
@@ -13,6 +13,7 @@
     machine.raft.reset();
     machine.changes.clear();
     machine.reads.clear();
+    machine.last_read = 0;
     machine.disk.stop(draw(machine.disk.unsynced() + 1));
 }
 
--- a/tests/wire/codec.cpp
+++ b/tests/wire/codec.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <random>
+#include <tuple>
 
 using namespace dewweir;
 using namespace dewweir::wire;
@@ -137,6 +138,25 @@
     CHECK_FALSE(unwrap(spoilt));
 }
 
+TEST_CASE("a request to leave and a permission of an earlier build name no life, and the other way round") {
+    const consensus::Replica from{1, "a"};
+    const consensus::Replica to{2, "b"};
+    ConsensusMessage request = wrap({from, to, consensus::LeaveRequest{3, 77}});
+    ConsensusMessage response = wrap({from, to, consensus::LeaveResponse{3, true, 77}});
+    CHECK(std::get<consensus::LeaveRequest>(unwrap(request)->message).life == 77);
+    CHECK(std::get<consensus::LeaveResponse>(unwrap(response)->message).life == 77);
+    msgpack::sbuffer earlier;
+    msgpack::pack(earlier, std::tuple(std::uint64_t{3}));
+    request.body.assign(earlier.data(), earlier.size());
+    CHECK(std::get<consensus::LeaveRequest>(unwrap(request)->message).life == 0);
+    earlier.clear();
+    msgpack::pack(earlier, std::tuple(std::uint64_t{3}, true));
+    response.body.assign(earlier.data(), earlier.size());
+    const auto read = std::get<consensus::LeaveResponse>(unwrap(response)->message);
+    CHECK(read.permitted);
+    CHECK(read.life == 0);
+}
+
 TEST_CASE("bytes that are cut are no message") {
     for (const Message& message : all_kinds()) {
         const std::string bytes = encode(message);
