A list of hosts whose pages lead back to one already read is discarded

Callers could see: a reading of the platform's list that never ends, with a call for each turn. Answers of the platform carry no id and are matched by their place on the connection; a late copy of page n names page n + 1 as the next one, which has just been asked for. A walk now asks for each page once, and one that leads back fails; the next reading starts afresh.

Evidence: on the code before, "a page that leads back to one that was asked for already" failed (the page was asked for again).

--- a/src/control/page_walk.cpp
+++ b/src/control/page_walk.cpp
@@ -42,6 +42,7 @@
 void PageWalk::start(const std::optional<std::string>& zone, Done done) {
     zone_ = zone;
     result_ = {};
+    requested_tokens_.clear();
     done_ = std::move(done);
     request_page({});
 }
@@ -60,6 +61,7 @@
     // An instance that is on two pages changed between the requests; the later page is current.
     for (auto& [id, instance] : page->instances) result_.instances[id] = std::move(instance);
     if (!page->next_token || page->next_token->empty()) return finish(true);
+    if (!requested_tokens_.insert(*page->next_token).second) return finish(false);
     result_.page_size = std::max(result_.page_size, entries);
     request_page(*page->next_token);
 }
--- a/src/control/page_walk.h
+++ b/src/control/page_walk.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "api/client.h"
@@ -19,7 +20,8 @@
 };
 
 // One walk at a time. A walk ends early, as incomplete, when a page can't be fetched within a second or
-// parsed.
+// parsed, or when it names a page that the walk has asked for already: answers carry no id, and such a page
+// is a late copy of an earlier one.
 class PageWalk {
   public:
     using Done = std::function<void(PageWalkResult&&)>;
@@ -38,6 +40,7 @@
 
     api::Client client_;
     std::optional<std::string> zone_;
+    std::set<std::string> requested_tokens_;
     PageWalkResult result_;
     Done done_;
 };
--- a/tests/control/instance_poller.cpp
+++ b/tests/control/instance_poller.cpp
@@ -114,6 +114,19 @@
     CHECK(platform.readings[1].instances.at("i").state == wire::InstanceState::draining);
 }
 
+// Guards against a list that lacks hosts, or a reading without end, after a late copy of an earlier page.
+TEST_CASE("a page that leads back to one that was asked for already makes the reading fail") {
+    Platform platform;
+    platform.first_reading();
+    platform.answer(3, page("i", "ready", "z2", "t"));
+    platform.answer(4, page("i", "ready", "z2", "t"));
+    platform.wait_until([&] { return platform.queries.size() == 6; });
+    CHECK(platform.queries[4] == "page_token=t");
+    CHECK(platform.queries[5].empty());  // a new reading from its first page
+    CHECK(platform.failures == 1);
+    CHECK(platform.readings.size() == 1);
+}
+
 TEST_CASE("a reading with a failed zone is discarded, and the next one uses no zone filter") {
     Platform platform;
     platform.answer(0, R"({"instances":{}})");
