A route's max_tries travels with the request; the largest of its service no longer stands for all

The figure is now part of what tells requests of a pool apart (RequestKind, and RouteClass in the decisions), as class and target latency are; a request keeps it when the configuration changes, with the pool that took it. A class without a figure of its own goes by limits.executions, so nothing changes for the in-service program.

--- a/src/gateway/proxy.cpp
+++ b/src/gateway/proxy.cpp
@@ -157,10 +157,9 @@
 
 void Proxy::submit(RequestId id, Request& request) {
     request.submitted = true;
-    const configuration::Route& route = *request.routed.route;
     PoolRequest pool_request;
     pool_request.id = id;
-    pool_request.kind = {route.route_class, route.target_latency};
+    pool_request.kind = request_kind(*request.routed.route);
     pool_request.time_left = std::max<runtime::Time>(1, request.expires_at - loop_.now() - response_margin);
     request.pool->submit(pool_request);
 }
--- a/src/gateway/proxy_pools.cpp
+++ b/src/gateway/proxy_pools.cpp
@@ -110,8 +110,7 @@
     const configuration::Configuration& configuration = table_->configuration();
     for (const configuration::Route& route : configuration.routes) {
         if (!routes_to(route, key.service)) continue;
-        settings.kinds.push_back({route.route_class, route.target_latency});
-        settings.max_tries = std::max(settings.max_tries, route.max_tries);
+        settings.kinds.push_back(request_kind(route));
     }
     sort_unique(settings.kinds);
     return settings;
--- a/src/gateway/service_pool.cpp
+++ b/src/gateway/service_pool.cpp
@@ -23,7 +23,6 @@
     put("step", decision_step_ms);
     put("gateways", settings.gateways_in_zone);
     put("zone", static_cast<int>(Distance::same_zone));
-    put("limits.executions", settings.max_tries);
     if (settings.capacity > 0) put("limits.first_places", initial_attempts_per_slot * settings.capacity);
     put("limits.next_zone", next_zone_weight);
     put("limits.other_zone", other_region_weight);
@@ -41,6 +40,7 @@
         const bool idempotent = settings.kinds[n].route_class == configuration::RouteClass::idempotent;
         values[prefix + "repeats"] = idempotent ? "retriable" : "binding";
         put(prefix + "latency_goal", settings.kinds[n].target_latency.count());
+        put(prefix + "executions", settings.kinds[n].max_tries);
         put(prefix + "remembered", 0);
     }
     put("plans.count", 1);  // one plan: quotas are checked before a request comes here
@@ -54,6 +54,10 @@
 
 }  // namespace
 
+RequestKind request_kind(const configuration::Route& route) {
+    return {route.route_class, route.target_latency, route.max_tries};
+}
+
 ServicePool::ServicePool(runtime::EventLoop& loop, PoolActions& actions, PoolKey key, PoolSettings settings,
                          std::uint64_t seed)
     : loop_(loop), actions_(actions), key_(std::move(key)), settings_(std::move(settings)) {
--- a/src/gateway/service_pool.h
+++ b/src/gateway/service_pool.h
@@ -45,14 +45,16 @@
 struct RequestKind {
     configuration::RouteClass route_class = configuration::RouteClass::mutating;
     std::chrono::milliseconds target_latency{0};
+    std::uint32_t max_tries = 1;  // attempts for one request, the first included
 
     auto operator<=>(const RequestKind&) const = default;
 };
 
+RequestKind request_kind(const configuration::Route& route);
+
 // Settings of a pool's decision module. A change replaces the pool by a new one.
 struct PoolSettings {
     std::vector<RequestKind> kinds;  // sorted, without duplicates
-    std::uint32_t max_tries = 1;     // attempts for one request, the first included
     std::uint32_t capacity = 0;      // largest capacity among the service's hosts; 0: not known
     int gateways_in_zone = 1;        // gateways that share the zone's hosts, this one included
 
--- a/src/policy/attempts.h
+++ b/src/policy/attempts.h
@@ -69,7 +69,7 @@
     }
 
     bool may_retry(const Request& r) const {
-        if (r.attempts >= max_attempts) return false;
+        if (r.attempts >= r.route->max_attempts) return false;
         if (!r.may_have_run || r.route->idempotency == "retriable") return true;
         return r.route->idempotency == "fingerprinted" &&
                now + 4 * timer_step < r.first_run + r.route->dedup_window;
@@ -128,7 +128,7 @@
     // While requests end unanswered on dead connections, attempts at hosts that answer others count as well.
     bool seems_lost(const Request& r) const {
         return r.stage == Stage::in_flight && (!large_fleet() || probed_in_turn(hosts.at(r.host))) &&
-               !r.streaming && !r.abandoned && r.attempts == 1 && max_attempts > 1 && may_cancel &&
+               !r.streaming && !r.abandoned && r.attempts == 1 && r.route->max_attempts > 1 && may_cancel &&
                r.route->idempotency == "retriable" &&
                (hosts.at(r.host).responded_at < r.started_at || unanswered_rate > 1.0 / 256) &&
                now - r.started_at >
--- a/src/readings.cpp
+++ b/src/readings.cpp
@@ -41,7 +41,8 @@
         if (repeats != "retriable" && repeats != "fingerprinted" && repeats != "binding")
             throw errors::BadSetting(prefix + "repeats", "setting missing or unreadable");
         return {time(prefix + "latency_goal"), time(prefix + "remembered"), repeats,
-                text(prefix + "scope", "all")};
+                text(prefix + "scope", "all"),
+                static_cast<int>(number(prefix + "executions", number("limits.executions", 1)))};
     }
     QuotaPlan plan(const std::string& prefix) const {
         const auto of = [&](const char* name) { return number(prefix + name, 0); };
@@ -62,7 +63,6 @@
     timer_step = std::max<Time>(1, read.time("step"));
     fleet_size = std::max(1, static_cast<int>(read.number("gateways")));
     zone = static_cast<int>(read.number("zone", 0));
-    max_attempts = static_cast<int>(read.number("limits.executions", 1));
     may_cancel = read.is_true("limits.cancel");
     max_retry_after = read.is_true("limits.advice") ? read.time("limits.longest_advice") : 0;
     has_counter = read.is_true("service.counter");
--- a/src/readings.h
+++ b/src/readings.h
@@ -21,6 +21,8 @@
     std::string idempotency;
     // Where hosts recognise a repeat: "all", or hosts of the same "zone" or "cell".
     std::string dedup_scope;
+    // Most attempts for one request, the first included.
+    int max_attempts;
 };
 
 // Amounts are units, rates units per tenth of a millisecond; 0 means that there is no such limit.
@@ -66,8 +68,6 @@
     int fleet_size;
     // This gateway's zone.
     int zone;
-    // Attempts of a request, the first one included.
-    int max_attempts;
     double slow_start_from;
     double slow_start_factor;
     // Concurrency limit of a host that is new, over all gateways.
--- a/tests/gateway_sockets/further_attempts.cpp
+++ b/tests/gateway_sockets/further_attempts.cpp
@@ -75,3 +75,22 @@
     harness.await_client(next, "served");
     CHECK(next.received.starts_with("HTTP/1.1 200 "));
 }
+
+// Guards against a request that runs on more hosts than its route allows, because another route of the same
+// service allows more (BUDGET).
+TEST_CASE("A route's max_tries holds beside a route to the same service that allows more") {
+    GatewayHarness harness({}, ample);
+    Peer& client = harness.connect();
+    SECTION("the host breaks off") {
+        client.send(request_head("GET", "/once/x", "a1") + "\r\n");
+        harness.await_host("a1").close();
+    }
+    SECTION("the host turns the request away") {
+        client.send(request_head("GET", "/once/x", "a1") + "\r\n");
+        harness.await_host("a1").send(not_executed);
+    }
+    harness.await_client(client, "HTTP/1.1 50");
+    harness.settle();
+    CHECK(harness.host_connections() == 1);
+    CHECK(harness.host(0).count("X-Attempt-Id: a1") == 1);
+}
--- a/tests/gateway_sockets/harness.h
+++ b/tests/gateway_sockets/harness.h
@@ -149,6 +149,11 @@
             route.max_tries = 2;
             created.routes.push_back(route);
         }
+        configuration::Route once = created.routes.front();
+        once.name = "once";
+        once.path_prefix = "/once/";
+        once.max_tries = 1;
+        created.routes.push_back(once);
         configuration::Service service;
         service.name = "shop";
         service.max_conns = 100;
