--- a/tests/system/soak_events.py
+++ b/tests/system/soak_events.py
@@ -9,6 +9,7 @@
 import time
 
 from system.configuration import invalid_configurations, render_version
+from system.hosts import RefusalCopy
 from system.ledger import OrderOutcome
 from system.world import ZONES, first_configuration, second_configuration
 
@@ -41,6 +42,7 @@
             self.change_configurations: 3,
             self.send_invalid: 2,
             self.hosts_fill_up: 2,
+            self.repeat_refusals: 2,
             self.hang_up: 2,
             self.evacuate: 1,
             self.kill_gateway: 1,
@@ -158,6 +160,19 @@
             host.clear()
         self._release(filled)
 
+    async def repeat_refusals(self):
+        """Hosts are full most of the time for a while, and send a copy of each refusal, some of them late."""
+        taken = self._take(self.world.hosts, 2)
+        before = [(host.plan.capacity, host.plan.queue) for host in taken]
+        for host in taken:
+            host.plan.capacity, host.plan.queue = 1, 0
+            host.refusal_copies = list(RefusalCopy)
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        for host, (capacity, queue) in zip(taken, before):
+            host.plan.capacity, host.plan.queue = capacity, queue
+            host.refusal_copies = []
+        self._release(taken)
+
     async def hang_up(self):
         """SIGHUP to processes of both roles, again and again."""
         for _ in range(self.random.randint(2, 8)):
